Test the core by properties, and fuzz what reads input

Cause: nothing checked rendezvous movement, the search for an owner, revisions or the merging of peer records; the decoders had met no bad input.

--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// newState returns a state with a service that selects a number of targets.
+func newState(t require.TestingT, targets int) *State {
+	state := NewState()
+	services := &ServicesDocument{Revision: 1, Services: []Service{{
+		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp",
+		Selectors: map[string]Selector{"north": {"app": {"orders"}}},
+	}}}
+	backends := &BackendsDocument{Revision: 2}
+	instances := &InstancesDocument{Revision: 3}
+	for i := range targets {
+		name := fmt.Sprintf("b%d", i)
+		backends.Backends = append(backends.Backends, Backend{Name: name, DataCentre: "north", Labels: map[string]string{"app": "orders"}})
+		instances.Instances = append(instances.Instances, Instance{
+			Name: name, Role: RoleAgent, DataCentre: "north",
+			Data: "127.0.0.1:7000", Control: "127.0.0.1:7001", State: StateLive,
+		})
+	}
+	for _, document := range []Document{services, backends, instances} {
+		applied, err := state.Apply(document)
+		require.NoError(t, err)
+		require.True(t, applied)
+	}
+	return state
+}
+
+func orders(state *State) *RoutedService {
+	return state.View(epoch).Service(ServiceIDOf("orders"))
+}
+
+func TestAddedTargetTakesOnlyItsOwnFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 20).Draw(t, "targets")
+		before, after := orders(newState(t, count)), orders(newState(t, count+1))
+		added := InstanceIDOf(fmt.Sprintf("b%d", count))
+		for range 50 {
+			hash := rapid.Uint64().Draw(t, "hash")
+			if now := after.Primary(hash).ID(); now != added {
+				require.Equal(t, before.Primary(hash).ID(), now)
+			}
+		}
+	})
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	state := newState(t, 4)
+	for i, weight := range []Weight{16, 32, 48, 64} {
+		state.Peers().Merge(PeerRecord{ID: InstanceIDOf(fmt.Sprintf("b%d", i)), Incarnation: 1, Weight: weight})
+	}
+	service := orders(state)
+	counts := make(map[string]int)
+	const flows = 40000
+	for hash := uint64(1); hash <= flows; hash++ {
+		counts[service.Primary(hash*0x9E3779B97F4A7C15).Name()]++
+	}
+	for i, share := range []float64{0.1, 0.2, 0.3, 0.4} {
+		require.InDelta(t, share*flows, counts[fmt.Sprintf("b%d", i)], 0.02*flows)
+	}
+}
+
+func TestWalkVisitsEachReachableCandidateOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "targets")
+		state := newState(t, count)
+		unreachable := 0
+		for i := range count {
+			if rapid.Bool().Draw(t, "unreachable") {
+				state.Peers().SetReachable(InstanceIDOf(fmt.Sprintf("b%d", i)), false, time.Time{})
+				unreachable++
+			}
+		}
+		service := orders(state)
+		hash := rapid.Uint64().Draw(t, "hash")
+		var visited []InstanceID
+		walk := service.NextCandidate(hash, visited)
+		for walk.Next != nil {
+			require.NotContains(t, visited, walk.Next.ID())
+			visited = append(visited, walk.Next.ID())
+			walk = service.NextCandidate(hash, visited)
+		}
+		require.Len(t, visited, count-unreachable)
+		require.Equal(t, unreachable > 0, walk.Skipped)
+	})
+}
+
+func TestRevisionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		var highest uint64
+		for range rapid.IntRange(1, 30).Draw(t, "deliveries") {
+			revision := rapid.Uint64Range(1, 10).Draw(t, "revision")
+			applied, err := state.Apply(&BackendsDocument{Revision: revision})
+			require.NoError(t, err)
+			require.Equal(t, revision > highest, applied)
+			highest = max(highest, revision)
+			require.Equal(t, highest, state.Revisions().Backends)
+		}
+	})
+}
+
+func TestInvalidDocumentIsRefusedWhole(t *testing.T) {
+	state := newState(t, 2)
+	_, err := state.Apply(&BackendsDocument{Revision: 9, Backends: []Backend{
+		{Name: "good", DataCentre: "north"}, {Name: "good", DataCentre: "north"},
+	}})
+	require.EqualError(t, err, `apply document: document "backends": entry 1 (good): name appears twice`)
+	require.EqualValues(t, 2, state.Revisions().Backends)
+}
+
+// drawRecords returns records of a few peers. As in the system, the flags of a
+// record other than suspicion follow from its incarnation and sequence.
+func drawRecords(t *rapid.T) []PeerRecord {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) PeerRecord {
+		r := PeerRecord{
+			ID:          InstanceID(rapid.Uint64Range(1, 3).Draw(t, "id")),
+			Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+			Sequence:    rapid.Uint64Range(0, 3).Draw(t, "sequence"),
+		}
+		r.Weight = Weight(r.Incarnation*10 + r.Sequence)
+		if rapid.Bool().Draw(t, "suspect") {
+			r.State = PeerSuspect
+		}
+		return r
+	}), 1, 20).Draw(t, "records")
+}
+
+func TestPeerTablesConvergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawRecords(t)
+		shuffled := rapid.Permutation(records).Draw(t, "order")
+		a, b := NewPeers(), NewPeers()
+		for i := range records {
+			a.Merge(records[i])
+			b.Merge(shuffled[i])
+			b.Merge(shuffled[i])
+		}
+		require.ElementsMatch(t, a.All(), b.All())
+	})
+}
+
+func TestTargetsOfOtherStates(t *testing.T) {
+	state := newState(t, 3)
+	gone, leaving, residual := InstanceIDOf("b0"), InstanceIDOf("b1"), InstanceIDOf("b2")
+	state.Peers().Merge(PeerRecord{ID: gone, Incarnation: 1, State: PeerSuspect})
+	state.Peers().Merge(PeerRecord{ID: leaving, Incarnation: 1, State: PeerLeaving})
+	state.Peers().Merge(PeerRecord{ID: residual, Incarnation: 1, Residual: []ServiceID{ServiceIDOf("orders")}})
+	_, err := state.Apply(&BackendsDocument{Revision: 9, Backends: []Backend{
+		{Name: "b0", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
+		{Name: "b1", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
+		{Name: "b2", DataCentre: "north", Labels: map[string]string{"app": "other"}},
+	}})
+	require.NoError(t, err)
+	service := orders(state)
+	require.Nil(t, service.Primary(1), "neither suspected nor leaving targets take new flows")
+	require.True(t, service.Target(residual).IsResidual())
+	require.False(t, service.Target(residual).IsAccepting())
+	state.Peers().SetReachable(gone, true, epoch.Add(time.Second))
+	require.Equal(t, gone, orders(state).Primary(1).ID(), "an own answer outweighs the suspicion of others")
+}
--- /dev/null
+++ b/internal/wire/ipv4/format_test.go
@@ -0,0 +1,118 @@
+package ipv4
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// segment returns a TCP segment from 10.1.0.1:4000 to 10.9.0.1:80.
+func segment(flags header.TCPFlags, payload string) []byte {
+	fields := &header.TCPFields{SrcPort: 4000, DstPort: 80, SeqNum: 100, AckNum: 200, DataOffset: header.TCPMinimumSize, Flags: flags}
+	data := encodeTCP(tcpip.AddrFrom4([4]byte{10, 1, 0, 1}), tcpip.AddrFrom4([4]byte{10, 9, 0, 1}), fields)
+	data = append(data, payload...)
+	return withLength(data, len(data))
+}
+
+func withLength(data []byte, length int) []byte {
+	ip := header.IPv4(data)
+	ip.SetTotalLength(uint16(length))
+	ip.SetChecksum(0)
+	ip.SetChecksum(^ip.CalculateChecksum())
+	return data
+}
+
+func TestParse(t *testing.T) {
+	const syn, ack, rst, fin = header.TCPFlagSyn, header.TCPFlagAck, header.TCPFlagRst, header.TCPFlagFin
+	for flags, kind := range map[header.TCPFlags]flow.Kind{
+		syn: flow.Opening, ack: flow.Established, fin | ack: flow.Established,
+		rst: flow.Closing, rst | ack: flow.Closing, syn | ack: flow.Established,
+	} {
+		packet, err := Parse(segment(flags, ""))
+		require.NoError(t, err)
+		require.Equal(t, kind, packet.Kind(), "flags %s", flags)
+		require.Equal(t, netip.MustParseAddrPort("10.1.0.1:4000"), packet.Flow().Caller())
+		require.Equal(t, netip.MustParseAddrPort("10.9.0.1:80"), packet.Flow().ServiceEndpoint())
+		require.EqualValues(t, 200, packet.Confirms())
+	}
+}
+
+func TestRefusedPackets(t *testing.T) {
+	mutate := func(change func(data []byte)) []byte {
+		data := segment(header.TCPFlagAck, "data")
+		change(data)
+		return data
+	}
+	tests := []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"empty", nil, ErrTruncated},
+		{"cut", segment(header.TCPFlagAck, "data")[:30], ErrLength},
+		{"version 6", mutate(func(d []byte) { d[0] = 0x65 }), ErrVersion},
+		{"checksum", mutate(func(d []byte) { d[10] ^= 1 }), ErrChecksum},
+		{"fragment", withLength(mutate(func(d []byte) { d[6] = 0x20 }), 44), ErrFragment},
+		{"ICMP", withLength(mutate(func(d []byte) { d[9] = 1 }), 44), ErrProtocol},
+		{"TCP header length", mutate(func(d []byte) { d[32] = 0xf0 }), ErrLength},
+		{"TCP too short", withLength(segment(header.TCPFlagAck, "")[:30], 30), ErrTruncated},
+		{"oversized", withLength(append(segment(header.TCPFlagAck, ""), make([]byte, MaxPacket)...), MaxPacket+40), ErrLength},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse(test.data)
+			require.Equal(t, test.want, err)
+		})
+	}
+}
+
+func TestResetAnswersTheSegment(t *testing.T) {
+	tests := []struct {
+		name     string
+		flags    header.TCPFlags
+		payload  string
+		sequence uint32
+		ack      uint32
+		wants    header.TCPFlags
+	}{
+		{"acknowledging", header.TCPFlagAck, "data", 200, 0, header.TCPFlagRst},
+		{"opening", header.TCPFlagSyn, "", 0, 101, header.TCPFlagRst | header.TCPFlagAck},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			packet, err := Parse(segment(test.flags, test.payload))
+			require.NoError(t, err)
+			answer := header.IPv4(Reset(packet))
+			tcp := header.TCP(answer.Payload())
+			require.Equal(t, test.wants, tcp.Flags())
+			require.Equal(t, test.sequence, tcp.SequenceNumber())
+			require.Equal(t, test.ack, tcp.AckNumber())
+			require.True(t, answer.IsChecksumValid())
+			require.True(t, tcp.IsChecksumValid(answer.SourceAddress(), answer.DestinationAddress(), 0, 0))
+		})
+	}
+	aborting, err := Parse(segment(header.TCPFlagRst, ""))
+	require.NoError(t, err)
+	require.Nil(t, Reset(aborting), "a reset is never answered")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(segment(header.TCPFlagSyn, ""))
+	f.Add(segment(header.TCPFlagAck, "data"))
+	f.Add([]byte{0x45})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		packet, err := Parse(data)
+		if err != nil {
+			return
+		}
+		if answer := Reset(packet); answer != nil {
+			require.True(t, header.IPv4(answer).IsValid(len(answer)))
+		}
+		ParseAnswer(data)
+	})
+}
