Add lab scenarios of planned changes and failures over a fault-injecting relay

Change: a relay on every link between processes, feeds checked line by line, requests checked against the backend servers' ledger, eleven scenarios.

--- a/cmd/radishmast-lab/main.go
+++ b/cmd/radishmast-lab/main.go
@@ -11,19 +11,22 @@
 
 	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
 	"github.com/radishmast/radishmast/internal/cmd/demo"
+	"github.com/radishmast/radishmast/internal/cmd/run"
 	"github.com/radishmast/radishmast/internal/cmd/version"
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(execute())
 }
 
-func run() int {
+func execute() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	factory := &cmdutil.Factory{Streams: cmdutil.SystemStreams(), HTTPClient: http.DefaultClient}
 	root := cmdutil.NewGroup("radishmast-lab", "Stand-ins and measurements.", factory.Streams,
 		demo.NewCmdDemo(factory),
+		run.NewCmdRun(factory),
+		run.NewCmdList(factory),
 		version.NewCmdVersion(factory, "radishmast-lab"),
 	)
 	return cmdutil.Main(ctx, factory.Streams, root, os.Args[1:])
--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -37,7 +37,7 @@
 }
 
 func (n *Node) dial(ctx context.Context, endpoint netip.AddrPort) {
-	l, err := link.Dial(ctx, endpoint, http.DefaultClient, false, n.counters)
+	l, err := link.Dial(ctx, endpoint, n.http, false, n.counters)
 	if err != nil {
 		n.counters.Add("retry_link_dial", 1)
 		n.logger.WithError(err).Debug("control link")
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -30,6 +30,8 @@
 // last ran. A process that was paused finds it expired.
 const validity = time.Second
 
+const connectTimeout = 2 * time.Second
+
 // Node is the shared part of a daemon.
 type Node struct {
 	name        string
@@ -42,6 +44,7 @@
 	control     netip.AddrPort
 	socket      *net.UDPConn
 	platform    *platform.Client
+	http        *http.Client
 	counters    *metrics.Counters
 	logger      log.Interface
 
@@ -63,7 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := platform.New(common.Platform, http.DefaultTransport)
+	httpClient := newHTTPClient(settings.Endpoint(common.Control).Addr())
+	client, err := platform.New(common.Platform, httpClient.Transport)
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
 	}
@@ -78,6 +82,7 @@
 		control:     settings.Endpoint(common.Control),
 		socket:      socket,
 		platform:    client,
+		http:        httpClient,
 		counters:    counters,
 		logger:      logger.WithField("instance", common.Name),
 		inputs:      make(chan func(time.Time) []control.Output, 1024),
@@ -99,6 +104,12 @@
 	return n, nil
 }
 
+// newHTTPClient returns a client that connects from the instance's own address.
+func newHTTPClient(address netip.Addr) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: address.AsSlice()}, Timeout: connectTimeout}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+}
+
 func seeds(peers []string) []netip.AddrPort {
 	endpoints := make([]netip.AddrPort, 0, len(peers))
 	for _, p := range peers {
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -17,7 +17,6 @@
 const (
 	headerTimeout = 5 * time.Second
 	maxBodyBytes  = 1 << 30
-	feedPeriod    = 100 * time.Millisecond
 	loadLag       = time.Second
 )
 
@@ -38,6 +37,8 @@
 	WarmRequests int
 	// FallTime is how long it stays down after it fell over.
 	FallTime time.Duration
+	// FeedPeriod is the time between two lines of a feed, one second if zero.
+	FeedPeriod time.Duration
 }
 
 // Server is a running backend server.
@@ -67,6 +68,9 @@
 
 // Start runs a backend server that records requests in a ledger.
 func Start(config Config, ledger *Ledger) (*Server, error) {
+	if config.FeedPeriod == 0 {
+		config.FeedPeriod = time.Second
+	}
 	s := &Server{config: config, ledger: ledger}
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -223,7 +227,7 @@
 	s.mu.Lock()
 	ctx := s.ctx
 	s.mu.Unlock()
-	ticker := time.NewTicker(feedPeriod)
+	ticker := time.NewTicker(s.config.FeedPeriod)
 	defer ticker.Stop()
 	key := r.URL.Query().Get("key")
 	for line := 0; ; line++ {
--- a/internal/lab/backend/ledger.go
+++ b/internal/lab/backend/ledger.go
@@ -54,3 +54,10 @@
 	defer l.mu.Unlock()
 	return l.crossed
 }
+
+// RunsAt returns the number of requests that a backend server ran.
+func (l *Ledger) RunsAt(server string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.servers[server]
+}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -19,6 +19,7 @@
 	"github.com/radishmast/radishmast/internal/lab/caller"
 	"github.com/radishmast/radishmast/internal/lab/fabric"
 	"github.com/radishmast/radishmast/internal/lab/platform"
+	"github.com/radishmast/radishmast/internal/lab/relay"
 )
 
 // Ports of the processes; each instance has an IP address of its own.
@@ -55,6 +56,10 @@
 	Placement   string
 	Keys        []string
 	Faults      fabric.Faults
+	// Relayed puts the fault-injecting relay on every link between processes.
+	Relayed bool
+	// FeedPeriod is the time between two lines of a feed.
+	FeedPeriod time.Duration
 }
 
 // Cluster is a running cluster.
@@ -65,12 +70,15 @@
 	platform *platform.Platform
 	fabric   *fabric.Fabric
 	callers  *caller.Callers
+	relay    *relay.Relay
 	ledger   *backend.Ledger
 
 	mu        sync.Mutex
 	instances map[string]*instance
 	order     []string
 	services  []fleet.Service
+	balancers int
+	backends  int
 }
 
 // instance is one radishmastd process with what stands beside it.
@@ -81,6 +89,8 @@
 	server  *backend.Server
 	backend *BackendSpec
 	removed bool
+	// withdrawn balancers get no packets from the fabric.
+	withdrawn bool
 }
 
 // Start runs a cluster and waits until it serves.
@@ -128,6 +138,7 @@
 		return err
 	}
 	c.fabric.SetFaults(c.spec.Faults)
+	c.relay = relay.New(c.spec.Seed)
 	c.callers, err = caller.New(c.fabric.Send)
 	return err
 }
@@ -137,13 +148,15 @@
 }
 
 func (c *Cluster) startInstances() error {
-	for i := range c.spec.Balancers {
-		dataCentre := c.spec.DataCentres[i%len(c.spec.DataCentres)]
-		c.addInstance(fmt.Sprintf("entry-%d", i+1), fleet.RoleBalancer, dataCentre, c.at(1, byte(i+1), 0).Addr())
+	for range c.spec.Balancers {
+		if _, err := c.addBalancer(); err != nil {
+			return err
+		}
 	}
 	for i := range c.spec.Backends {
-		b := &c.spec.Backends[i]
-		c.addInstance(b.Name, fleet.RoleAgent, b.DataCentre, c.at(2, byte(i+1), 0).Addr()).backend = b
+		if err := c.addBackend(&c.spec.Backends[i]); err != nil {
+			return err
+		}
 	}
 	if err := c.PublishAll(); err != nil {
 		return err
@@ -157,21 +170,58 @@
 	return nil
 }
 
-func (c *Cluster) addInstance(name string, role fleet.Role, dataCentre string, address netip.Addr) *instance {
-	i := &instance{
-		address: address,
-		listed: fleet.Instance{
-			Name:       name,
-			Role:       role,
-			DataCentre: dataCentre,
-			Data:       netip.AddrPortFrom(address, dataPort).String(),
-			Control:    netip.AddrPortFrom(address, controlPort).String(),
-			State:      fleet.StateLive,
-		},
+// Groups of addresses: instances of each role, and the relay's in front of them.
+const (
+	balancerGroup = 1
+	backendGroup  = 2
+	relayOffset   = 10
+)
+
+func (c *Cluster) addBalancer() (*instance, error) {
+	c.balancers++
+	number := byte(c.balancers)
+	dataCentre := c.spec.DataCentres[(c.balancers-1)%len(c.spec.DataCentres)]
+	return c.addInstance(fmt.Sprintf("entry-%d", number), fleet.RoleBalancer, dataCentre, balancerGroup, number)
+}
+
+func (c *Cluster) addBackend(spec *BackendSpec) error {
+	c.backends++
+	i, err := c.addInstance(spec.Name, fleet.RoleAgent, spec.DataCentre, backendGroup, byte(c.backends))
+	if err != nil {
+		return err
+	}
+	i.backend = spec
+	return nil
+}
+
+func (c *Cluster) addInstance(name string, role fleet.Role, dataCentre string, group, number byte) (*instance, error) {
+	i := &instance{address: c.at(group, number, 0).Addr()}
+	published := i.address
+	if c.spec.Relayed {
+		published = c.at(group+relayOffset, number, 0).Addr()
+		if err := c.relayTo(published, i.address); err != nil {
+			return nil, err
+		}
+	}
+	i.listed = fleet.Instance{
+		Name:       name,
+		Role:       role,
+		DataCentre: dataCentre,
+		Data:       netip.AddrPortFrom(published, dataPort).String(),
+		Control:    netip.AddrPortFrom(published, controlPort).String(),
+		State:      fleet.StateLive,
 	}
 	c.instances[name] = i
 	c.order = append(c.order, name)
-	return i
+	return i, nil
+}
+
+func (c *Cluster) relayTo(published, address netip.Addr) error {
+	err := c.relay.RelayDatagrams(netip.AddrPortFrom(published, dataPort), netip.AddrPortFrom(address, dataPort))
+	if err != nil {
+		return err
+	}
+	return c.relay.RelayStreams(netip.AddrPortFrom(published, controlPort), netip.AddrPortFrom(address, controlPort))
 }
 
 func (c *Cluster) launch(i *instance) error {
@@ -188,6 +238,7 @@
 			Speed:        i.backend.Speed,
 			WarmRequests: i.backend.WarmRequests,
 			FallTime:     fallTime,
+			FeedPeriod:   c.spec.FeedPeriod,
 		}, c.ledger)
 		if err != nil {
 			return err
@@ -256,7 +307,7 @@
 	var endpoints []netip.AddrPort
 	for _, name := range c.order {
 		i := c.instances[name]
-		if i.listed.Role == fleet.RoleBalancer && !i.removed && i.process != nil {
+		if i.listed.Role == fleet.RoleBalancer && !i.removed && !i.withdrawn && i.process != nil {
 			endpoints = append(endpoints, netip.AddrPortFrom(i.address, fabricPort))
 		}
 	}
@@ -303,7 +354,7 @@
 // Close ends every process and stand-in.
 func (c *Cluster) Close() {
 	for _, i := range c.instances {
-		if i.process != nil {
+		if i.process != nil && !i.process.waitFor(0) {
 			// A process that has ended already cannot be signalled.
 			_ = i.process.signal(syscall.SIGKILL)
 			i.process.waitFor(stopTimeout)
@@ -312,6 +363,9 @@
 			i.server.Stop()
 		}
 	}
+	if c.relay != nil {
+		c.relay.Close()
+	}
 	if c.callers != nil {
 		c.callers.Close()
 	}
@@ -363,5 +417,5 @@
 
 // ControlOf returns the control endpoint of an instance.
 func (c *Cluster) ControlOf(name string) string {
-	return c.instances[name].listed.Control
+	return netip.AddrPortFrom(c.instances[name].address, controlPort).String()
 }
--- a/internal/lab/cluster/operate.go
+++ b/internal/lab/cluster/operate.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/link/operator"
 )
 
@@ -19,7 +20,7 @@
 func (c *Cluster) WaitReady(timeout time.Duration) error {
 	return c.waitUntil(timeout, "every process serves", func() bool {
 		want := c.platform.Revision()
-		for _, name := range c.running() {
+		for _, name := range c.Running() {
 			status, err := c.Status(name)
 			if err != nil || !status.Valid || status.Revisions.Highest() < want {
 				return false
@@ -40,8 +41,8 @@
 	return nil
 }
 
-// running returns the names of the instances with a live process.
-func (c *Cluster) running() []string {
+// Running returns the names of the instances with a live process.
+func (c *Cluster) Running() []string {
 	var names []string
 	for _, name := range c.order {
 		i := c.instances[name]
@@ -84,3 +85,38 @@
 
 // RestartBackend brings a killed backend server back, cold.
 func (c *Cluster) RestartBackend(name string) error { return c.instances[name].server.Restart() }
+
+// WaitEnded waits until an instance's process has ended.
+func (c *Cluster) WaitEnded(name string, timeout time.Duration) error {
+	return c.waitUntil(timeout, name+" has ended", func() bool { return c.HasEnded(name) })
+}
+
+// Withdraw takes a balancer out of the fabric.
+func (c *Cluster) Withdraw(name string) error {
+	c.instances[name].withdrawn = true
+	c.sprayOverBalancers()
+	return nil
+}
+
+// SetSelectors replaces a service's selector in every data centre at one stroke.
+func (c *Cluster) SetSelectors(service string, selector fleet.Selector) error {
+	return c.changeService(service, func(map[string]fleet.Selector) map[string]fleet.Selector {
+		selectors := make(map[string]fleet.Selector)
+		for _, dataCentre := range c.spec.DataCentres {
+			selectors[dataCentre] = selector
+		}
+		return selectors
+	})
+}
+
+// ServiceOf returns the service that a backend server belongs to.
+func (c *Cluster) ServiceOf(name string) string { return c.instances[name].backend.Service }
+
+// SlotsOf returns the number of slots of a backend server.
+func (c *Cluster) SlotsOf(name string) int { return c.instances[name].backend.Slots }
+
+// Busy returns the time for which a backend server's slots were in use.
+func (c *Cluster) Busy(name string) time.Duration { return c.instances[name].server.Busy() }
+
+// Falls returns how often a backend server fell over.
+func (c *Cluster) Falls(name string) int { return c.instances[name].server.Falls() }
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -27,7 +27,9 @@
 	changed   chan struct{}
 	reads     int
 	down      bool
-	stale     map[string]document
+	// first holds the first revision of each document.
+	first map[string]document
+	stale map[string]document
 }
 
 type document struct {
@@ -44,6 +46,7 @@
 	p := &Platform{
 		listener:  listener,
 		documents: make(map[string]document),
+		first:     make(map[string]document),
 		changed:   make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -78,6 +81,9 @@
 		return fmt.Errorf("publish %s: %w", name, err)
 	}
 	p.documents[name] = document{revision: p.revision, body: body}
+	if _, published := p.first[name]; !published {
+		p.first[name] = p.documents[name]
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return nil
@@ -118,6 +124,16 @@
 	}
 }
 
+// SetOld makes reads return the first revision of each document, or ends that.
+func (p *Platform) SetOld(old bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = nil
+	if old {
+		p.stale = p.first
+	}
+}
+
 func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	seconds, _ := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
--- /dev/null
+++ b/internal/lab/scenario/failures.go
@@ -0,0 +1,128 @@
+package scenario
+
+import (
+	"errors"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/lab/relay"
+)
+
+// failures are the failures that the brief names, alone and together.
+func failures() []Scenario {
+	return []Scenario{
+		{Name: "partition", Help: "one data centre is cut off from the others, then healed", act: partition},
+		{Name: "pause", Help: "each balancer and one agent is stopped for a while", act: pause},
+		{Name: "stale", Help: "the platform is stale, then down, while processes restart", act: stale},
+		{Name: "silent", Help: "open connections between processes go silent while new ones work", act: silent},
+		{Name: "loss", Help: "every link between processes loses, delays and doubles", act: loss},
+		{Name: "storm", Help: "replacement, drain, stale platform, partition and pauses at once", act: storm},
+	}
+}
+
+func partition(r *run) error {
+	r.cluster.Partition("west")
+	r.hold()
+	r.cluster.Heal()
+	r.hold()
+	return nil
+}
+
+// pause freezes balancers in turn, then an agent, and flips a label meanwhile.
+func pause(r *run) error {
+	names := append(r.balancers(), r.orderServers()[0])
+	return each(names, func(name string) error {
+		if err := r.cluster.Freeze(name); err != nil {
+			return err
+		}
+		r.hold()
+		return r.cluster.Thaw(name)
+	})
+}
+
+// stale restarts a balancer while the platform shows old documents and another
+// while it is down. A change made before must not revert.
+func stale(r *run) error {
+	balancers := r.balancers()
+	r.cluster.Platform().SetStale(true)
+	moved := r.orderServers()[0]
+	if err := r.cluster.SetLabels(map[string]string{"app": "spare"}, moved); err != nil {
+		return err
+	}
+	r.cluster.Platform().SetStale(false)
+	if err := r.cluster.WaitReady(readyTimeout); err != nil {
+		return err
+	}
+	r.cluster.Platform().SetOld(true)
+	if err := r.restart(balancers[0]); err != nil {
+		return err
+	}
+	r.cluster.Platform().SetOld(false)
+	r.cluster.Platform().SetDown(true)
+	defer r.cluster.Platform().SetDown(false)
+	if err := r.restart(balancers[1]); err != nil {
+		return err
+	}
+	r.hold()
+	return r.cluster.WaitReady(readyTimeout)
+}
+
+// restart kills an instance and starts it again at once.
+func (r *run) restart(name string) error {
+	if err := r.cluster.Kill(name); err != nil {
+		return err
+	}
+	if err := r.cluster.Launch(name); err != nil {
+		return err
+	}
+	return r.cluster.WaitReady(readyTimeout)
+}
+
+// silent makes the open paths between every balancer and agent go silent.
+func silent(r *run) error {
+	for _, balancer := range r.balancers() {
+		for _, agent := range r.orderServers() {
+			r.cluster.ForgetState(balancer, agent)
+		}
+	}
+	r.hold()
+	return nil
+}
+
+func loss(r *run) error {
+	r.cluster.SetLinkFaults(relay.Fault{Drop: 0.05, Duplicate: 0.05, Delay: 2 * time.Millisecond})
+	r.hold()
+	r.hold()
+	r.cluster.SetLinkFaults(relay.Fault{})
+	return nil
+}
+
+// storm brings everything at once: balancers are replaced and one is frozen
+// while backend servers drain, the platform is stale and a data centre is cut off.
+func storm(r *run) error {
+	r.cluster.SetLinkFaults(relay.Fault{Drop: 0.01, Duplicate: 0.01, Delay: time.Millisecond})
+	servers := r.orderServers()
+	if err := each(servers[:2], r.cluster.Terminate); err != nil {
+		return err
+	}
+	r.cluster.Partition("west")
+	frozen := servers[3]
+	if err := r.cluster.Freeze(frozen); err != nil {
+		return err
+	}
+	r.hold()
+	failure := errors.Join(r.cluster.Thaw(frozen), replaceOne(r))
+	r.cluster.Platform().SetStale(true)
+	r.hold()
+	r.cluster.Heal()
+	r.cluster.Platform().SetStale(false)
+	r.hold()
+	return failure
+}
+
+func replaceOne(r *run) error {
+	old := r.balancers()[0]
+	if _, err := r.cluster.AddBalancer(); err != nil {
+		return err
+	}
+	return r.retire(old)
+}
--- /dev/null
+++ b/internal/lab/scenario/result.go
@@ -0,0 +1,163 @@
+package scenario
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/lab/workload"
+)
+
+// Result is what a run measured.
+type Result struct {
+	Scenario string   `json:"scenario"`
+	Seed     uint64   `json:"seed"`
+	Flows    Flows    `json:"flows"`
+	Requests Requests `json:"requests"`
+	// Imbalance is the highest share of busy time per capacity over the mean.
+	Imbalance float64 `json:"imbalance"`
+	Wait      Wait    `json:"wait"`
+	Control   Control `json:"control"`
+	// Details holds figures that only this scenario has.
+	Details map[string]float64 `json:"details,omitempty"`
+	// Causes counts why feeds broke and requests were lost.
+	Causes map[string]int `json:"causes,omitempty"`
+}
+
+// Flows counts established feeds.
+type Flows struct {
+	Open   int `json:"open"`
+	Broken int `json:"broken"`
+	Lines  int `json:"lines"`
+}
+
+// Requests counts requests by outcome.
+type Requests struct {
+	Sent           int `json:"sent"`
+	Answered       int `json:"answered"`
+	Refused        int `json:"refused"`
+	FalselyRefused int `json:"falselyRefused"`
+	Lost           int `json:"lost"`
+	Doubled        int `json:"doubled"`
+	Crossed        int `json:"crossed"`
+}
+
+// Wait holds quantiles of the time to the answer, in milliseconds.
+type Wait struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+// Control is the traffic that control causes.
+type Control struct {
+	// Bytes is sent per second by the mean node.
+	Bytes float64 `json:"bytes"`
+	// Reads is the number of platform reads per second by all nodes together.
+	Reads float64 `json:"reads"`
+}
+
+func (r *Result) detail(name string, value float64) {
+	if r.Details == nil {
+		r.Details = make(map[string]float64)
+	}
+	r.Details[name] = value
+}
+
+func (r *Result) cause(causes map[string]int) {
+	if len(causes) > 0 && r.Causes == nil {
+		r.Causes = make(map[string]int)
+	}
+	for cause, count := range causes {
+		r.Causes[cause] += count
+	}
+}
+
+// usage is a reading of what the run has used so far.
+type usage struct {
+	at    time.Time
+	busy  map[string]time.Duration
+	bytes map[string]float64
+	reads int
+}
+
+func (r *run) startUsage() usage {
+	u := usage{
+		at:    time.Now(),
+		busy:  make(map[string]time.Duration),
+		bytes: make(map[string]float64),
+		reads: r.cluster.Platform().Reads(),
+	}
+	for _, name := range r.orderServers() {
+		u.busy[name] = r.cluster.Busy(name)
+	}
+	for _, name := range r.cluster.Running() {
+		u.bytes[name] = r.controlBytes(name)
+	}
+	return u
+}
+
+func (r *run) controlBytes(name string) float64 {
+	counters, err := r.cluster.Counters(name)
+	if err != nil {
+		return 0
+	}
+	sent, _ := counters["control_bytes_sent"].(float64)
+	return sent
+}
+
+// finish fills in the result.
+func (r *run) finish(outcome workload.Outcome, start usage) {
+	end := r.startUsage()
+	seconds := end.at.Sub(start.at).Seconds()
+	r.result.Flows = Flows{Open: r.feeds.Open(), Broken: r.feeds.Broken(), Lines: r.feeds.Lines()}
+	r.result.Requests = Requests{
+		Sent:           outcome.Sent,
+		Answered:       outcome.Answered,
+		Refused:        outcome.Refused,
+		FalselyRefused: outcome.FalselyRefused,
+		Lost:           outcome.Lost,
+		Doubled:        r.cluster.Ledger().Doubled(),
+		Crossed:        outcome.Crossed + r.cluster.Ledger().Crossed(),
+	}
+	r.result.Wait = Wait{P50: milliseconds(r.requests.Wait(50)), P99: milliseconds(r.requests.Wait(99))}
+	r.result.Imbalance = r.imbalance(start, end)
+	r.result.Control = Control{
+		Bytes: meanGrowth(start.bytes, end.bytes) / seconds,
+		Reads: float64(end.reads-start.reads) / seconds,
+	}
+	r.result.cause(r.feeds.Causes())
+	r.result.cause(r.requests.Causes())
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// meanGrowth averages over the nodes that lived through the whole run.
+func meanGrowth(start, end map[string]float64) float64 {
+	var sum float64
+	nodes := 0
+	for name, value := range end {
+		if before, known := start[name]; known && value >= before {
+			sum += value - before
+			nodes++
+		}
+	}
+	return sum / float64(max(nodes, 1))
+}
+
+// imbalance is the highest busy time per slot over the mean, as speed already
+// shortens the time that a request is busy.
+func (r *run) imbalance(start, end usage) float64 {
+	var highest, sum float64
+	servers := r.orderServers()
+	for _, name := range servers {
+		share := (end.busy[name] - start.busy[name]).Seconds() / float64(r.cluster.SlotsOf(name))
+		highest = max(highest, share)
+		sum += share
+	}
+	if sum == 0 {
+		return 0
+	}
+	return highest / (sum / float64(len(servers)))
+}
+
+// balancers returns the running balancers.
+func (r *run) balancers() []string { return r.cluster.Names(fleet.RoleBalancer) }
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,180 @@
+// Package scenario runs named scenarios against a cluster of real processes and
+// measures what callers see.
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/lab/cluster"
+	"github.com/radishmast/radishmast/internal/lab/workload"
+)
+
+const (
+	readyTimeout  = 30 * time.Second
+	settleTime    = 2 * time.Second
+	memberCount   = 8
+	orders        = "orders"
+	patterns      = "patterns"
+	defaultFeeds  = 200
+	defaultRate   = 40
+	defaultWork   = 20 * time.Millisecond
+	defaultPeriod = 200 * time.Millisecond
+)
+
+// Options set the size of a run. Zero values stand for small defaults.
+type Options struct {
+	Binary     string
+	Directory  string
+	Seed       uint64
+	Feeds      int
+	Rate       float64
+	Work       time.Duration
+	FeedPeriod time.Duration
+	Balancers  int
+	Slots      int
+	Placement  string
+	Keys       []string
+	// Hold is how long a fault or a change is left to act.
+	Hold time.Duration
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Feeds, defaultFeeds)
+	setDefault(&o.Rate, defaultRate)
+	setDefault(&o.Work, defaultWork)
+	setDefault(&o.FeedPeriod, defaultPeriod)
+	setDefault(&o.Balancers, 3)
+	setDefault(&o.Slots, 2)
+	setDefault(&o.Hold, 5*time.Second)
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// Scenario is a named course of events.
+type Scenario struct {
+	Name string
+	Help string
+	// shape adapts the cluster before it starts; nil keeps the sample cluster.
+	shape func(*cluster.Spec, *Options)
+	act   func(*run) error
+}
+
+// run is a scenario under way.
+type run struct {
+	options  Options
+	cluster  *cluster.Cluster
+	feeds    *workload.Feeds
+	requests *workload.Requests
+	result   *Result
+}
+
+// All returns every scenario in order of name.
+func All() []Scenario {
+	all := slices.Concat(changes(), failures(), loads())
+	slices.SortFunc(all, func(a, b Scenario) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Find returns the scenario with a name.
+func Find(name string) (Scenario, error) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Scenario{}, fmt.Errorf("no scenario %q; radishmast-lab list names them", name)
+}
+
+// Run runs the scenario and measures it.
+func (s Scenario) Run(options Options) (*Result, error) {
+	options.setDefaults()
+	spec := cluster.Spec{
+		Binary:      options.Binary,
+		Directory:   options.Directory,
+		Seed:        options.Seed,
+		DataCentres: cluster.SampleCentres(),
+		Balancers:   options.Balancers,
+		Services:    cluster.SampleServices(),
+		Backends:    slices.Concat(cluster.SampleBackends(orders, 7, options.Slots), cluster.SampleBackends(patterns, 3, options.Slots)),
+		Placement:   options.Placement,
+		Keys:        options.Keys,
+		Relayed:     true,
+		FeedPeriod:  options.FeedPeriod,
+	}
+	if s.shape != nil {
+		s.shape(&spec, &options)
+	}
+	c, err := cluster.Start(spec)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.WaitReady(readyTimeout); err != nil {
+		return nil, err
+	}
+	r := &run{options: options, cluster: c, result: &Result{Scenario: s.Name, Seed: options.Seed}}
+	if err := r.measure(s.act); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
+	}
+	return r.result, nil
+}
+
+// measure runs feeds and requests around the scenario's events.
+func (r *run) measure(act func(*run) error) error {
+	feeds, err := workload.OpenFeeds(r.cluster, orders, r.options.Feeds)
+	if err != nil {
+		return err
+	}
+	defer feeds.Close()
+	r.feeds = feeds
+	usage := r.startUsage()
+	r.requests = workload.StartRequests(r.cluster, r.cluster.Ledger(), workload.RequestPlan{
+		Service:  orders,
+		Rate:     r.options.Rate,
+		MeanWork: r.options.Work,
+		Members:  workload.EqualMembers(memberCount),
+		Seed:     r.options.Seed,
+	})
+	time.Sleep(settleTime)
+	failure := act(r)
+	time.Sleep(settleTime)
+	outcome := r.requests.Stop()
+	r.finish(outcome, usage)
+	return failure
+}
+
+// orderServers returns the backend servers of the order service.
+func (r *run) orderServers() []string {
+	var names []string
+	for _, name := range r.cluster.Names(fleet.RoleAgent) {
+		if r.cluster.ServiceOf(name) == orders {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (r *run) hold() { time.Sleep(r.options.Hold) }
+
+// each applies a step to every name and joins the errors.
+func each(names []string, step func(string) error) error {
+	var errs []error
+	for _, name := range names {
+		errs = append(errs, step(name))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/lab/workload/feeds.go
@@ -0,0 +1,164 @@
+// Package workload drives callers against a cluster and checks every answer.
+package workload
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Dialer opens flows.
+type Dialer interface {
+	Dial(ctx context.Context, member netip.Addr, service string) (net.Conn, error)
+}
+
+// feedTimeout is how long a feed may be silent before it counts as broken.
+const feedTimeout = 15 * time.Second
+
+// Feeds are long flows that read a numbered line every period.
+type Feeds struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+	open   atomic.Int64
+	lines  atomic.Int64
+	broken atomic.Int64
+
+	mu     sync.Mutex
+	causes map[string]int
+}
+
+// OpenFeeds opens a number of feeds of a service and waits for the first line of
+// each.
+func OpenFeeds(dialer Dialer, service string, count int) (*Feeds, error) {
+	f := &Feeds{causes: make(map[string]int)}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	const opening = 64
+	slots := make(chan struct{}, opening)
+	errs := make(chan error, count)
+	for i := range count {
+		slots <- struct{}{}
+		f.group.Go(func() {
+			started := func(err error) {
+				<-slots
+				errs <- err
+			}
+			f.run(dialer, service, i, started)
+		})
+	}
+	for range count {
+		if err := <-errs; err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Member returns the address of the n-th member.
+func Member(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)})
+}
+
+func (f *Feeds) run(dialer Dialer, service string, n int, started func(error)) {
+	conn, err := dialer.Dial(f.ctx, Member(n%256+1), service)
+	if err != nil {
+		started(fmt.Errorf("open feed %d: %w", n, err))
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(f.ctx, func() { _ = conn.Close() })
+	defer stop()
+	key := fmt.Sprintf("%s-%d", service, n)
+	reader, err := subscribe(conn, service, key)
+	if err != nil {
+		started(fmt.Errorf("open feed %d: %w", n, err))
+		return
+	}
+	f.follow(conn, reader, key, started)
+}
+
+func subscribe(conn net.Conn, service, key string) (*bufio.Reader, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+service+"/feed?key="+key, nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := request.Write(conn); err != nil {
+		return nil, err
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(feedTimeout)); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return nil, err
+	}
+	return bufio.NewReader(response.Body), nil
+}
+
+// follow checks each line for order, loss and crossing until the feed ends.
+func (f *Feeds) follow(conn net.Conn, reader *bufio.Reader, key string, started func(error)) {
+	var once sync.Once
+	for line := 0; ; line++ {
+		err := conn.SetReadDeadline(time.Now().Add(feedTimeout))
+		text := ""
+		if err == nil {
+			text, err = reader.ReadString('\n')
+		}
+		if f.ctx.Err() != nil {
+			once.Do(func() { started(f.ctx.Err()) })
+			return
+		}
+		if want := fmt.Sprintf("%s %d\n", key, line); err == nil && text != want {
+			err = fmt.Errorf("read %q instead of %q", text, want)
+		}
+		once.Do(func() {
+			f.open.Add(1)
+			started(nil)
+		})
+		if err != nil {
+			f.note(err)
+			return
+		}
+		f.lines.Add(1)
+	}
+}
+
+func (f *Feeds) note(err error) {
+	f.broken.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.causes[err.Error()]++
+}
+
+// Open returns the number of feeds that were opened.
+func (f *Feeds) Open() int { return int(f.open.Load()) }
+
+// Broken returns the number of feeds that broke.
+func (f *Feeds) Broken() int { return int(f.broken.Load()) }
+
+// Lines returns the number of lines read in all.
+func (f *Feeds) Lines() int { return int(f.lines.Load()) }
+
+// Causes returns why feeds broke, with counts.
+func (f *Feeds) Causes() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	causes := make(map[string]int, len(f.causes))
+	for cause, count := range f.causes {
+		causes[cause] = count
+	}
+	return causes
+}
+
+// Close ends all feeds.
+func (f *Feeds) Close() {
+	f.cancel()
+	f.group.Wait()
+}
