Keep flows through silent paths, pauses and dead balancers

Cause 1: when a link's state was lost, everything sent to that agent from the balancer's socket vanished. Cause 2: with a third of all acknowledgements lost at a frozen balancer, feeds stood still for good. A packet dump showed the stack's sender arming no timer after a tail loss probe whose acknowledgement was lost.

--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		record, _ := c.state.Peers().Record(id)
-		fresh := c.prober.states[id].misses == maxMisses-1
+		fresh := c.prober.states[id].misses%maxMisses == maxMisses-1
 		c.emit(Probe{Node: node, Incarnation: record.Incarnation, Fresh: fresh})
 	}
 }
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reporter{agent: a, codec: codec, writer: peer.NewWriter(a.node.Socket())}, nil
+	return &reporter{agent: a, codec: codec, writer: a.node.NewWriter()}, nil
 }
 
 func (r *reporter) send() {
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -12,7 +12,6 @@
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/link/backend"
 	"github.com/radishmast/radishmast/internal/link/caller"
-	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/chunk"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 	"github.com/radishmast/radishmast/internal/wire/ipv4"
@@ -103,7 +102,7 @@
 	for _, id := range retry.Visited {
 		header.Visited = append(header.Visited, uint64(id))
 	}
-	writer := peer.NewWriter(a.node.Socket())
+	writer := a.node.NewWriter()
 	buffer, err := writer.Next()
 	if err == nil {
 		err = codec.AppendTo(buffer, &header, retry.Opening)
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &traffic{agent: a, codec: codec, writer: peer.NewWriter(a.node.Socket())}, nil
+	return &traffic{agent: a, codec: codec, writer: a.node.NewWriter()}, nil
 }
 
 // handle processes one datagram from a balancer or another agent.
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -77,7 +77,7 @@
 			return err
 		}
 		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation()}
-		forwarder := fabric.NewForwarder(identity, balancer, n, codec, in, n.Socket(), counters)
+		forwarder := fabric.NewForwarder(identity, balancer, n, codec, in, n.NewWriter(), counters)
 		group.Go(func() error { return repeat(ctx, in, forwarder.Step) })
 	}
 	receiver, err := n.NewReceiver()
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -43,6 +43,7 @@
 	endpoint    netip.AddrPort
 	control     netip.AddrPort
 	socket      *net.UDPConn
+	paths       *peer.Paths
 	platform    *platform.Client
 	http        *http.Client
 	counters    *metrics.Counters
@@ -81,6 +82,7 @@
 		endpoint:    settings.Endpoint(common.Data),
 		control:     settings.Endpoint(common.Control),
 		socket:      socket,
+		paths:       peer.NewPaths(),
 		platform:    client,
 		http:        httpClient,
 		counters:    counters,
@@ -100,7 +102,11 @@
 		Seeds:       seeds(common.Peers),
 	}, rand.New(rand.NewPCG(uint64(n.id), n.incarnation)))
 	n.view.Store(n.controller.View())
-	n.sendProbe = newProbeSender(n).send
+	prober, err := newProbeSender(ctx, n)
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	n.sendProbe = prober.send
 	return n, nil
 }
 
@@ -127,6 +133,9 @@
 // Socket returns the datagram socket shared with other processes.
 func (n *Node) Socket() *net.UDPConn { return n.socket }
 
+// NewWriter returns a writer of datagrams to other processes.
+func (n *Node) NewWriter() *peer.Writer { return peer.NewWriter(n.socket, n.paths) }
+
 // Load returns the view in force.
 func (n *Node) Load() *fleet.View { return n.view.Load() }
 
--- a/internal/daemon/node/probes.go
+++ b/internal/daemon/node/probes.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"time"
 
@@ -12,24 +15,74 @@
 
 // probeSender sends probes from the control goroutine.
 type probeSender struct {
+	ctx    context.Context
 	node   *Node
 	codec  *datagram.Codec
 	writer *peer.Writer
 }
 
-func newProbeSender(n *Node) *probeSender {
+func newProbeSender(ctx context.Context, n *Node) (*probeSender, error) {
 	codec, err := n.NewCodec()
 	if err != nil {
-		n.logger.WithError(err).Error("probe sender")
+		return nil, err
 	}
-	return &probeSender{node: n, codec: codec, writer: peer.NewWriter(n.socket)}
+	return &probeSender{ctx: ctx, node: n, codec: codec, writer: n.NewWriter()}, nil
 }
 
 func (p *probeSender) send(probe control.Probe) {
 	header := p.node.Header(datagram.Probe, probe.Node.ID(), probe.Incarnation)
+	if probe.Fresh {
+		if err := p.sendFresh(&header, probe.Node.Data()); err != nil {
+			p.node.counters.Add("drop_send_failed", 1)
+			p.node.logger.WithError(err).Warn("probe")
+		}
+		return
+	}
 	p.node.write(p.codec, p.writer, &header, nil, probe.Node.Data())
 }
 
+// freshLifetime is how long a fresh socket waits for the answer to its probe.
+const freshLifetime = 2 * time.Second
+
+// sendFresh probes a peer from a socket that it has not seen yet. If the answer
+// comes there, the usual path has gone silent and the socket replaces it.
+func (p *probeSender) sendFresh(header *datagram.Header, to netip.AddrPort) error {
+	any := netip.AddrPortFrom(p.node.endpoint.Addr(), 0)
+	conn, err := peer.Listen(p.ctx, any)
+	if err != nil {
+		return err
+	}
+	writer := peer.NewWriter(conn, peer.NewPaths())
+	p.node.write(p.codec, writer, header, nil, to)
+	receiver, err := p.node.newReceiver(conn)
+	if err != nil {
+		return errors.Join(err, conn.Close())
+	}
+	expire := time.AfterFunc(freshLifetime, func() { _ = conn.Close() })
+	receiver.onAnswer = func() {
+		if expire.Stop() {
+			p.node.Do(func(time.Time) []control.Output {
+				p.node.replacePath(to, conn)
+				return nil
+			})
+		}
+	}
+	go func() {
+		for receiver.Step(func(*datagram.Header, []byte) {}) == nil {
+		}
+	}()
+	return nil
+}
+
+// replacePath runs on the control goroutine.
+func (n *Node) replacePath(to netip.AddrPort, conn *net.UDPConn) {
+	n.counters.Add("path_replaced", 1)
+	n.logger.WithField("event", "path_replaced").WithField("peer", to.String()).Info("control")
+	if replaced := n.paths.Use(to, conn); replaced != nil {
+		_ = replaced.Close()
+	}
+}
+
 // Header returns a header from this node.
 func (n *Node) Header(kind datagram.Kind, to fleet.InstanceID, incarnation uint64) datagram.Header {
 	return datagram.Header{
@@ -69,10 +122,14 @@
 	reader *peer.Reader
 	writer *peer.Writer
 	header datagram.Header
+	// onAnswer is called when a probe is answered.
+	onAnswer func()
 }
 
 // NewReceiver returns a receiver of the node's datagram socket.
-func (n *Node) NewReceiver() (*Receiver, error) {
+func (n *Node) NewReceiver() (*Receiver, error) { return n.newReceiver(n.socket) }
+
+func (n *Node) newReceiver(socket *net.UDPConn) (*Receiver, error) {
 	codec, err := n.NewCodec()
 	if err != nil {
 		return nil, err
@@ -85,8 +142,10 @@
 		node:   n,
 		codec:  codec,
 		reply:  reply,
-		reader: peer.NewReader(n.socket),
-		writer: peer.NewWriter(n.socket),
+		reader: peer.NewReader(socket),
+		writer: peer.NewWriter(socket, n.paths),
+
+		onAnswer: func() {},
 	}, nil
 }
 
@@ -129,6 +188,7 @@
 	case datagram.Probe:
 		r.answer(datagram.ProbeAnswer, source)
 	case datagram.ProbeAnswer:
+		r.onAnswer()
 		id, incarnation := fleet.InstanceID(r.header.From), r.header.FromIncarnation
 		r.node.Do(func(now time.Time) []control.Output {
 			return r.node.controller.Answered(now, id, incarnation)
--- a/internal/lab/cluster/faults.go
+++ b/internal/lab/cluster/faults.go
@@ -53,10 +53,13 @@
 // Launch starts the process of an instance that has ended.
 func (c *Cluster) Launch(name string) error {
 	i := c.instances[name]
-	i.listed.State = fleet.StateLive
 	if err := c.launch(i); err != nil {
 		return err
 	}
+	if i.listed.State == fleet.StateLive {
+		return nil
+	}
+	i.listed.State = fleet.StateLive
 	return c.publishInstances()
 }
 
--- a/internal/lab/scenario/result.go
+++ b/internal/lab/scenario/result.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -19,6 +21,9 @@
 	Control   Control `json:"control"`
 	// Details holds figures that only this scenario has.
 	Details map[string]float64 `json:"details,omitempty"`
+	// Counters sums the processes' counters of refusals, drops, retries and the
+	// like over the processes that are running at the end.
+	Counters map[string]float64 `json:"counters,omitempty"`
 	// Causes counts why feeds broke and requests were lost.
 	Causes map[string]int `json:"causes,omitempty"`
 }
@@ -124,10 +129,32 @@
 		Bytes: meanGrowth(start.bytes, end.bytes) / seconds,
 		Reads: float64(end.reads-start.reads) / seconds,
 	}
+	r.result.Counters = r.reasonCounters()
 	r.result.cause(r.feeds.Causes())
 	r.result.cause(r.requests.Causes())
 }
 
+// reasonPrefixes are the prefixes of counters that name a reason.
+var reasonPrefixes = []string{"drop_", "refuse_", "retry_", "reset_", "handover_", "cancel_", "peer_", "path_"}
+
+func (r *run) reasonCounters() map[string]float64 {
+	sums := make(map[string]float64)
+	for _, name := range r.cluster.Running() {
+		counters, err := r.cluster.Counters(name)
+		if err != nil {
+			continue
+		}
+		for counter, value := range counters {
+			number, isNumber := value.(float64)
+			named := slices.ContainsFunc(reasonPrefixes, func(p string) bool { return strings.HasPrefix(counter, p) })
+			if isNumber && named {
+				sums[counter] += number
+			}
+		}
+	}
+	return sums
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // meanGrowth averages over the nodes that lived through the whole run.
--- a/internal/lab/workload/feeds.go
+++ b/internal/lab/workload/feeds.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,7 +135,15 @@
 	f.broken.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.causes[err.Error()]++
+	f.causes[withoutAddresses(err)]++
+}
+
+// addresses matches the endpoints in an error's text.
+var addresses = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+(:\d+)?`)
+
+// withoutAddresses returns an error's text so that like causes count as one.
+func withoutAddresses(err error) string {
+	return addresses.ReplaceAllString(err.Error(), "ADDR")
 }
 
 // Open returns the number of feeds that were opened.
--- a/internal/lab/workload/requests.go
+++ b/internal/lab/workload/requests.go
@@ -169,7 +169,7 @@
 		r.outcome.Crossed++
 	default:
 		r.outcome.Lost++
-		r.causes[err.Error()]++
+		r.causes[withoutAddresses(err)]++
 	}
 }
 
--- a/internal/link/caller/stack.go
+++ b/internal/link/caller/stack.go
@@ -27,14 +27,23 @@
 	// the header that processes of the system put in front.
 	MTU = 1400
 
-	outputQueue     = 4096
-	maxHandshakes   = 4096
-	timeWait        = time.Second
-	networkCard     = 1
-	keepaliveIdle   = 20 * time.Second
-	keepaliveProbe  = 5 * time.Second
-	keepaliveProbes = 4
-	userTimeout     = 60 * time.Second
+	outputQueue   = 4096
+	maxHandshakes = 4096
+	timeWait      = time.Second
+	networkCard   = 1
+
+	// A caller that does not answer for callerTimeout is gone. It is longer than
+	// the minutes for which regions lose each other.
+	callerTimeout   = 10 * time.Minute
+	keepaliveIdle   = time.Minute
+	keepaliveProbe  = 30 * time.Second
+	keepaliveProbes = int((callerTimeout - keepaliveIdle) / keepaliveProbe)
+
+	// maxRetransmission caps the time between two retransmissions: while a
+	// balancer is dead, part of all acknowledgements is lost, and exponential
+	// backoff would silence a flow for long.
+	maxRetransmission = 2 * time.Second
+	maxRetries        = uint64(callerTimeout / maxRetransmission)
 )
 
 // Handler serves new flows.
@@ -80,15 +89,25 @@
 		return fmt.Errorf("set spoofing: %s", err)
 	}
 	s.stack.SetRouteTable([]tcpip.Route{{Destination: header.IPv4EmptySubnet, NIC: networkCard}})
-	return SetTCPOptions(s.stack)
+	longest := tcpip.TCPMaxRTOOption(maxRetransmission)
+	retries := tcpip.TCPMaxRetriesOption(maxRetries)
+	return errors.Join(SetTCPOptions(s.stack), setTCP(s.stack, &longest, &retries))
 }
 
-// SetTCPOptions sets the TCP options that a stack on this path needs.
+// SetTCPOptions sets the TCP options that a stack on this path needs. The
+// library's RACK loss detection is off: when acknowledgements of a tail loss
+// probe were lost, its sender armed no retransmission timer again and the flow
+// stood still for good.
 func SetTCPOptions(s *stack.Stack) error {
 	sack := tcpip.TCPSACKEnabled(true)
 	wait := tcpip.TCPTimeWaitTimeoutOption(timeWait)
 	moderate := tcpip.TCPModerateReceiveBufferOption(true)
-	for _, option := range []tcpip.SettableTransportProtocolOption{&sack, &wait, &moderate} {
+	noRACK := tcpip.TCPRecovery(0)
+	return setTCP(s, &sack, &wait, &moderate, &noRACK)
+}
+
+func setTCP(s *stack.Stack, options ...tcpip.SettableTransportProtocolOption) error {
+	for _, option := range options {
 		if err := s.SetTransportProtocolOption(tcp.ProtocolNumber, option); err != nil {
 			return fmt.Errorf("set TCP option %T: %s", option, err)
 		}
@@ -221,7 +240,7 @@
 	}
 	idle := tcpip.KeepaliveIdleOption(keepaliveIdle)
 	interval := tcpip.KeepaliveIntervalOption(keepaliveProbe)
-	timeout := tcpip.TCPUserTimeoutOption(userTimeout)
+	timeout := tcpip.TCPUserTimeoutOption(callerTimeout)
 	for _, option := range []tcpip.SettableSocketOption{&idle, &interval, &timeout} {
 		if err := endpoint.SetSockOpt(option); err != nil {
 			return fmt.Errorf("%w: %s", ErrKeepalive, err)
--- a/internal/link/fabric/egress.go
+++ b/internal/link/fabric/egress.go
@@ -19,7 +19,7 @@
 
 // NewEgress returns an egress that sends from a socket to the fabric's endpoint.
 func NewEgress(conn *net.UDPConn, to netip.AddrPort, counter Counter) *Egress {
-	return &Egress{writer: peer.NewWriter(conn), to: to, counter: counter}
+	return &Egress{writer: peer.NewWriter(conn, peer.NewPaths()), to: to, counter: counter}
 }
 
 // Send sends packets. Those that cannot be sent are lost and counted.
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -54,15 +54,15 @@
 	Incarnation uint64
 }
 
-// NewForwarder returns a forwarder that reads from one socket and writes to
-// another, which may be the same.
-func NewForwarder(identity Identity, core *balancer.Balancer, views ViewSource, codec *datagram.Codec, in, out *net.UDPConn, counter Counter) *Forwarder {
+// NewForwarder returns a forwarder that reads from a socket of the fabric and
+// writes to agents.
+func NewForwarder(identity Identity, core *balancer.Balancer, views ViewSource, codec *datagram.Codec, in *net.UDPConn, writer *peer.Writer, counter Counter) *Forwarder {
 	return &Forwarder{
 		core:    core,
 		views:   views,
 		codec:   codec,
 		reader:  peer.NewReader(in),
-		writer:  peer.NewWriter(out),
+		writer:  writer,
 		counter: counter,
 
 		prefixes: make(map[prefixKey]datagram.Prefix),
--- a/internal/link/peer/socket.go
+++ b/internal/link/peer/socket.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/net/ipv4"
@@ -88,24 +90,61 @@
 	return udp.AddrPort()
 }
 
+// Paths holds the peers that are reached through another socket than the common
+// one, because the common one's path to them has gone silent. It is safe for
+// concurrent use.
+type Paths struct {
+	exceptions atomic.Pointer[map[netip.AddrPort]*net.UDPConn]
+}
+
+// NewPaths returns a table without exceptions.
+func NewPaths() *Paths {
+	p := new(Paths)
+	p.exceptions.Store(&map[netip.AddrPort]*net.UDPConn{})
+	return p
+}
+
+// Use sends what goes to a peer through a socket from now on and returns the
+// socket it replaces, or nil if that was the common one. Only one goroutine may
+// call it.
+func (p *Paths) Use(to netip.AddrPort, conn *net.UDPConn) *net.UDPConn {
+	changed := maps.Clone(*p.exceptions.Load())
+	replaced := changed[to]
+	changed[to] = conn
+	p.exceptions.Store(&changed)
+	return replaced
+}
+
+// socket returns the socket for a peer, or nil for the common one.
+func (p *Paths) socket(to netip.AddrPort) *net.UDPConn {
+	exceptions := *p.exceptions.Load()
+	if len(exceptions) == 0 {
+		return nil
+	}
+	return exceptions[to]
+}
+
 // Writer collects datagrams and writes them in batches. It is not safe for
 // concurrent use.
 type Writer struct {
 	conn      *ipv4.PacketConn
+	paths     *Paths
 	messages  []ipv4.Message
 	buffers   []bytes.Buffer
 	queued    int
 	addresses map[netip.AddrPort]*net.UDPAddr
 }
 
-// NewWriter returns a writer to a socket.
-func NewWriter(conn *net.UDPConn) *Writer {
+// NewWriter returns a writer to a socket and, for some peers, to the sockets of
+// their paths.
+func NewWriter(conn *net.UDPConn, paths *Paths) *Writer {
 	messages := make([]ipv4.Message, batchSize)
 	for i := range messages {
 		messages[i].Buffers = make([][]byte, 1)
 	}
 	return &Writer{
 		conn:      ipv4.NewPacketConn(conn),
+		paths:     paths,
 		messages:  messages,
 		buffers:   make([]bytes.Buffer, batchSize),
 		addresses: make(map[netip.AddrPort]*net.UDPAddr),
@@ -125,8 +164,14 @@
 	return buffer, nil
 }
 
-// Queue adds the buffer last returned by Next to the batch.
+// Queue adds the buffer last returned by Next to the batch. What goes through a
+// socket of its own is sent at once.
 func (w *Writer) Queue(to netip.AddrPort) {
+	if conn := w.paths.socket(to); conn != nil {
+		// A datagram that cannot be sent is lost, as on any other path.
+		_, _ = conn.WriteToUDPAddrPort(w.buffers[w.queued].Bytes(), to)
+		return
+	}
 	w.messages[w.queued].Buffers[0] = w.buffers[w.queued].Bytes()
 	w.messages[w.queued].Addr = w.address(to)
 	w.queued++
