Share load by learned weights, and admit members fairly

Cause 1: weights were uniform over speeds 1 to 4. Change: each agent measures its utilisation, compares it with its siblings' reports and corrects its weight; between weight changes a share of new flows is handed to the least utilised sibling; a flow is handed over when no slot is free. Cause 2: an idle slot could go to whoever came first. Change: requests wait in the agent; a free slot goes to the member with the fewest requests running.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -9,6 +9,9 @@
 type Deliver struct {
 	// Hint reports whether the balancer should be told who owns the flow.
 	Hint bool
+	// Opens reports whether the packet opens a new flow. What the stack keeps of
+	// an earlier flow with the same addresses and ports must go first.
+	Opens bool
 }
 
 // PassOn sends the packet to another agent.
@@ -63,6 +66,7 @@
 	RetryDial         Reason = "retry_dial"
 	RetryWait         Reason = "retry_wait"
 	HandOverFull      Reason = "handover_full"
+	HandOverEven      Reason = "handover_even"
 	HandOverCold      Reason = "handover_cold"
 	HandOverAbsent    Reason = "handover_not_selected"
 	HandOverDraining  Reason = "handover_draining"
--- /dev/null
+++ b/internal/core/agent/admission.go
@@ -0,0 +1,134 @@
+package agent
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// maxWait bounds how long a request waits for a slot.
+const maxWait = 800 * time.Millisecond
+
+// Patience says how long a request may wait.
+type Patience uint8
+
+const (
+	// Bounded is for a new flow, which can be handed on or refused.
+	Bounded Patience = iota
+	// Unlimited is for a request on an established flow, which can be neither.
+	Unlimited
+)
+
+// maxWaiting bounds the requests that wait.
+const maxWaiting = 4096
+
+// Ticket identifies a request that waits for a slot.
+type Ticket uint64
+
+// waiting is a request in line.
+type waiting struct {
+	ticket Ticket
+	member netip.Addr
+	// deadline is zero for a request that may wait without limit.
+	deadline time.Time
+}
+
+// Admission hands the slots of a backend server out to members: a free slot goes
+// to the waiting member that has the fewest requests running, which is max-min
+// fair, and among equals to the one that has waited longest.
+type Admission struct {
+	load    *Load
+	queue   []waiting
+	running map[netip.Addr]int
+	next    Ticket
+}
+
+// NewAdmission returns an admission over a backend server's load.
+func NewAdmission(load *Load) *Admission {
+	return &Admission{load: load, running: make(map[netip.Addr]int)}
+}
+
+// Waiting returns the number of requests in line.
+func (a *Admission) Waiting() int { return len(a.queue) }
+
+// HasRoom reports whether a request would be admitted at once.
+func (a *Admission) HasRoom() bool { return len(a.queue) == 0 && a.load.HasRoom() }
+
+// Ask admits a request of a member or puts it in line. It reports false with no
+// ticket if the line is full.
+func (a *Admission) Ask(now time.Time, member netip.Addr, patience Patience) (ticket Ticket, admitted bool) {
+	if a.HasRoom() {
+		a.admit(now, member)
+		return 0, true
+	}
+	if patience == Bounded && len(a.queue) >= maxWaiting {
+		return 0, false
+	}
+	a.next++
+	w := waiting{ticket: a.next, member: member}
+	if patience == Bounded {
+		w.deadline = now.Add(maxWait)
+	}
+	a.queue = append(a.queue, w)
+	return a.next, false
+}
+
+func (a *Admission) admit(now time.Time, member netip.Addr) {
+	a.running[member]++
+	a.load.start(now)
+}
+
+// Answered releases a slot after an answer.
+func (a *Admission) Answered(now time.Time, member netip.Addr, latency time.Duration) {
+	a.leave(member)
+	a.load.finish(now, latency)
+}
+
+// Cancelled releases a slot without an answer.
+func (a *Admission) Cancelled(now time.Time, member netip.Addr) {
+	a.leave(member)
+	a.load.cancel(now)
+}
+
+func (a *Admission) leave(member netip.Addr) {
+	if a.running[member] <= 1 {
+		delete(a.running, member)
+		return
+	}
+	a.running[member]--
+}
+
+// Next admits requests in line while there is room and returns their tickets.
+func (a *Admission) Next(now time.Time) []Ticket {
+	var admitted []Ticket
+	for len(a.queue) > 0 && a.load.HasRoom() {
+		i := a.fairest()
+		admitted = append(admitted, a.queue[i].ticket)
+		a.admit(now, a.queue[i].member)
+		a.queue = slices.Delete(a.queue, i, i+1)
+	}
+	return admitted
+}
+
+func (a *Admission) fairest() int {
+	best := 0
+	for i := range a.queue {
+		if a.running[a.queue[i].member] < a.running[a.queue[best].member] {
+			best = i
+		}
+	}
+	return best
+}
+
+// Expired removes the requests whose wait has run out and returns their tickets.
+func (a *Admission) Expired(now time.Time) []Ticket {
+	var expired []Ticket
+	a.queue = slices.DeleteFunc(a.queue, func(w waiting) bool {
+		if w.deadline.IsZero() || now.Before(w.deadline) {
+			return false
+		}
+		expired = append(expired, w.ticket)
+		return true
+	})
+	return expired
+}
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -7,6 +7,7 @@
 package agent
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 // Lifetimes of table entries.
 const (
 	handedLifetime  = 60 * time.Second
-	halfOpenTimeout = 30 * time.Second
+	halfOpenTimeout = 10 * time.Second
 )
 
 // state is the state of a flow in the agent's table.
@@ -35,8 +36,13 @@
 	stateHanded
 )
 
+// Attempt tells apart flows that used the same addresses and ports one after the
+// other.
+type Attempt uint64
+
 // entry is one flow.
 type entry struct {
+	attempt  Attempt
 	service  fleet.ServiceID
 	state    state
 	sequence uint32
@@ -73,12 +79,19 @@
 	config   Config
 	view     *fleet.View
 	flows    map[flow.ID]*entry
+	attempts Attempt
 	owned    int
 	handed   int
 	draining bool
 	load     *Load
-	siblings map[fleet.InstanceID]siblingReport
-	budget   retryBudget
+	// admission decides which request gets a free slot.
+	admission *Admission
+	weight    weightLearner
+	// utilisation is the load's average as of the last report.
+	utilisation float64
+	random      *rand.Rand
+	siblings    map[fleet.InstanceID]siblingReport
+	budget      retryBudget
 
 	// Actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
@@ -88,16 +101,22 @@
 }
 
 // New returns an agent that owns no flows.
-func New(config Config, view *fleet.View, load *Load) *Agent {
+func New(config Config, view *fleet.View, load *Load, random *rand.Rand) *Agent {
 	return &Agent{
-		config:   config,
-		view:     view,
-		flows:    make(map[flow.ID]*entry),
-		load:     load,
-		siblings: make(map[fleet.InstanceID]siblingReport),
+		config:    config,
+		view:      view,
+		flows:     make(map[flow.ID]*entry),
+		load:      load,
+		admission: NewAdmission(load),
+		weight:    newWeightLearner(),
+		random:    random,
+		siblings:  make(map[fleet.InstanceID]siblingReport),
 	}
 }
 
+// Admission returns the admission of requests to the backend server.
+func (a *Agent) Admission() *Admission { return a.admission }
+
 // Receive decides what to do with a packet. The action is valid until the next
 // call.
 func (a *Agent) Receive(now time.Time, arrival *Arrival) Action {
@@ -198,7 +217,7 @@
 	case take:
 		return a.take(now, service, arrival)
 	case handOver:
-		a.rememberHandOver(now, service, arrival, v.target.ID())
+		a.rememberHandOver(now, service.ID(), arrival.Packet.Flow(), v.target.ID())
 		action := a.passedOn(v.target, v.reason)
 		action.Placed = true
 		return action
@@ -214,8 +233,10 @@
 		return a.dropped(DropTableFull)
 	}
 	a.owned++
+	a.attempts++
 	a.budget.deposit()
 	a.flows[arrival.Packet.Flow()] = &entry{
+		attempt:  a.attempts,
 		service:  service.ID(),
 		state:    statePending,
 		sequence: arrival.Packet.Sequence(),
@@ -223,16 +244,18 @@
 		opening:  slices.Clone(arrival.Packet.Bytes()),
 		visited:  slices.Clone(arrival.Visited),
 	}
-	return a.delivered(arrival)
+	a.delivered(arrival)
+	a.deliver.Opens = true
+	return &a.deliver
 }
 
-func (a *Agent) rememberHandOver(now time.Time, service *fleet.RoutedService, arrival *Arrival, owner fleet.InstanceID) {
+func (a *Agent) rememberHandOver(now time.Time, service fleet.ServiceID, id flow.ID, owner fleet.InstanceID) {
 	if a.handed >= a.config.MaxHanded {
 		return
 	}
 	a.handed++
-	a.flows[arrival.Packet.Flow()] = &entry{
-		service: service.ID(),
+	a.flows[id] = &entry{
+		service: service,
 		state:   stateHanded,
 		owner:   owner,
 		expires: now.Add(handedLifetime),
@@ -289,6 +312,7 @@
 }
 
 func (a *Agent) delivered(arrival *Arrival) Action {
+	a.deliver.Opens = false
 	a.deliver.Hint = len(arrival.Visited) > 0 && arrival.Packet.Kind() != flow.Opening
 	return &a.deliver
 }
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -18,11 +18,30 @@
 	known.token = token
 }
 
+// Attempt returns the attempt of a flow that is waiting to be opened. It reports
+// false if the flow is not.
+func (a *Agent) Attempt(id flow.ID) (Attempt, bool) {
+	known := a.flows[id]
+	if known == nil || known.state != statePending {
+		return 0, false
+	}
+	return known.attempt, true
+}
+
+// owns returns the entry of a flow that the agent owns by a certain attempt.
+func (a *Agent) owns(id flow.ID, attempt Attempt) *entry {
+	known := a.flows[id]
+	if known == nil || known.state == stateHanded || known.attempt != attempt {
+		return nil
+	}
+	return known
+}
+
 // Opened records that a flow is established. It reports false if the agent no
 // longer owns the flow.
-func (a *Agent) Opened(id flow.ID) bool {
-	known := a.flows[id]
-	if known == nil || known.state == stateHanded {
+func (a *Agent) Opened(id flow.ID, attempt Attempt) bool {
+	known := a.owns(id, attempt)
+	if known == nil {
 		return false
 	}
 	known.state = stateOpen
@@ -32,15 +51,15 @@
 
 // Closing records that both directions of a flow have ended. Late packets are
 // still delivered until Closed.
-func (a *Agent) Closing(id flow.ID) {
-	if known := a.flows[id]; known != nil && known.state != stateHanded {
+func (a *Agent) Closing(id flow.ID, attempt Attempt) {
+	if known := a.owns(id, attempt); known != nil {
 		known.state = stateClosing
 	}
 }
 
 // Closed forgets a flow that the agent owned.
-func (a *Agent) Closed(id flow.ID) {
-	if known := a.flows[id]; known != nil && known.state != stateHanded {
+func (a *Agent) Closed(id flow.ID, attempt Attempt) {
+	if known := a.owns(id, attempt); known != nil {
 		a.remove(id, known)
 	}
 }
@@ -57,8 +76,8 @@
 // Failed decides what becomes of a flow whose backend server refused the
 // connection or whose wait ran out. Nothing was delivered, so another agent may
 // try; if none has room the refusal is final.
-func (a *Agent) Failed(now time.Time, id flow.ID, retryReason, refuseReason Reason) Retry {
-	known := a.flows[id]
+func (a *Agent) Failed(now time.Time, id flow.ID, attempt Attempt, retryReason, refuseReason Reason) Retry {
+	known := a.owns(id, attempt)
 	if known == nil || known.state != statePending {
 		return Retry{Action: &Drop{Reason: DropPending}}
 	}
@@ -76,6 +95,8 @@
 	case !a.budget.withdraw():
 		retry.Action = &Reset{Reason: RefuseBudget}
 	default:
+		// A retransmission of the opening packet must follow to the same agent.
+		a.rememberHandOver(now, known.service, id, sibling.ID())
 		retry.Action = &PassOn{Target: sibling, Placed: true, Reason: retryReason}
 	}
 	return retry
@@ -83,18 +104,24 @@
 
 // ApplyView puts a new view in force and returns the flows that must be reset
 // because their service is gone or their data centre is out.
-func (a *Agent) ApplyView(view *fleet.View) []flow.ID {
+func (a *Agent) ApplyView(view *fleet.View) []Owned {
 	a.view = view
-	var cut []flow.ID
+	var cut []Owned
 	for id, known := range a.flows {
 		if known.state == stateHanded || a.mayServe(known.service, id) {
 			continue
 		}
-		cut = append(cut, id)
+		cut = append(cut, Owned{id, known.attempt})
 	}
 	return cut
 }
 
+// Owned names a flow that the agent owns.
+type Owned struct {
+	Flow    flow.ID
+	Attempt Attempt
+}
+
 func (a *Agent) mayServe(id fleet.ServiceID, flowID flow.ID) bool {
 	service := a.view.Service(id)
 	return service != nil && service.Address() == flowID.Service() && service.IsPresent(a.config.DataCentre)
@@ -106,8 +133,8 @@
 // IsDraining reports whether the agent takes no new flows.
 func (a *Agent) IsDraining() bool { return a.draining }
 
-// Owned returns the number of flows the agent owns.
-func (a *Agent) Owned() int { return a.owned }
+// FlowsOwned returns the number of flows the agent owns.
+func (a *Agent) FlowsOwned() int { return a.owned }
 
 // ResidualServices returns the services that do not select this backend server
 // any more but whose flows it still owns.
@@ -137,8 +164,8 @@
 
 // Sweep forgets hand-overs that have expired and returns the half-open flows
 // that have.
-func (a *Agent) Sweep(now time.Time) []flow.ID {
-	var expired []flow.ID
+func (a *Agent) Sweep(now time.Time) []Owned {
+	var expired []Owned
 	for id, known := range a.flows {
 		if known.expires.After(now) {
 			continue
@@ -147,7 +174,7 @@
 		case stateHanded:
 			a.remove(id, known)
 		case statePending, stateHalfOpen:
-			expired = append(expired, id)
+			expired = append(expired, Owned{id, known.attempt})
 		}
 	}
 	return expired
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -1,18 +1,35 @@
 package agent
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the concurrency limit.
 const (
 	coldLimit = 1.0
 	// slowFactor times the usual latency marks an answer as late.
 	slowFactor = 4.0
+	// latencyFloor is the shortest time in which an answer counts as late.
+	latencyFloor = 50 * time.Millisecond
 	// limitDecrease is applied to the limit after a late answer.
 	limitDecrease = 0.7
 	// latencyGain is the weight of a new sample in the latency average.
 	latencyGain = 0.1
-	// latencyFloor is the shortest time in which an answer counts as late.
-	latencyFloor = 50 * time.Millisecond
+
+	// initialGrowth is the part of a slot that an answer in time adds to the
+	// limit. It is halved when the backend server falls while it warms up, down
+	// to minGrowth.
+	initialGrowth = 1.0 / 8
+	minGrowth     = 1.0 / 64
+
+	// minPatience and patienceFactor, which applies to the usual latency, bound
+	// how long an unanswered request holds its slot.
+	minPatience    = 5 * time.Second
+	patienceFactor = 10
+
+	// utilisationPeriod is the time constant of the utilisation average.
+	utilisationPeriod = 8 * time.Second
 )
 
 // Load tracks the requests a backend server is running and the number it can
@@ -21,14 +38,21 @@
 type Load struct {
 	slots   float64
 	limit   float64
+	growth  float64
 	running int
 	// latency is the average time to answer, in nanoseconds.
 	latency float64
+
+	// busy is the time integral of the used share of slots since sampledAt.
+	busy        time.Duration
+	changedAt   time.Time
+	sampledAt   time.Time
+	utilisation float64
 }
 
 // NewLoad returns the load of a cold backend server with a number of slots.
-func NewLoad(slots int) *Load {
-	return &Load{slots: float64(slots), limit: coldLimit}
+func NewLoad(now time.Time, slots int) *Load {
+	return &Load{slots: float64(slots), limit: coldLimit, growth: initialGrowth, changedAt: now, sampledAt: now}
 }
 
 // HasRoom reports whether one more request fits the limit.
@@ -43,32 +67,69 @@
 // Limit returns the number of requests the backend server can bear.
 func (l *Load) Limit() int { return int(l.limit) }
 
+// usage is the share of the limit in use.
 func (l *Load) usage() float64 { return float64(l.running) / l.limit }
 
-// Start counts a request that the backend server has begun.
-func (l *Load) Start() { l.running++ }
+// start counts a request that the backend server is given.
+func (l *Load) start(now time.Time) {
+	l.integrate(now)
+	l.running++
+}
 
-// Cancel takes back a request that will not be answered.
-func (l *Load) Cancel() { l.running = max(l.running-1, 0) }
+// cancel takes back a request that is not waited for any more.
+func (l *Load) cancel(now time.Time) {
+	l.integrate(now)
+	l.running = max(l.running-1, 0)
+}
 
-// Finish counts an answer and adjusts the limit: additive increase for one that
+// finish counts an answer and adjusts the limit: additive increase for one that
 // came in time, multiplicative decrease for a late one.
-func (l *Load) Finish(latency time.Duration) {
-	l.Cancel()
+func (l *Load) finish(now time.Time, latency time.Duration) {
+	l.cancel(now)
 	late := l.latency > 0 && latency > latencyFloor && float64(latency) > slowFactor*l.latency
 	if l.latency == 0 {
 		l.latency = float64(latency)
 	}
 	l.latency += latencyGain * (float64(latency) - l.latency)
-	if late {
+	if late && l.IsCold() {
 		l.limit = max(coldLimit, l.limit*limitDecrease)
 		return
 	}
-	l.limit = min(l.slots, l.limit+1/l.limit)
+	l.limit = min(l.slots, l.limit+l.growth)
+}
+
+// StreamAfter returns the instant from which a request that started now and has
+// no answer yet counts as a stream that holds no slot.
+func (l *Load) StreamAfter(now time.Time) time.Time {
+	return now.Add(max(minPatience, time.Duration(patienceFactor*l.latency)))
 }
 
-// Restarted puts the limit back to cold.
+// Restarted puts the limit back to cold. A backend server that fell while it
+// warmed up gets more time for it.
 func (l *Load) Restarted() {
+	if l.IsCold() && l.limit > coldLimit {
+		l.growth = max(minGrowth, l.growth/2)
+	}
 	l.limit = coldLimit
 	l.latency = 0
 }
+
+func (l *Load) integrate(now time.Time) {
+	share := min(float64(l.running), l.slots) / l.slots
+	l.busy += time.Duration(share * float64(now.Sub(l.changedAt)))
+	l.changedAt = now
+}
+
+// Utilisation returns the average share of slots in use.
+func (l *Load) Utilisation(now time.Time) float64 {
+	l.integrate(now)
+	elapsed := now.Sub(l.sampledAt)
+	if elapsed <= 0 {
+		return l.utilisation
+	}
+	sample := float64(l.busy) / float64(elapsed)
+	keep := math.Exp(-float64(elapsed) / float64(utilisationPeriod))
+	l.utilisation = keep*l.utilisation + (1-keep)*sample
+	l.busy, l.sampledAt = 0, now
+	return l.utilisation
+}
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -8,9 +8,12 @@
 )
 
 // Placement is the policy by which the primary of a new flow decides who serves
-// it: one of HashOnly, HandOverWhenFull and TwoChoices.
+// it: one of UniformHash, HashOnly, HandOverWhenFull and TwoChoices.
 type Placement interface{ isPlacement() }
 
+// UniformHash always serves flows at their primary and learns no weights.
+type UniformHash struct{}
+
 // HashOnly always serves flows at their primary.
 type HashOnly struct{}
 
@@ -20,6 +23,7 @@
 // TwoChoices compares the primary with the second candidate by reports.
 type TwoChoices struct{}
 
+func (UniformHash) isPlacement()      {}
 func (HashOnly) isPlacement()         {}
 func (HandOverWhenFull) isPlacement() {}
 func (TwoChoices) isPlacement()       {}
@@ -85,10 +89,11 @@
 }
 
 func (a *Agent) placeWhenFull(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
-	if a.load.HasRoom() {
-		return take{}
+	visited := a.visitedWithSelf(arrival.Visited)
+	if a.admission.HasRoom() {
+		return a.placeEvenly(now, service, visited)
 	}
-	sibling := a.roomiest(now, service, a.visitedWithSelf(arrival.Visited))
+	sibling := a.roomiest(now, service, visited)
 	if sibling == nil {
 		return take{}
 	}
@@ -98,6 +103,21 @@
 	return handOver{sibling, HandOverFull}
 }
 
+// placeEvenly hands a share of flows to the least utilised sibling while this
+// backend server is busier than the mean.
+func (a *Agent) placeEvenly(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) verdict {
+	share := a.shift(now)
+	if share == 0 || a.random.Float64() >= share {
+		return take{}
+	}
+	sibling := a.idlest(now, service, visited)
+	if sibling == nil {
+		return take{}
+	}
+	a.reserve(sibling)
+	return handOver{sibling, HandOverEven}
+}
+
 func (a *Agent) placeByReports(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
 	walk := service.NextCandidate(arrival.Packet.Flow().Hash(), a.visitedWithSelf(arrival.Visited))
 	if walk.Next == nil || !walk.Next.IsAccepting() {
@@ -115,19 +135,24 @@
 func (a *Agent) roomiest(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) *fleet.Target {
 	var best *fleet.Target
 	lowest := 1.0
+	a.eachRoomy(now, service, visited, func(target *fleet.Target, report Report) {
+		if usage := report.usage(); usage < lowest {
+			best, lowest = target, usage
+		}
+	})
+	a.reserve(best)
+	return best
+}
+
+// eachRoomy visits the accepting targets whose latest report shows room.
+func (a *Agent) eachRoomy(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID, visit func(*fleet.Target, Report)) {
 	for i := range service.Targets() {
 		target := &service.Targets()[i]
 		if !target.IsAccepting() || !target.IsReachable() || slices.Contains(visited, target.ID()) {
 			continue
 		}
-		report, known := a.report(now, target.ID())
-		if !known {
-			continue
-		}
-		if usage := report.usage(); usage < lowest {
-			best, lowest = target, usage
+		if report, known := a.report(now, target.ID()); known && report.usage() < 1 {
+			visit(target, report)
 		}
 	}
-	a.reserve(best)
-	return best
 }
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -20,8 +20,16 @@
 	Open uint32
 	// MaxOpen is the number of flows it can own.
 	MaxOpen uint32
+	// Utilisation is the average share of slots in use, in thousandths.
+	Utilisation uint16
+	// Cold tells that the backend server is warming up.
+	Cold bool
 }
 
+func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
+
+const perMille = 1000
+
 // usage is the share of the limit in use; 1 means that there is no room.
 func (r Report) usage() float64 {
 	if r.Limit == 0 || r.Open >= r.MaxOpen {
@@ -80,12 +88,15 @@
 }
 
 // Report returns the agent's own report.
-func (a *Agent) Report() Report {
+func (a *Agent) Report(now time.Time) Report {
+	a.utilisation = a.load.Utilisation(now)
 	report := Report{
-		Running: uint32(a.load.Running()),
-		Limit:   uint32(a.load.Limit()),
-		Open:    uint32(a.owned),
-		MaxOpen: uint32(a.config.MaxFlows),
+		Running:     uint32(a.load.Running() + a.admission.Waiting()),
+		Limit:       uint32(a.load.Limit()),
+		Open:        uint32(a.owned),
+		MaxOpen:     uint32(a.config.MaxFlows),
+		Utilisation: uint16(a.utilisation * perMille),
+		Cold:        a.load.IsCold(),
 	}
 	if a.draining {
 		report.Limit = 0
--- /dev/null
+++ b/internal/core/agent/weight.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"math"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// Parameters of the weight that an agent learns. The weight that is spread to
+// all processes is coarse and seldom changes; hand-overs between siblings make
+// up for the rest.
+const (
+	minWeight = fleet.DefaultWeight / 20
+	maxWeight = fleet.DefaultWeight * 20
+	// weightGain is the share of a deviation that one step corrects.
+	weightGain = 0.3
+	// weightStep is the least relative change that is spread.
+	weightStep = 0.15
+	// weightInterval is the least time between two changes that are spread.
+	weightInterval = 2 * time.Second
+	// minUtilisation is the mean utilisation under which nothing is learned.
+	minUtilisation = 0.02
+	// tolerance is the deviation from the mean that hand-overs leave alone.
+	tolerance = 0.02
+	// maxShift is the largest share of new flows handed over to even out.
+	maxShift = 0.5
+)
+
+// weightLearner follows the weight at which the backend server would be as busy
+// as its siblings.
+type weightLearner struct {
+	estimate  float64
+	published fleet.Weight
+	spreadAt  time.Time
+}
+
+func newWeightLearner() weightLearner {
+	return weightLearner{estimate: float64(fleet.DefaultWeight), published: fleet.DefaultWeight}
+}
+
+// LearnWeight corrects the weight by the siblings' utilisation and returns the
+// one to spread.
+func (a *Agent) LearnWeight(now time.Time) fleet.Weight {
+	if _, uniform := a.config.Placement.(UniformHash); uniform {
+		return a.weight.published
+	}
+	mean, known := a.meanUtilisation(now)
+	if !known || a.load.IsCold() || a.draining || mean < minUtilisation {
+		return a.weight.published
+	}
+	own := max(a.utilisation, minUtilisation)
+	a.weight.estimate *= math.Pow(mean/own, weightGain)
+	a.weight.estimate = min(max(a.weight.estimate, float64(minWeight)), float64(maxWeight))
+	change := math.Abs(a.weight.estimate/float64(a.weight.published) - 1)
+	if change >= weightStep && !now.Before(a.weight.spreadAt) {
+		a.weight.published = fleet.Weight(math.Round(a.weight.estimate))
+		a.weight.spreadAt = now.Add(weightInterval)
+	}
+	return a.weight.published
+}
+
+// meanUtilisation averages over this agent and its warm siblings. It reports
+// false without any.
+func (a *Agent) meanUtilisation(now time.Time) (float64, bool) {
+	sum, count := a.utilisation, 1
+	for _, sibling := range a.Siblings() {
+		report, known := a.report(now, sibling.ID())
+		if !known || report.Cold || !sibling.IsAccepting() {
+			continue
+		}
+		sum += report.utilisation()
+		count++
+	}
+	return sum / float64(count), count > 1
+}
+
+// shift returns the share of new flows to hand over so that this backend server
+// comes down to the mean utilisation.
+func (a *Agent) shift(now time.Time) float64 {
+	mean, known := a.meanUtilisation(now)
+	if !known || a.utilisation <= mean*(1+tolerance) {
+		return 0
+	}
+	return min(maxShift, 1-mean/a.utilisation)
+}
+
+// idlest returns the accepting sibling with room that is least utilised, if it is
+// less utilised than this agent.
+func (a *Agent) idlest(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) *fleet.Target {
+	var best *fleet.Target
+	lowest := a.utilisation
+	a.eachRoomy(now, service, visited, func(target *fleet.Target, report Report) {
+		if u := report.utilisation(); u < lowest {
+			best, lowest = target, u
+		}
+	})
+	return best
+}
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -7,7 +7,7 @@
 type Weight uint16
 
 // DefaultWeight is the weight of a backend server that has not reported one.
-const DefaultWeight Weight = 16
+const DefaultWeight Weight = 1000
 
 // PeerState is the liveness of a peer as spread between processes.
 type PeerState uint8
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 	mu    sync.Mutex
 	core  *core.Agent
 	load  *core.Load
+	gate  *gate
 	conns map[flow.ID]*splice
 }
 
@@ -88,7 +90,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open egress socket: %w", err)
 	}
-	load := core.NewLoad(s.Slots)
+	load := core.NewLoad(time.Now(), s.Slots)
 	a := &Agent{
 		settings: s,
 		node:     n,
@@ -105,7 +107,8 @@
 		MaxFlows:   s.Connections,
 		MaxHanded:  s.Connections * handedPerFlow,
 		Placement:  placement(s.Placement),
-	}, n.Load(), load)
+	}, n.Load(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
+	a.gate = newGate(a.core.Admission())
 	a.stack, err = caller.New(a)
 	if err != nil {
 		return nil, err
@@ -114,13 +117,15 @@
 	counters.Gauge("flows_owned", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		return a.core.Owned()
+		return a.core.FlowsOwned()
 	})
 	return a, nil
 }
 
 func placement(name string) core.Placement {
 	switch name {
+	case "uniform":
+		return core.UniformHash{}
 	case "hash":
 		return core.HashOnly{}
 	case "choices":
@@ -165,9 +170,10 @@
 	if err != nil {
 		return err
 	}
-	sweep, report := time.NewTicker(sweepInterval), time.NewTicker(reportInterval)
+	sweep, report, expiry := time.NewTicker(sweepInterval), time.NewTicker(reportInterval), time.NewTicker(expiryInterval)
 	defer sweep.Stop()
 	defer report.Stop()
+	defer expiry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -177,6 +183,8 @@
 			a.describe()
 		case <-report.C:
 			reporter.send()
+		case <-expiry.C:
+			a.expire(time.Now())
 		}
 	}
 }
@@ -187,32 +195,40 @@
 	a.mu.Lock()
 	residual := a.core.ResidualServices()
 	draining := a.core.IsDraining()
+	weight := a.core.LearnWeight(time.Now())
 	a.mu.Unlock()
 	state := fleet.PeerAlive
 	if draining {
 		state = fleet.PeerLeaving
 	}
-	a.node.Describe(state, fleet.DefaultWeight, residual)
+	a.node.Describe(state, weight, residual)
 }
 
 // sweep ends what has expired and forgets flows that the stack has finished with.
 func (a *Agent) sweep(now time.Time) {
 	a.mu.Lock()
 	expired := a.core.Sweep(now)
-	var ended []flow.ID
 	for id, s := range a.conns {
 		if s.hasEnded() && !a.stack.HasEndpoint(id) {
-			ended = append(ended, id)
+			delete(a.conns, id)
+			a.core.Closed(id, s.attempt)
 		}
 	}
-	for _, id := range ended {
-		delete(a.conns, id)
-		a.core.Closed(id)
-	}
 	a.mu.Unlock()
-	for _, id := range expired {
+	for _, owned := range expired {
 		a.counters.Add("refuse_handshake_timeout", 1)
-		a.cut(id)
+		a.cut(owned)
+	}
+}
+
+// expire ends the waits and the hold on slots that have run out.
+func (a *Agent) expire(now time.Time) {
+	a.mu.Lock()
+	a.gate.expire(now)
+	holders := a.gate.slotHolders()
+	a.mu.Unlock()
+	for _, r := range holders {
+		r.overdue(now)
 	}
 }
 
@@ -221,17 +237,34 @@
 	a.mu.Lock()
 	cut := a.core.ApplyView(view)
 	a.mu.Unlock()
-	for _, id := range cut {
+	for _, owned := range cut {
 		a.counters.Add("reset_data_centre_out", 1)
-		a.cut(id)
+		a.cut(owned)
+	}
+}
+
+// cut resets a flow, or makes one that is still opening fail.
+func (a *Agent) cut(owned core.Owned) {
+	a.mu.Lock()
+	a.core.Closed(owned.Flow, owned.Attempt)
+	s := a.conns[owned.Flow]
+	if s != nil && s.attempt == owned.Attempt {
+		delete(a.conns, owned.Flow)
+	} else {
+		s = nil
+	}
+	a.mu.Unlock()
+	if s != nil {
+		s.abort()
 	}
 }
 
-func (a *Agent) cut(id flow.ID) {
+// clear removes what the stack keeps of an earlier flow with the same addresses
+// and ports.
+func (a *Agent) clear(id flow.ID) {
 	a.mu.Lock()
 	s := a.conns[id]
 	delete(a.conns, id)
-	a.core.Closed(id)
 	a.mu.Unlock()
 	if s != nil {
 		s.abort()
@@ -255,7 +288,7 @@
 		case <-ctx.Done():
 		case <-poll.C:
 			a.mu.Lock()
-			idle := a.core.Owned() == 0
+			idle := a.core.FlowsOwned() == 0
 			a.mu.Unlock()
 			if idle && time.Now().After(earliest) {
 				return
--- /dev/null
+++ b/internal/daemon/agent/gate.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+)
+
+// expiryInterval is how often waits are checked for their end.
+const expiryInterval = 50 * time.Millisecond
+
+// gate lets requests through to the backend server in the order that the core's
+// admission decides. Its methods are called with the agent's mutex held, but for
+// wait.
+type gate struct {
+	admission *core.Admission
+	tickets   map[core.Ticket]chan bool
+	// holders are the requests that hold a slot.
+	holders map[*request]bool
+}
+
+func newGate(admission *core.Admission) *gate {
+	return &gate{admission: admission, tickets: make(map[core.Ticket]chan bool), holders: make(map[*request]bool)}
+}
+
+func (g *gate) slotHolders() []*request {
+	return slices.Collect(maps.Keys(g.holders))
+}
+
+// wake tells the requests that have been admitted.
+func (g *gate) wake(now time.Time) {
+	for _, ticket := range g.admission.Next(now) {
+		g.tell(ticket, true)
+	}
+}
+
+// expire tells the requests whose wait has run out.
+func (g *gate) expire(now time.Time) {
+	for _, ticket := range g.admission.Expired(now) {
+		g.tell(ticket, false)
+	}
+}
+
+func (g *gate) tell(ticket core.Ticket, admitted bool) {
+	g.tickets[ticket] <- admitted
+	delete(g.tickets, ticket)
+}
+
+// admit waits for a slot for a request of a member. It reports false if the wait
+// ran out.
+func (a *Agent) admit(member netip.Addr, patience core.Patience) bool {
+	a.mu.Lock()
+	ticket, admitted := a.gate.admission.Ask(time.Now(), member, patience)
+	if admitted || ticket == 0 {
+		a.mu.Unlock()
+		return admitted
+	}
+	answer := make(chan bool, 1)
+	a.gate.tickets[ticket] = answer
+	a.mu.Unlock()
+	a.counters.Add("requests_waited", 1)
+	return <-answer
+}
+
+// requestState is what a flow has at the backend server.
+type requestState uint8
+
+const (
+	// requestNone means that no request is under way.
+	requestNone requestState = iota
+	// requestReserved means that a slot is held for the first request of a flow.
+	requestReserved
+	// requestRunning means that the backend server owes an answer.
+	requestRunning
+	// requestStream means that the flow has held a slot for so long without an
+	// answer that it does not count as a request any more.
+	requestStream
+)
+
+// reservation is how long a slot is held for the first request of a new flow.
+const reservation = 100 * time.Millisecond
+
+// request is the state of one flow's request.
+type request struct {
+	agent  *Agent
+	member netip.Addr
+
+	mu        sync.Mutex
+	state     requestState
+	startedAt time.Time
+	releaseAt time.Time
+}
+
+// reserve records that the flow was admitted with a slot.
+func (r *request) reserve(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = requestReserved
+	r.startedAt = now
+	r.releaseAt = now.Add(reservation)
+	r.agent.mu.Lock()
+	defer r.agent.mu.Unlock()
+	r.agent.gate.holders[r] = true
+}
+
+// start waits for a slot when the caller sends after the last answer.
+func (r *request) start() {
+	r.mu.Lock()
+	switch r.state {
+	case requestReserved:
+		r.run(time.Now())
+		r.mu.Unlock()
+		return
+	case requestRunning, requestStream:
+		r.mu.Unlock()
+		return
+	}
+	r.mu.Unlock()
+	r.agent.admit(r.member, core.Unlimited)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.run(time.Now())
+}
+
+func (r *request) run(now time.Time) {
+	r.state = requestRunning
+	r.startedAt = now
+	r.agent.mu.Lock()
+	r.agent.gate.holders[r] = true
+	r.releaseAt = r.agent.load.StreamAfter(now)
+	r.agent.mu.Unlock()
+}
+
+// answered releases the slot at the first byte of an answer.
+func (r *request) answered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == requestRunning {
+		now := time.Now()
+		r.agent.mu.Lock()
+		delete(r.agent.gate.holders, r)
+		r.agent.gate.admission.Answered(now, r.member, now.Sub(r.startedAt))
+		r.agent.gate.wake(now)
+		r.agent.mu.Unlock()
+	}
+	if r.state != requestReserved {
+		r.state = requestNone
+	}
+}
+
+// ended releases the slot of a flow that has ended.
+func (r *request) ended() { r.release(requestNone) }
+
+// overdue releases the slot of a flow that has held it for too long.
+func (r *request) overdue(now time.Time) {
+	r.mu.Lock()
+	holds := r.state == requestReserved || r.state == requestRunning
+	due := holds && now.After(r.releaseAt)
+	next := requestStream
+	if r.state == requestReserved {
+		next = requestNone
+	}
+	r.mu.Unlock()
+	if due {
+		r.release(next)
+	}
+}
+
+func (r *request) release(next requestState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == requestReserved || r.state == requestRunning {
+		now := time.Now()
+		r.agent.mu.Lock()
+		delete(r.agent.gate.holders, r)
+		r.agent.gate.admission.Cancelled(now, r.member)
+		r.agent.gate.wake(now)
+		r.agent.mu.Unlock()
+	}
+	r.state = next
+}
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -26,7 +27,7 @@
 
 func (r *reporter) send() {
 	r.agent.mu.Lock()
-	report := r.agent.core.Report()
+	report := r.agent.core.Report(time.Now())
 	siblings := r.agent.core.Siblings()
 	r.agent.mu.Unlock()
 	body, err := cbor.Marshal(&report)
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
@@ -21,46 +22,81 @@
 type splice struct {
 	agent   *Agent
 	id      flow.ID
+	attempt core.Attempt
 	backend *backend.Conn
 	caller  *caller.Conn
+	request request
 	ended   atomic.Bool
-
-	mu        sync.Mutex
-	waiting   bool
-	startedAt time.Time
 }
 
 // Serve connects a new flow to the backend server before it answers the caller,
 // so that what is refused here has delivered nothing.
 func (a *Agent) Serve(request *caller.Request) {
 	id := request.Flow()
-	upstream, err := a.dialer.Dial(context.Background(), id.Protocol())
-	if err != nil {
+	a.mu.Lock()
+	attempt, pending := a.core.Attempt(id)
+	a.mu.Unlock()
+	if !pending {
+		request.Abandon()
+		return
+	}
+	limited := id.Protocol() != flow.UDP
+	if limited && !a.admit(id.Caller().Addr(), core.Bounded) {
 		request.Abandon()
-		a.logger.WithError(err).Warn("flow refused")
-		a.failed(id)
+		a.failed(id, attempt, core.RetryWait, core.RefuseWait)
+		return
+	}
+	s := &splice{agent: a, id: id, attempt: attempt}
+	s.request.agent, s.request.member = a, id.Caller().Addr()
+	if limited {
+		s.request.reserve(time.Now())
+	}
+	if !a.connect(s, request) {
+		s.request.ended()
 		return
 	}
+	s.run()
+}
+
+// connect joins the flow with the backend server. It reports false if the flow
+// was handed on or refused.
+func (a *Agent) connect(s *splice, request *caller.Request) bool {
+	upstream, err := a.dialer.Dial(context.Background(), s.id.Protocol())
+	if err != nil {
+		request.Abandon()
+		a.logger.WithError(err).Warn("backend server")
+		a.restarted()
+		a.failed(s.id, s.attempt, core.RetryDial, core.RefuseDial)
+		return false
+	}
 	conn, err := request.Accept()
 	if err != nil {
 		upstream.Abort()
 		a.counters.Add("refuse_handshake", 1)
-		a.forget(id)
-		return
+		a.forget(s)
+		return false
 	}
-	s := &splice{agent: a, id: id, backend: upstream, caller: conn}
+	s.backend, s.caller = upstream, conn
 	if !a.opened(s) {
 		s.abort()
-		return
+		return false
 	}
-	s.run()
+	return true
+}
+
+// restarted takes the backend server as cold.
+func (a *Agent) restarted() {
+	a.counters.Add("backend_restarts", 1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.load.Restarted()
 }
 
 // opened registers the flow. It reports false if the flow was cut meanwhile.
 func (a *Agent) opened(s *splice) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.core.Opened(s.id) {
+	if !a.core.Opened(s.id, s.attempt) {
 		return false
 	}
 	a.conns[s.id] = s
@@ -68,17 +104,16 @@
 	return true
 }
 
-func (a *Agent) forget(id flow.ID) {
+func (a *Agent) forget(s *splice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.core.Closed(id)
+	a.core.Closed(s.id, s.attempt)
 }
 
 // failed hands a flow on that could not be opened here, or refuses it.
-func (a *Agent) failed(id flow.ID) {
+func (a *Agent) failed(id flow.ID, attempt core.Attempt, retryReason, refuseReason core.Reason) {
 	a.mu.Lock()
-	a.load.Restarted()
-	retry := a.core.Failed(time.Now(), id, core.RetryDial, core.RefuseDial)
+	retry := a.core.Failed(time.Now(), id, attempt, retryReason, refuseReason)
 	a.mu.Unlock()
 	switch action := retry.Action.(type) {
 	case *core.Reset:
@@ -122,11 +157,11 @@
 	group.Go(s.copyRequests)
 	s.copyAnswers()
 	group.Wait()
-	s.finishWaiting(false)
+	s.request.ended()
 	s.caller.Close()
 	s.backend.Close()
 	s.agent.mu.Lock()
-	s.agent.core.Closing(s.id)
+	s.agent.core.Closing(s.id, s.attempt)
 	s.agent.mu.Unlock()
 	s.ended.Store(true)
 }
@@ -145,7 +180,7 @@
 			s.backend.Abort()
 			return
 		}
-		s.startWaiting()
+		s.request.start()
 		err = write(s.backend, data)
 		if err != nil {
 			s.caller.Abort()
@@ -164,10 +199,10 @@
 			return
 		}
 		if err != nil {
-			s.caller.Abort()
+			s.backendBroke(err)
 			return
 		}
-		s.finishWaiting(true)
+		s.request.answered()
 		if err := write(s.caller, data); err != nil {
 			s.backend.Abort()
 			return
@@ -181,34 +216,13 @@
 	return err
 }
 
-// startWaiting counts a request when the caller sends after the last answer.
-func (s *splice) startWaiting() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.waiting {
-		return
-	}
-	s.waiting = true
-	s.startedAt = time.Now()
-	s.agent.mu.Lock()
-	s.agent.load.Start()
-	s.agent.mu.Unlock()
-}
-
-func (s *splice) finishWaiting(answered bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.waiting {
-		return
-	}
-	s.waiting = false
-	s.agent.mu.Lock()
-	defer s.agent.mu.Unlock()
-	if answered {
-		s.agent.load.Finish(time.Since(s.startedAt))
-	} else {
-		s.agent.load.Cancel()
+// backendBroke resets the caller. A connection reset by the backend server while
+// the flow still ran is a sign of its restart.
+func (s *splice) backendBroke(err error) {
+	if errors.Is(err, syscall.ECONNRESET) {
+		s.agent.restarted()
 	}
+	s.caller.Abort()
 }
 
 func (s *splice) hasEnded() bool { return s.ended.Load() }
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -83,8 +83,11 @@
 	action := t.agent.core.Receive(now, &t.arrival)
 	switch a := action.(type) {
 	case *core.Deliver:
-		hint := a.Hint
+		hint, opens := a.Hint, a.Opens
 		t.agent.mu.Unlock()
+		if opens {
+			t.agent.clear(t.arrival.Packet.Flow())
+		}
 		t.agent.stack.Inject(t.arrival.Packet.Bytes())
 		if hint {
 			t.sendHint(header)
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -141,7 +141,7 @@
 		checkOptionalURL("health", s.Health),
 		checkCount("slots", s.Slots, maxSlots),
 		checkCount("connections", s.Connections, maxConnections),
-		checkOneOf("placement", s.Placement, "hash", "handover", "choices"),
+		checkOneOf("placement", s.Placement, "uniform", "hash", "handover", "choices"),
 	)
 }
 
--- a/internal/lab/cluster/faults.go
+++ b/internal/lab/cluster/faults.go
@@ -1,14 +1,17 @@
 package cluster
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
+	"net"
 	"net/netip"
 	"slices"
 	"syscall"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/lab/relay"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
 // Names returns the names of the instances of a role that have not been removed.
@@ -179,3 +182,27 @@
 	owned, _ := counters["flows_owned"].(float64)
 	return int(owned), nil
 }
+
+// SendForged sends an instance datagrams without the fleet's key.
+func (c *Cluster) SendForged(name string, count int) error {
+	codec, err := datagram.NewCodec(datagram.NewKey("not the key of the fleet"))
+	if err != nil {
+		return err
+	}
+	conn, err := net.Dial("udp4", netip.AddrPortFrom(c.instances[name].address, dataPort).String())
+	if err != nil {
+		return fmt.Errorf("forge datagrams to %s: %w", name, err)
+	}
+	defer func() { _ = conn.Close() }()
+	for range count {
+		var buffer bytes.Buffer
+		header := datagram.Header{Kind: datagram.Probe, To: uint64(fleet.InstanceIDOf(name))}
+		if err := codec.AppendTo(&buffer, &header, nil); err != nil {
+			return err
+		}
+		if _, err := conn.Write(buffer.Bytes()); err != nil {
+			return fmt.Errorf("forge datagrams to %s: %w", name, err)
+		}
+	}
+	return nil
+}
--- a/internal/lab/scenario/result.go
+++ b/internal/lab/scenario/result.go
@@ -84,7 +84,7 @@
 	reads int
 }
 
-func (r *run) startUsage() usage {
+func (r *run) readUsage() usage {
 	u := usage{
 		at:    time.Now(),
 		busy:  make(map[string]time.Duration),
@@ -110,8 +110,8 @@
 }
 
 // finish fills in the result.
-func (r *run) finish(outcome workload.Outcome, start usage) {
-	end := r.startUsage()
+func (r *run) finish(outcome workload.Outcome) {
+	start, end := r.usage, r.readUsage()
 	seconds := end.at.Sub(start.at).Seconds()
 	r.result.Flows = Flows{Open: r.feeds.Open(), Broken: r.feeds.Broken(), Lines: r.feeds.Lines()}
 	r.result.Requests = Requests{
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -74,6 +75,8 @@
 	cluster  *cluster.Cluster
 	feeds    *workload.Feeds
 	requests *workload.Requests
+	usage    usage
+	begun    int
 	result   *Result
 }
 
@@ -141,20 +144,30 @@
 	}
 	defer feeds.Close()
 	r.feeds = feeds
-	usage := r.startUsage()
+	r.begin(workload.EqualMembers(memberCount), r.options.Rate)
+	time.Sleep(settleTime)
+	failure := act(r)
+	time.Sleep(settleTime)
+	r.finish(r.requests.Stop())
+	return failure
+}
+
+// begin starts sending requests and measuring; what was sent before is waited
+// for and not measured.
+func (r *run) begin(members map[netip.Addr]float64, rate float64) {
+	if r.requests != nil {
+		r.requests.Stop()
+	}
+	r.begun++
+	r.usage = r.readUsage()
 	r.requests = workload.StartRequests(r.cluster, r.cluster.Ledger(), workload.RequestPlan{
 		Service:  orders,
-		Rate:     r.options.Rate,
+		Rate:     rate,
 		MeanWork: r.options.Work,
-		Members:  workload.EqualMembers(memberCount),
+		Members:  members,
 		Seed:     r.options.Seed,
+		Prefix:   fmt.Sprintf("run%d-", r.begun),
 	})
-	time.Sleep(settleTime)
-	failure := act(r)
-	time.Sleep(settleTime)
-	outcome := r.requests.Stop()
-	r.finish(outcome, usage)
-	return failure
 }
 
 // orderServers returns the backend servers of the order service.
