--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -67,6 +67,7 @@
 	RetryWait         Reason = "retry_wait"
 	HandOverFull      Reason = "handover_full"
 	HandOverEven      Reason = "handover_even"
+	HandOverOffered   Reason = "handover_offered"
 	HandOverCold      Reason = "handover_cold"
 	HandOverAbsent    Reason = "handover_not_selected"
 	HandOverDraining  Reason = "handover_draining"
--- a/internal/core/agent/admission.go
+++ b/internal/core/agent/admission.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
 )
 
 // maxWait bounds how long a request waits for a slot.
@@ -15,6 +17,9 @@
 const (
 	// Bounded is for a new flow, which can be handed on or refused.
 	Bounded Patience = iota
+	// BoundedHere is for a new flow that another agent has handed to this one: it
+	// is not handed on because a third has room.
+	BoundedHere
 	// Unlimited is for a request on an established flow, which can be neither.
 	Unlimited
 )
@@ -27,12 +32,30 @@
 
 // waiting is a request in line.
 type waiting struct {
-	ticket Ticket
-	member netip.Addr
+	ticket   Ticket
+	member   netip.Addr
+	patience Patience
 	// deadline is zero for a request that may wait without limit.
 	deadline time.Time
 }
 
+// Outcome is how a wait for a slot ended: one of Admitted, Expired and
+// Surrendered.
+type Outcome interface{ isOutcome() }
+
+// Admitted means that the request has a slot.
+type Admitted struct{}
+
+// Expired means that the wait ran out.
+type Expired struct{}
+
+// Surrendered means that a sibling has room for the request.
+type Surrendered struct{ To fleet.InstanceID }
+
+func (Admitted) isOutcome()    {}
+func (Expired) isOutcome()     {}
+func (Surrendered) isOutcome() {}
+
 // Admission hands the slots of a backend server out to members: a free slot goes
 // to the waiting member that has the fewest requests running, which is max-min
 // fair, and among equals to the one that has waited longest.
@@ -61,12 +84,12 @@
 		a.admit(now, member)
 		return 0, true
 	}
-	if patience == Bounded && len(a.queue) >= maxWaiting {
+	if patience != Unlimited && len(a.queue) >= maxWaiting {
 		return 0, false
 	}
 	a.next++
-	w := waiting{ticket: a.next, member: member}
-	if patience == Bounded {
+	w := waiting{ticket: a.next, member: member, patience: patience}
+	if patience != Unlimited {
 		w.deadline = now.Add(maxWait)
 	}
 	a.queue = append(a.queue, w)
@@ -120,6 +143,20 @@
 	return best
 }
 
+// Surrender removes up to count requests that have waited longest and returns
+// their tickets, so that they can be handed to another agent.
+func (a *Admission) Surrender(count int) []Ticket {
+	var surrendered []Ticket
+	a.queue = slices.DeleteFunc(a.queue, func(w waiting) bool {
+		if w.patience != Bounded || len(surrendered) >= count {
+			return false
+		}
+		surrendered = append(surrendered, w.ticket)
+		return true
+	})
+	return surrendered
+}
+
 // Expired removes the requests whose wait has run out and returns their tickets.
 func (a *Admission) Expired(now time.Time) []Ticket {
 	var expired []Ticket
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -89,9 +89,11 @@
 	weight    weightLearner
 	// utilisation is the load's average as of the last report.
 	utilisation float64
-	random      *rand.Rand
-	siblings    map[fleet.InstanceID]siblingReport
-	budget      retryBudget
+	// offerAt is the instant from which room may be offered again.
+	offerAt  time.Time
+	random   *rand.Rand
+	siblings map[fleet.InstanceID]siblingReport
+	budget   retryBudget
 
 	// Actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -18,14 +18,24 @@
 	known.token = token
 }
 
-// Attempt returns the attempt of a flow that is waiting to be opened. It reports
-// false if the flow is not.
-func (a *Agent) Attempt(id flow.ID) (Attempt, bool) {
+// Pending is a flow that is waiting to be opened.
+type Pending struct {
+	Attempt Attempt
+	// Patience is how the flow may wait for a slot.
+	Patience Patience
+}
+
+// Pending returns a flow that is waiting to be opened. It reports false if the
+// flow is not.
+func (a *Agent) Pending(id flow.ID) (Pending, bool) {
 	known := a.flows[id]
 	if known == nil || known.state != statePending {
-		return 0, false
+		return Pending{}, false
 	}
-	return known.attempt, true
+	if len(known.visited) > 0 {
+		return Pending{Attempt: known.attempt, Patience: BoundedHere}, true
+	}
+	return Pending{Attempt: known.attempt, Patience: Bounded}, true
 }
 
 // owns returns the entry of a flow that the agent owns by a certain attempt.
@@ -95,13 +105,38 @@
 	case !a.budget.withdraw():
 		retry.Action = &Reset{Reason: RefuseBudget}
 	default:
-		// A retransmission of the opening packet must follow to the same agent.
-		a.rememberHandOver(now, known.service, id, sibling.ID())
-		retry.Action = &PassOn{Target: sibling, Placed: true, Reason: retryReason}
+		a.moveTo(now, id, &retry, sibling, retryReason)
 	}
 	return retry
 }
 
+// moveTo hands a flow on. A retransmission of its opening packet must follow to
+// the same agent.
+func (a *Agent) moveTo(now time.Time, id flow.ID, retry *Retry, sibling *fleet.Target, reason Reason) {
+	a.rememberHandOver(now, retry.Service, id, sibling.ID())
+	retry.Action = &PassOn{Target: sibling, Placed: true, Reason: reason}
+}
+
+// Surrendered hands a waiting flow to the sibling that has offered room. It costs
+// no retry: the sibling has a slot free.
+func (a *Agent) Surrendered(now time.Time, id flow.ID, attempt Attempt, to fleet.InstanceID) Retry {
+	known := a.owns(id, attempt)
+	if known == nil || known.state != statePending {
+		return Retry{Action: &Drop{Reason: DropPending}}
+	}
+	var target *fleet.Target
+	if service := a.view.Service(known.service); service != nil {
+		target = service.Target(to)
+	}
+	if target == nil || !target.IsAccepting() {
+		return a.Failed(now, id, attempt, RetryWait, RefuseWait)
+	}
+	a.remove(id, known)
+	retry := Retry{Service: known.service, Opening: known.opening, Visited: a.visitedWithSelf(known.visited)}
+	a.moveTo(now, id, &retry, target, HandOverOffered)
+	return retry
+}
+
 // ApplyView puts a new view in force and returns the flows that must be reset
 // because their service is gone or their data centre is out.
 func (a *Agent) ApplyView(view *fleet.View) []Owned {
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -20,8 +20,8 @@
 	// initialGrowth is the part of a slot that an answer in time adds to the
 	// limit. It is halved when the backend server falls while it warms up, down
 	// to minGrowth.
-	initialGrowth = 1.0 / 8
-	minGrowth     = 1.0 / 64
+	initialGrowth = 1.0 / 24
+	minGrowth     = 1.0 / 192
 
 	// minPatience and patienceFactor, which applies to the usual latency, bound
 	// how long an unanswered request holds its slot.
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -43,9 +43,35 @@
 	expires time.Time
 }
 
-// Heard stores a sibling's report.
-func (a *Agent) Heard(now time.Time, id fleet.InstanceID, report Report) {
+// Heard stores a sibling's report. It returns the tickets of waiting requests
+// that the sibling has room for.
+func (a *Agent) Heard(now time.Time, id fleet.InstanceID, report Report) []Ticket {
 	a.siblings[id] = siblingReport{report: report, expires: now.Add(reportLifetime)}
+	room := int(report.Limit) - int(report.Running)
+	if room <= 0 || a.admission.Waiting() == 0 {
+		return nil
+	}
+	return a.admission.Surrender(room)
+}
+
+// offerInterval is the least time between two offers of room.
+const offerInterval = 50 * time.Millisecond
+
+// Offer returns the siblings with waiting requests that should hear at once that
+// this agent has room.
+func (a *Agent) Offer(now time.Time) []*fleet.Target {
+	if a.draining || !a.admission.HasRoom() || now.Before(a.offerAt) {
+		return nil
+	}
+	a.offerAt = now.Add(offerInterval)
+	var waiting []*fleet.Target
+	for _, sibling := range a.Siblings() {
+		report, known := a.report(now, sibling.ID())
+		if known && report.Running > report.Limit {
+			waiting = append(waiting, sibling)
+		}
+	}
+	return waiting
 }
 
 func (a *Agent) report(now time.Time, id fleet.InstanceID) (Report, bool) {
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -28,6 +28,7 @@
 	// handedPerFlow is how many hand-overs are remembered for each flow owned.
 	handedPerFlow  = 2
 	sweepInterval  = time.Second
+	healthInterval = 500 * time.Millisecond
 	reportInterval = 500 * time.Millisecond
 	leaveTime      = 2 * time.Second
 	drainPoll      = 100 * time.Millisecond
@@ -161,6 +162,12 @@
 	})
 	group.Go(func() error { return a.sendAnswers(ctx) })
 	group.Go(func() error { return a.maintain(ctx) })
+	if a.settings.Health != "" {
+		group.Go(func() error {
+			a.watchHealth(ctx)
+			return nil
+		})
+	}
 	return nil
 }
 
@@ -185,6 +192,29 @@
 			reporter.send()
 		case <-expiry.C:
 			a.expire(time.Now())
+			reporter.offer()
+		}
+	}
+}
+
+// watchHealth takes the backend server as cold when its health endpoint shows
+// another start time. That it cannot be read means nothing.
+func (a *Agent) watchHealth(ctx context.Context) {
+	health := backend.NewHealth(a.settings.Health)
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		restarted, err := health.HasRestarted(ctx)
+		if err != nil {
+			a.counters.Add("health_unreadable", 1)
+		}
+		if restarted {
+			a.restarted()
 		}
 	}
 }
--- a/internal/daemon/agent/gate.go
+++ b/internal/daemon/agent/gate.go
@@ -18,13 +18,13 @@
 // wait.
 type gate struct {
 	admission *core.Admission
-	tickets   map[core.Ticket]chan bool
+	tickets   map[core.Ticket]chan core.Outcome
 	// holders are the requests that hold a slot.
 	holders map[*request]bool
 }
 
 func newGate(admission *core.Admission) *gate {
-	return &gate{admission: admission, tickets: make(map[core.Ticket]chan bool), holders: make(map[*request]bool)}
+	return &gate{admission: admission, tickets: make(map[core.Ticket]chan core.Outcome), holders: make(map[*request]bool)}
 }
 
 func (g *gate) slotHolders() []*request {
@@ -34,32 +34,35 @@
 // wake tells the requests that have been admitted.
 func (g *gate) wake(now time.Time) {
 	for _, ticket := range g.admission.Next(now) {
-		g.tell(ticket, true)
+		g.tell(ticket, core.Admitted{})
 	}
 }
 
 // expire tells the requests whose wait has run out.
 func (g *gate) expire(now time.Time) {
 	for _, ticket := range g.admission.Expired(now) {
-		g.tell(ticket, false)
+		g.tell(ticket, core.Expired{})
 	}
 }
 
-func (g *gate) tell(ticket core.Ticket, admitted bool) {
-	g.tickets[ticket] <- admitted
+func (g *gate) tell(ticket core.Ticket, o core.Outcome) {
+	g.tickets[ticket] <- o
 	delete(g.tickets, ticket)
 }
 
-// admit waits for a slot for a request of a member. It reports false if the wait
-// ran out.
-func (a *Agent) admit(member netip.Addr, patience core.Patience) bool {
+// admit waits for a slot for a request of a member.
+func (a *Agent) admit(member netip.Addr, patience core.Patience) core.Outcome {
 	a.mu.Lock()
 	ticket, admitted := a.gate.admission.Ask(time.Now(), member, patience)
-	if admitted || ticket == 0 {
+	if admitted {
 		a.mu.Unlock()
-		return admitted
+		return core.Admitted{}
 	}
-	answer := make(chan bool, 1)
+	if ticket == 0 {
+		a.mu.Unlock()
+		return core.Expired{}
+	}
+	answer := make(chan core.Outcome, 1)
 	a.gate.tickets[ticket] = answer
 	a.mu.Unlock()
 	a.counters.Add("requests_waited", 1)
@@ -135,6 +138,13 @@
 	r.agent.mu.Unlock()
 }
 
+// isUnanswered reports whether the backend server owes an answer.
+func (r *request) isUnanswered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state == requestRunning
+}
+
 // answered releases the slot at the first byte of an answer.
 func (r *request) answered() {
 	r.mu.Lock()
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -25,11 +27,32 @@
 	return &reporter{agent: a, codec: codec, writer: a.node.NewWriter()}, nil
 }
 
+// send reports to every sibling.
 func (r *reporter) send() {
 	r.agent.mu.Lock()
 	report := r.agent.core.Report(time.Now())
 	siblings := r.agent.core.Siblings()
 	r.agent.mu.Unlock()
+	r.sendTo(report, siblings)
+}
+
+// offer reports to the siblings that have requests waiting, if this agent has
+// room for them.
+func (r *reporter) offer() {
+	now := time.Now()
+	r.agent.mu.Lock()
+	siblings := r.agent.core.Offer(now)
+	if len(siblings) == 0 {
+		r.agent.mu.Unlock()
+		return
+	}
+	report := r.agent.core.Report(now)
+	r.agent.mu.Unlock()
+	r.agent.counters.Add("offers_sent", len(siblings))
+	r.sendTo(report, siblings)
+}
+
+func (r *reporter) sendTo(report core.Report, siblings []*fleet.Target) {
 	body, err := cbor.Marshal(&report)
 	if err != nil {
 		r.agent.logger.WithError(fmt.Errorf("encode load report: %w", err)).Error("report")
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -10,6 +10,7 @@
 	"time"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/link/backend"
 	"github.com/radishmast/radishmast/internal/link/caller"
@@ -34,19 +35,26 @@
 func (a *Agent) Serve(request *caller.Request) {
 	id := request.Flow()
 	a.mu.Lock()
-	attempt, pending := a.core.Attempt(id)
+	pending, found := a.core.Pending(id)
 	a.mu.Unlock()
-	if !pending {
+	if !found {
 		request.Abandon()
 		return
 	}
 	limited := id.Protocol() != flow.UDP
-	if limited && !a.admit(id.Caller().Addr(), core.Bounded) {
-		request.Abandon()
-		a.failed(id, attempt, core.RetryWait, core.RefuseWait)
-		return
+	if limited {
+		switch outcome := a.admit(id.Caller().Addr(), pending.Patience).(type) {
+		case core.Expired:
+			request.Abandon()
+			a.failed(id, pending.Attempt, core.RetryWait, core.RefuseWait)
+			return
+		case core.Surrendered:
+			request.Abandon()
+			a.surrendered(id, pending.Attempt, outcome.To)
+			return
+		}
 	}
-	s := &splice{agent: a, id: id, attempt: attempt}
+	s := &splice{agent: a, id: id, attempt: pending.Attempt}
 	s.request.agent, s.request.member = a, id.Caller().Addr()
 	if limited {
 		s.request.reserve(time.Now())
@@ -115,6 +123,18 @@
 	a.mu.Lock()
 	retry := a.core.Failed(time.Now(), id, attempt, retryReason, refuseReason)
 	a.mu.Unlock()
+	a.carryOut(&retry)
+}
+
+// surrendered hands a flow to the sibling that has offered room for it.
+func (a *Agent) surrendered(id flow.ID, attempt core.Attempt, to fleet.InstanceID) {
+	a.mu.Lock()
+	retry := a.core.Surrendered(time.Now(), id, attempt, to)
+	a.mu.Unlock()
+	a.carryOut(&retry)
+}
+
+func (a *Agent) carryOut(retry *core.Retry) {
 	switch action := retry.Action.(type) {
 	case *core.Reset:
 		if packet, err := ipv4.Parse(retry.Opening); err == nil {
@@ -122,7 +142,7 @@
 		}
 	case *core.PassOn:
 		a.counters.Add(string(action.Reason), 1)
-		a.sendRetry(&retry, action)
+		a.sendRetry(retry, action)
 	}
 }
 
@@ -195,7 +215,7 @@
 	for {
 		data, err := s.backend.Next()
 		if errors.Is(err, io.EOF) {
-			s.caller.CloseWrite()
+			s.backendFinished()
 			return
 		}
 		if err != nil {
@@ -216,6 +236,15 @@
 	return err
 }
 
+// backendFinished passes the end on to the caller. A backend server that owes an
+// answer does not finish unless it goes down.
+func (s *splice) backendFinished() {
+	if s.request.isUnanswered() {
+		s.agent.restarted()
+	}
+	s.caller.CloseWrite()
+}
+
 // backendBroke resets the caller. A connection reset by the backend server while
 // the flow still ran is a sign of its restart.
 func (s *splice) backendBroke(err error) {
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -52,7 +52,10 @@
 	}
 	t.agent.mu.Lock()
 	defer t.agent.mu.Unlock()
-	t.agent.core.Heard(time.Now(), fleet.InstanceID(header.From), report)
+	sibling := fleet.InstanceID(header.From)
+	for _, ticket := range t.agent.core.Heard(time.Now(), sibling, report) {
+		t.agent.gate.tell(ticket, core.Surrendered{To: sibling})
+	}
 }
 
 func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -48,15 +48,20 @@
 	config Config
 	ledger *Ledger
 
-	mu        sync.Mutex
+	mu     sync.Mutex
+	life   *life
+	busy   time.Duration
+	falls  int
+	lagged loadReport
+}
+
+// life is the state between a start and the end that follows it.
+type life struct {
 	http      *http.Server
 	startedAt time.Time
 	running   int
 	queued    int
 	answered  int
-	busy      time.Duration
-	falls     int
-	lagged    loadReport
 	slots     chan struct{}
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -92,14 +97,16 @@
 	mux.HandleFunc("/health", s.health)
 	mux.HandleFunc("/load", s.load)
 	mux.HandleFunc("/", s.hello)
+	l := &life{
+		http:      &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout},
+		startedAt: time.Now(),
+		slots:     make(chan struct{}, s.config.Slots),
+	}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.startedAt = time.Now()
-	s.answered = 0
-	s.slots = make(chan struct{}, s.config.Slots)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
+	s.life = l
+	go func() { _ = l.http.Serve(listener) }()
 	return nil
 }
 
@@ -107,8 +114,8 @@
 func (s *Server) Stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cancel()
-	_ = s.http.Close()
+	s.life.cancel()
+	_ = s.life.http.Close()
 }
 
 // Restart brings a stopped backend server back, cold.
@@ -164,62 +171,56 @@
 // acquire waits for a slot. It reports false if the request was shed or given up.
 func (s *Server) acquire(ctx context.Context) (release func(), accepted bool) {
 	s.mu.Lock()
-	if s.queued >= s.config.MaxQueue+s.config.Slots {
+	l := s.life
+	if l.queued >= s.config.MaxQueue+s.config.Slots {
 		s.mu.Unlock()
 		return nil, false
 	}
-	s.queued++
-	if s.isOverloadedCold() {
+	l.queued++
+	if s.isOverloadedCold(l) {
+		s.falls++
 		s.mu.Unlock()
 		s.fall()
 		return nil, false
 	}
-	slots := s.slots
 	s.mu.Unlock()
 	select {
-	case slots <- struct{}{}:
+	case l.slots <- struct{}{}:
 	case <-ctx.Done():
-		s.leaveQueue()
+		s.mu.Lock()
+		l.queued--
+		s.mu.Unlock()
 		return nil, false
 	}
 	started := time.Now()
 	s.mu.Lock()
-	s.running++
+	l.running++
 	s.mu.Unlock()
-	return func() { s.release(slots, started) }, true
+	return func() { s.release(l, started) }, true
 }
 
-func (s *Server) release(slots chan struct{}, started time.Time) {
-	<-slots
+func (s *Server) release(l *life, started time.Time) {
+	<-l.slots
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
-	s.queued--
-	s.answered++
+	l.running--
+	l.queued--
+	l.answered++
 	s.busy += time.Since(started)
 }
 
-func (s *Server) leaveQueue() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queued--
-}
-
 // isOverloadedCold reports whether a cold server has more requests than it bears:
 // one at first, then one more for each equal part of the warm-up.
-func (s *Server) isOverloadedCold() bool {
-	if s.answered >= s.config.WarmRequests {
+func (s *Server) isOverloadedCold(l *life) bool {
+	if l.answered >= s.config.WarmRequests {
 		return false
 	}
-	bearable := 1 + s.answered*s.config.Slots/s.config.WarmRequests
-	return s.queued > bearable
+	bearable := 1 + l.answered*s.config.Slots/s.config.WarmRequests
+	return l.queued > bearable
 }
 
 // fall breaks every connection and comes back cold after a while.
 func (s *Server) fall() {
-	s.mu.Lock()
-	s.falls++
-	s.mu.Unlock()
 	s.Stop()
 	time.AfterFunc(s.config.FallTime, func() { _ = s.Restart() })
 }
@@ -227,7 +228,7 @@
 // feed sends a numbered line every period until the client or the server ends.
 func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	ctx := s.ctx
+	ctx := s.life.ctx
 	s.mu.Unlock()
 	ticker := time.NewTicker(s.config.FeedPeriod)
 	defer ticker.Stop()
@@ -269,7 +270,7 @@
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	started := s.startedAt
+	started := s.life.startedAt
 	s.mu.Unlock()
 	writeJSON(w, struct {
 		Started time.Time `json:"started"`
@@ -280,7 +281,7 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	if time.Since(s.lagged.readAt) > loadLag {
-		s.lagged = loadReport{Running: s.running, Queued: s.queued - s.running, readAt: time.Now()}
+		s.lagged = loadReport{Running: s.life.running, Queued: s.life.queued - s.life.running, readAt: time.Now()}
 	}
 	report := s.lagged
 	s.mu.Unlock()
