Offer free slots at once, and notice a restart by a closed idle connection

Cause 1: room was offered on a 50 ms tick to every sibling, and siblings heard of waiting requests only twice a second. Change: an idle connection to the backend server is watched. Cause 3: a change of weights moved the instant from which a view counts as settled, so that under load no reset went out. Now only routing changes do. Cause 4: a draining agent did not wait for flows that had ended but had bytes to send (TestLeavingAgentsFinishTheirAnswers).

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -95,10 +95,12 @@
 	// utilisation is the load's average as of the last report.
 	utilisation float64
 	// offerAt is the instant from which room may be offered again.
-	offerAt  time.Time
-	random   *rand.Rand
-	siblings map[fleet.InstanceID]siblingReport
-	budget   retryBudget
+	offerAt time.Time
+	// waitingAt is the instant from which waiting requests may be reported again.
+	waitingAt time.Time
+	random    *rand.Rand
+	siblings  map[fleet.InstanceID]siblingReport
+	budget    retryBudget
 
 	// Actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -176,6 +176,10 @@
 // FlowsOwned returns the number of flows the agent owns.
 func (a *Agent) FlowsOwned() int { return a.owned }
 
+// IsIdle reports whether no flow is left, not even one that has ended but may
+// still have bytes to send.
+func (a *Agent) IsIdle() bool { return a.owned == 0 && a.closing == 0 }
+
 // ResidualServices returns the services that do not select this backend server
 // any more but whose flows it still owns.
 func (a *Agent) ResidualServices() []fleet.ServiceID {
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -54,24 +54,53 @@
 	return a.admission.Surrender(room)
 }
 
-// offerInterval is the least time between two offers of room.
-const offerInterval = 50 * time.Millisecond
+const (
+	// offerInterval is the least time between two offers of room.
+	offerInterval = 10 * time.Millisecond
+	// waitingInterval is the least time between two reports that requests wait.
+	waitingInterval = 150 * time.Millisecond
+)
 
-// Offer returns the siblings with waiting requests that should hear at once that
-// this agent has room.
-func (a *Agent) Offer(now time.Time) []*fleet.Target {
+// Offer returns the sibling that should hear at once that this agent has room:
+// the one with the most requests waiting by its last report. It returns nil if
+// there is none.
+func (a *Agent) Offer(now time.Time) *fleet.Target {
 	if a.draining || !a.admission.HasRoom() || now.Before(a.offerAt) {
 		return nil
 	}
-	a.offerAt = now.Add(offerInterval)
-	var waiting []*fleet.Target
+	var longest *fleet.Target
+	most := 0
 	for _, sibling := range a.Siblings() {
 		report, known := a.report(now, sibling.ID())
-		if known && report.Running > report.Limit {
-			waiting = append(waiting, sibling)
+		if !known {
+			continue
+		}
+		if waiting := int(report.Running) - int(report.Limit); waiting > most {
+			longest, most = sibling, waiting
 		}
 	}
-	return waiting
+	if longest != nil {
+		a.offerAt = now.Add(offerInterval)
+		a.noteOffer(longest)
+	}
+	return longest
+}
+
+// noteOffer counts an offer against the held report until the next one comes.
+func (a *Agent) noteOffer(target *fleet.Target) {
+	held := a.siblings[target.ID()]
+	held.report.Running--
+	a.siblings[target.ID()] = held
+}
+
+// MustTellWaiting reports whether siblings should hear at once that requests wait
+// here.
+func (a *Agent) MustTellWaiting(now time.Time) bool {
+	if a.admission.Waiting() == 0 || now.Before(a.waitingAt) {
+		return false
+	}
+	a.waitingAt = now.Add(waitingInterval)
+	return true
 }
 
 func (a *Agent) report(now time.Time, id fleet.InstanceID) (Report, bool) {
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -101,8 +101,8 @@
 	})
 }
 
-// settle lets summaries repair what was lost.
-func (n *network) settle(now time.Time) {
+// settle lets summaries repair what was lost and returns the time it is then.
+func (n *network) settle(now time.Time) time.Time {
 	for range 5 {
 		now = now.Add(summaryInterval)
 		for i, c := range n.controllers {
@@ -112,6 +112,7 @@
 			n.deliver(0, now)
 		}
 	}
+	return now
 }
 
 func TestSuspicionSpreadsAndIsRefuted(t *testing.T) {
@@ -146,6 +147,20 @@
 	require.True(t, n.controllers[0].IsConfirmed(now))
 }
 
+func TestWeightsAloneDoNotUnsettleTheView(t *testing.T) {
+	n := newNetwork(2)
+	now := n.settle(epoch)
+	settled := n.controllers[0].View().SettledAt()
+	n.collect(1, n.controllers[1].Describe(now, fleet.PeerAlive, 2*fleet.DefaultWeight, nil))
+	now = n.settle(now)
+	record, _ := n.controllers[0].state.Peers().Record(n.controllers[1].own.ID)
+	require.Equal(t, 2*fleet.DefaultWeight, record.Weight)
+	require.Equal(t, settled, n.controllers[0].View().SettledAt())
+	n.collect(1, n.controllers[1].Describe(now, fleet.PeerLeaving, 2*fleet.DefaultWeight, nil))
+	n.settle(now)
+	require.NotEqual(t, settled, n.controllers[0].View().SettledAt())
+}
+
 func TestThreeMissesMakeATargetUnreachableAndOneAnswerUndoesIt(t *testing.T) {
 	p := newProber()
 	id := fleet.InstanceIDOf("b0")
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -61,9 +61,11 @@
 	prober  *prober
 	changed map[fleet.InstanceID]fleet.PeerRecord
 
-	outputs     []Output
-	viewAt      time.Time
-	viewDue     bool
+	outputs []Output
+	viewAt  time.Time
+	viewDue bool
+	// rerouted tells that the view that is due changes where packets may go.
+	rerouted    bool
 	view        *fleet.View
 	summaryAt   time.Time
 	dialAt      time.Time
@@ -170,10 +172,16 @@
 	default:
 		c.emit(Report{Event: EventDocumentApplied})
 		c.broadcast(&Message{Change: change}, source)
-		c.scheduleView(now)
+		c.reroute(now)
 	}
 }
 
+// reroute asks for a new view at once, since it changes where packets may go.
+func (c *Controller) reroute(now time.Time) {
+	c.rerouted = true
+	c.scheduleView(now)
+}
+
 // scheduleView asks for a new view at an instant, or earlier if one is due.
 func (c *Controller) scheduleView(at time.Time) {
 	if !c.viewDue || at.Before(c.viewAt) {
@@ -186,8 +194,12 @@
 	if !c.viewDue || now.Before(c.viewAt) {
 		return
 	}
-	c.viewDue = false
-	c.view = c.state.View(now)
+	if c.rerouted {
+		c.view = c.state.View(now)
+	} else {
+		c.view = c.state.ViewSettledAt(now, c.view.SettledAt())
+	}
+	c.viewDue, c.rerouted = false, false
 	c.prober.setPeers(c.peersToProbe())
 	c.emit(Publish{View: c.view})
 }
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -141,7 +141,7 @@
 	state.dueAt = now.Add(probeInterval)
 	if c.state.Peers().SetReachable(id, false, time.Time{}) {
 		c.emit(Report{Event: EventPeerUnreachable, Peer: c.nodeName(id)})
-		c.scheduleView(now)
+		c.reroute(now)
 	}
 	record, known := c.state.Peers().Record(id)
 	if !known || record.State == fleet.PeerSuspect || now.Before(state.suspectAt) {
@@ -163,7 +163,7 @@
 	state.misses = 0
 	if c.state.Peers().SetReachable(id, true, now.Add(vouchLifetime)) {
 		c.emit(Report{Event: EventPeerReachable, Peer: c.nodeName(id)})
-		c.scheduleView(now)
+		c.reroute(now)
 	}
 	if record, _ := c.state.Peers().Record(id); incarnation > record.Incarnation {
 		c.merge(now, fleet.PeerRecord{ID: id, Incarnation: incarnation})
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -22,7 +22,7 @@
 	}
 	c.changed[record.ID] = record
 	if isRouting(old, record) {
-		c.scheduleView(now)
+		c.reroute(now)
 	} else {
 		c.scheduleView(now.Add(weightViewDelay))
 	}
@@ -48,9 +48,14 @@
 }
 
 func (c *Controller) spreadOwn(now time.Time) {
+	old, _ := c.state.Peers().Record(c.own.ID)
 	c.state.Peers().Merge(c.own)
 	c.changed[c.own.ID] = c.own
-	c.scheduleView(now)
+	if isRouting(old, c.own) {
+		c.reroute(now)
+	} else {
+		c.scheduleView(now.Add(weightViewDelay))
+	}
 }
 
 // Describe sets what this process says of itself.
--- a/internal/core/fleet/capacity_test.go
+++ b/internal/core/fleet/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 )
 
@@ -42,15 +43,28 @@
 	return Instance{Name: name, Role: role, DataCentre: dataCentre, Data: "127.0.0.1:7000", Control: "127.0.0.1:7001", State: StateLive}
 }
 
+// liveBytes returns the size of the heap after a collection.
+func liveBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 // BenchmarkView is the cost of computing a view, by number of targets.
 func BenchmarkView(b *testing.B) {
 	for _, targets := range []int{400, 800, 1600, 3200, 6500} {
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			before := liveBytes()
 			state := benchmarkState(b, targets)
+			view := state.View(epoch)
+			live := liveBytes() - before
 			b.ReportAllocs()
 			for b.Loop() {
-				state.View(epoch)
+				view = state.View(epoch)
 			}
+			b.ReportMetric(float64(live), "live-bytes")
+			runtime.KeepAlive(view)
 		})
 	}
 }
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -95,14 +95,20 @@
 	s.peers.Forget(func(id InstanceID) bool { return listed[id] })
 }
 
-// View computes the routing view.
+// View computes the routing view after a change of where packets may go.
 func (s *State) View(now time.Time) *View {
+	return s.ViewSettledAt(now, now.Add(settleTime))
+}
+
+// ViewSettledAt computes the routing view with the instant from which it counts as
+// settled, which a change of weights alone does not move.
+func (s *State) ViewSettledAt(now, settledAt time.Time) *View {
 	view := &View{
 		revisions: s.Revisions(),
 		services:  make(map[flow.Address]*RoutedService, len(s.services.Services)),
 		byID:      make(map[ServiceID]*RoutedService, len(s.services.Services)),
 		nodes:     s.nodes(),
-		settledAt: now.Add(settleTime),
+		settledAt: settledAt,
 	}
 	servers := s.servers(view.nodes)
 	residual := s.residualOwners(view.nodes)
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -30,11 +29,12 @@
 	handedPerFlow  = 2
 	sweepInterval  = time.Second
 	healthInterval = 500 * time.Millisecond
-	reportInterval = 500 * time.Millisecond
-	leaveTime      = 2 * time.Second
-	gcPercent      = 40
-	drainPoll      = 100 * time.Millisecond
-	maxDrain       = 24 * time.Hour
+	// closingInterval is the least time between two idle connections.
+	closingInterval = 50 * time.Millisecond
+	reportInterval  = 500 * time.Millisecond
+	leaveTime       = 2 * time.Second
+	drainPoll       = 100 * time.Millisecond
+	maxDrain        = 24 * time.Hour
 )
 
 // Agent is a running agent.
@@ -48,11 +48,13 @@
 	egress   *fabric.Egress
 
 	// mu guards the decision core, which every traffic goroutine asks.
-	mu    sync.Mutex
-	core  *core.Agent
-	load  *core.Load
-	gate  *gate
-	conns map[flow.ID]*splice
+	mu   sync.Mutex
+	core *core.Agent
+	load *core.Load
+	gate *gate
+	// loadChanged wakes the reporter when a slot falls free or a request waits.
+	loadChanged chan struct{}
+	conns       map[flow.ID]*splice
 }
 
 // Run serves until ctx is done, then drains: it takes no new flows and ends when
@@ -84,9 +86,6 @@
 }
 
 func newAgent(ctx context.Context, s *settings.Agent, logger log.Interface) (*Agent, error) {
-	// Most of an agent's memory is the stack's state of idle flows, which collecting
-	// early keeps small.
-	debug.SetGCPercent(gcPercent)
 	counters := metrics.New()
 	n, err := node.New(ctx, &s.Common, fleet.RoleAgent, counters, logger)
 	if err != nil {
@@ -98,14 +97,15 @@
 	}
 	load := core.NewLoad(time.Now(), s.Slots)
 	a := &Agent{
-		settings: s,
-		node:     n,
-		counters: counters,
-		logger:   logger.WithField("instance", s.Name),
-		dialer:   backend.NewDialer(settings.Endpoint(s.Backend)),
-		egress:   fabric.NewEgress(socket, settings.Endpoint(s.Egress), counters),
-		load:     load,
-		conns:    make(map[flow.ID]*splice),
+		settings:    s,
+		node:        n,
+		counters:    counters,
+		logger:      logger.WithField("instance", s.Name),
+		dialer:      backend.NewDialer(settings.Endpoint(s.Backend)),
+		egress:      fabric.NewEgress(socket, settings.Endpoint(s.Egress), counters),
+		load:        load,
+		loadChanged: make(chan struct{}, 1),
+		conns:       make(map[flow.ID]*splice),
 	}
 	a.core = core.New(core.Config{
 		Self:       n.ID(),
@@ -197,28 +197,51 @@
 			reporter.send()
 		case <-expiry.C:
 			a.expire(time.Now())
-			reporter.offer()
+			reporter.sendDue()
+		case <-a.loadChanged:
+			reporter.sendDue()
+		}
+	}
+}
+
+// watchClosing reports each time that the backend server closes an idle
+// connection.
+func (a *Agent) watchClosing(ctx context.Context, closed chan<- struct{}) {
+	for ctx.Err() == nil {
+		if err := a.dialer.WaitClosed(ctx); err == nil {
+			closed <- struct{}{}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(closingInterval):
 		}
 	}
 }
 
 // watchHealth takes the backend server as cold when its health endpoint shows
-// another start time. That it cannot be read means nothing.
+// another start time. It is read at intervals, and at once when an idle
+// connection closes. That it cannot be read means nothing, unless a connection has
+// just been closed.
 func (a *Agent) watchHealth(ctx context.Context) {
 	health := backend.NewHealth(a.settings.Health)
+	closed := make(chan struct{}, 1)
+	go a.watchClosing(ctx, closed)
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	for {
+		wasClosed := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-closed:
+			wasClosed = true
 		}
 		restarted, err := health.HasRestarted(ctx)
 		if err != nil {
 			a.counters.Add("health_unreadable", 1)
 		}
-		if restarted {
+		if restarted || (wasClosed && err != nil) {
 			a.restarted()
 		}
 	}
@@ -323,7 +346,7 @@
 		case <-ctx.Done():
 		case <-poll.C:
 			a.mu.Lock()
-			idle := a.core.FlowsOwned() == 0
+			idle := a.core.IsIdle()
 			a.mu.Unlock()
 			if idle && time.Now().After(earliest) {
 				return
--- a/internal/daemon/agent/gate.go
+++ b/internal/daemon/agent/gate.go
@@ -73,9 +73,18 @@
 	a.gate.tickets[ticket] = answer
 	a.mu.Unlock()
 	a.counters.Add("requests_waited", 1)
+	a.noteLoadChange()
 	return <-answer
 }
 
+// noteLoadChange wakes the reporter.
+func (a *Agent) noteLoadChange() {
+	select {
+	case a.loadChanged <- struct{}{}:
+	default:
+	}
+}
+
 // requestState is what a flow has at the backend server.
 type requestState uint8
 
@@ -177,6 +186,7 @@
 		r.agent.gate.admission.Answered(now, r.member, now.Sub(r.startedAt))
 		r.agent.gate.wake(now)
 		r.agent.mu.Unlock()
+		r.agent.noteLoadChange()
 	}
 	if r.state == requestRunning || r.state == requestStream {
 		r.state = requestNone
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -36,19 +36,24 @@
 	r.sendTo(report, siblings)
 }
 
-// offer reports to the siblings that have requests waiting, if this agent has
-// room for them.
-func (r *reporter) offer() {
+// sendDue reports at once to a sibling that has requests waiting if this agent has
+// room, and to all siblings if requests have begun to wait here.
+func (r *reporter) sendDue() {
 	now := time.Now()
 	r.agent.mu.Lock()
-	siblings := r.agent.core.Offer(now)
+	var siblings []*fleet.Target
+	if sibling := r.agent.core.Offer(now); sibling != nil {
+		r.agent.counters.Add("offers_sent", 1)
+		siblings = append(siblings, sibling)
+	} else if r.agent.core.MustTellWaiting(now) {
+		siblings = r.agent.core.Siblings()
+	}
 	if len(siblings) == 0 {
 		r.agent.mu.Unlock()
 		return
 	}
 	report := r.agent.core.Report(now)
 	r.agent.mu.Unlock()
-	r.agent.counters.Add("offers_sent", len(siblings))
 	r.sendTo(report, siblings)
 }
 
--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -37,7 +37,7 @@
 }
 
 func (n *Node) dial(ctx context.Context, endpoint netip.AddrPort) {
-	l, err := link.Dial(ctx, endpoint, n.http, false, n.counters)
+	l, err := link.Dial(ctx, endpoint, n.http, n.linkKeys, n.counters)
 	if err != nil {
 		n.counters.Add("retry_link_dial", 1)
 		n.logger.WithError(err).Debug("control link")
@@ -56,7 +56,7 @@
 		http.Error(w, "too many control links", http.StatusServiceUnavailable)
 		return
 	}
-	l, err := link.Accept(w, r, n.counters)
+	l, err := link.Accept(w, r, n.linkKeys, n.counters)
 	if err != nil {
 		n.logger.WithError(err).Debug("control link")
 		return
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,10 @@
 
 const connectTimeout = 2 * time.Second
 
+// gcPercent makes a daemon collect garbage early: its memory is mostly state that
+// lives long, beside bursts of garbage from documents and views.
+const gcPercent = 40
+
 // Node is the shared part of a daemon.
 type Node struct {
 	name        string
@@ -40,6 +45,7 @@
 	role        fleet.Role
 	dataCentre  string
 	keys        []datagram.Key
+	linkKeys    link.Keys
 	endpoint    netip.AddrPort
 	control     netip.AddrPort
 	socket      *net.UDPConn
@@ -63,6 +69,7 @@
 
 // New returns a node with an open datagram socket.
 func New(ctx context.Context, common *settings.Common, role fleet.Role, counters *metrics.Counters, logger log.Interface) (*Node, error) {
+	debug.SetGCPercent(gcPercent)
 	socket, err := peer.Listen(ctx, settings.Endpoint(common.Data))
 	if err != nil {
 		return nil, err
@@ -91,6 +98,7 @@
 		links:       make(map[control.LinkID]*link.Link),
 		onPublish:   func(*fleet.View) {},
 	}
+	n.linkKeys = link.NewKeys(common.Keys)
 	for _, secret := range common.Keys {
 		n.keys = append(n.keys, datagram.NewKey(secret))
 	}
--- a/internal/daemon/node/platform.go
+++ b/internal/daemon/node/platform.go
@@ -47,7 +47,8 @@
 		case ctx.Err() == nil:
 			n.counters.Add("retry_platform_read", 1)
 			n.logger.WithError(err).Warn("platform")
-			sleep(ctx, delays.NextBackOff())
+			// Retries of the whole fleet share the budget of the polls.
+			sleep(ctx, max(delays.NextBackOff(), n.pollDelay(0)))
 			continue
 		}
 		sleep(ctx, n.pollDelay(wait))
--- a/internal/daemon/node/probes.go
+++ b/internal/daemon/node/probes.go
@@ -127,7 +127,9 @@
 }
 
 // NewReceiver returns a receiver of the node's datagram socket.
-func (n *Node) NewReceiver() (*Receiver, error) { return n.newReceiver(n.socket, peer.NewReader(n.socket)) }
+func (n *Node) NewReceiver() (*Receiver, error) {
+	return n.newReceiver(n.socket, peer.NewReader(n.socket))
+}
 
 func (n *Node) newReceiver(socket *net.UDPConn, reader *peer.Reader) (*Receiver, error) {
 	codec, err := n.NewCodec()
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -19,6 +19,7 @@
 	// that gives up on a delayed request is not what the scenarios measure.
 	headerTimeout = 60 * time.Second
 	maxBodyBytes  = 1 << 30
+	maxDatagram   = 1500
 	loadLag       = time.Second
 )
 
@@ -107,6 +108,26 @@
 	defer s.mu.Unlock()
 	s.life = l
 	go func() { _ = l.http.Serve(listener) }()
+	return s.echoDatagrams(l)
+}
+
+// echoDatagrams answers each datagram with the server's name and its bytes.
+func (s *Server) echoDatagrams(l *life) error {
+	conn, err := net.ListenPacket("udp4", s.config.Address)
+	if err != nil {
+		return fmt.Errorf("start backend server %s: %w", s.config.Name, err)
+	}
+	context.AfterFunc(l.ctx, func() { _ = conn.Close() })
+	go func() {
+		buffer := make([]byte, maxDatagram)
+		for {
+			count, from, err := conn.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = conn.WriteTo(append([]byte(s.config.Name+":"), buffer[:count]...), from)
+		}
+	}()
 	return nil
 }
 
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -394,6 +394,15 @@
 	return c.callers.Dial(ctx, member, endpoint)
 }
 
+// DialUDP opens a UDP flow from a member to the service with a name.
+func (c *Cluster) DialUDP(member netip.Addr, service string) (net.Conn, error) {
+	endpoint, err := c.ServiceEndpoint(service)
+	if err != nil {
+		return nil, err
+	}
+	return c.callers.DialUDP(member, endpoint)
+}
+
 // ServiceEndpoint returns the address of the service with a name.
 func (c *Cluster) ServiceEndpoint(name string) (netip.AddrPort, error) {
 	c.mu.Lock()
--- a/internal/lab/cluster/path_test.go
+++ b/internal/lab/cluster/path_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +105,64 @@
 	_, err := c.Dial(ctx, member, "orders")
 	require.ErrorContains(t, err, "connection was refused")
 }
+
+func TestUDPFlowStaysAtOneBackendServer(t *testing.T) {
+	spec := sampleSpec(t)
+	spec.Services[0].Protocol = "udp"
+	c := start(t, spec)
+	for port := range 5 {
+		conn, err := c.DialUDP(member, "orders")
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		first := ""
+		for i := range 20 {
+			text := fmt.Sprintf("flow %d packet %d", port, i)
+			server := exchange(t, conn, text)
+			if first == "" {
+				first = server
+			}
+			require.Equal(t, first, server)
+		}
+	}
+}
+
+// exchange sends a datagram until it is answered and returns who answered.
+func exchange(t *testing.T, conn net.Conn, text string) string {
+	const attempts = 20
+	buffer := make([]byte, 1500)
+	for range attempts {
+		_, err := conn.Write([]byte(text))
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+		count, err := conn.Read(buffer)
+		if err != nil {
+			continue
+		}
+		server, answer, found := strings.Cut(string(buffer[:count]), ":")
+		require.True(t, found)
+		if answer == text {
+			return server
+		}
+	}
+	require.Fail(t, "no answer to "+text)
+	return ""
+}
+
+func TestLeavingAgentsFinishTheirAnswers(t *testing.T) {
+	const size = 40_000_000
+	c := start(t, sampleSpec(t))
+	response, err := client(c, "patterns").Get(fmt.Sprintf("http://patterns/bytes/%d", size))
+	require.NoError(t, err)
+	first, err := io.CopyN(io.Discard, response.Body, 1000)
+	require.NoError(t, err)
+	leaving := []string{"patterns-1", "patterns-2", "patterns-3"}
+	for _, name := range leaving {
+		require.NoError(t, c.Terminate(name))
+	}
+	rest, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, size, first+rest)
+	for _, name := range leaving {
+		require.NoError(t, c.WaitEnded(name, 30*time.Second))
+	}
+}
--- a/internal/link/control/link.go
+++ b/internal/link/control/link.go
@@ -38,24 +38,21 @@
 type Link struct {
 	conn    *websocket.Conn
 	peer    string
+	keys    Keys
 	queue   chan []byte
 	counter Counter
 }
 
-func newLink(conn *websocket.Conn, peer string, counter Counter) *Link {
+func newLink(conn *websocket.Conn, peer string, keys Keys, counter Counter) *Link {
 	conn.SetReadLimit(maxMessage)
-	return &Link{conn: conn, peer: peer, queue: make(chan []byte, sendQueue), counter: counter}
+	return &Link{conn: conn, peer: peer, keys: keys, queue: make(chan []byte, sendQueue), counter: counter}
 }
 
 // Dial connects to a peer's control endpoint.
-func Dial(ctx context.Context, peer netip.AddrPort, client *http.Client, secure bool, counter Counter) (*Link, error) {
+func Dial(ctx context.Context, peer netip.AddrPort, client *http.Client, keys Keys, counter Counter) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	scheme := "ws"
-	if secure {
-		scheme = "wss"
-	}
-	url := fmt.Sprintf("%s://%s%s", scheme, peer, Path)
+	url := fmt.Sprintf("ws://%s%s", peer, Path)
 	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
 		return nil, fmt.Errorf("dial control link to %s: %w", peer, err)
@@ -64,16 +61,16 @@
 		// The body is empty after a successful upgrade.
 		_ = response.Body.Close()
 	}
-	return newLink(conn, peer.String(), counter), nil
+	return newLink(conn, peer.String(), keys, counter), nil
 }
 
 // Accept upgrades a request to a link.
-func Accept(w http.ResponseWriter, r *http.Request, counter Counter) (*Link, error) {
+func Accept(w http.ResponseWriter, r *http.Request, keys Keys, counter Counter) (*Link, error) {
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return nil, fmt.Errorf("accept control link from %s: %w", r.RemoteAddr, err)
 	}
-	return newLink(conn, r.RemoteAddr, counter), nil
+	return newLink(conn, r.RemoteAddr, keys, counter), nil
 }
 
 // Peer returns the peer's network address.
@@ -87,7 +84,7 @@
 		return fmt.Errorf("encode control message for %s: %w", l.peer, err)
 	}
 	select {
-	case l.queue <- data:
+	case l.queue <- l.keys.seal(data):
 		return nil
 	default:
 		return fmt.Errorf("send to %s: %w", l.peer, ErrSlowPeer)
@@ -106,6 +103,11 @@
 			return fmt.Errorf("read control link from %s: %w", l.peer, err)
 		}
 		l.counter.Add("control_bytes_received", len(data))
+		data, err = l.keys.open(data)
+		if err != nil {
+			l.counter.Add("drop_authentication", 1)
+			return fmt.Errorf("read control link from %s: %w", l.peer, err)
+		}
 		message := new(control.Message)
 		if err := cbor.Unmarshal(data, message); err != nil {
 			l.counter.Add("refuse_control_message", 1)
--- /dev/null
+++ b/internal/link/control/link_test.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/control"
+)
+
+// counts counts events by name.
+type counts struct {
+	mu     sync.Mutex
+	values map[string]int
+}
+
+func (c *counts) Add(name string, delta int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values[name] += delta
+}
+
+func TestMessagesNeedAKeyOfTheFleet(t *testing.T) {
+	old, current := "old key of the fleet", "new key of the fleet"
+	tests := []struct {
+		name     string
+		sender   []string
+		accepted bool
+	}{
+		{"current key", []string{current}, true},
+		{"old key during rotation", []string{old}, true},
+		{"foreign key", []string{"key of another fleet"}, false},
+		{"no key", nil, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			received := make(chan *control.Message, 1)
+			ended := make(chan error, 1)
+			counter := &counts{values: make(map[string]int)}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				link, err := Accept(w, r, NewKeys([]string{current, old}), counter)
+				if err == nil {
+					err = link.Run(r.Context(), func(m *control.Message) { received <- m })
+				}
+				ended <- err
+			}))
+			defer server.Close()
+			endpoint := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			link, err := Dial(t.Context(), endpoint, http.DefaultClient, NewKeys(test.sender), &counts{values: make(map[string]int)})
+			require.NoError(t, err)
+			go func() { _ = link.Run(t.Context(), func(*control.Message) {}) }()
+			require.NoError(t, link.Send(&control.Message{Summary: &control.Summary{ID: 7}}))
+			if test.accepted {
+				require.EqualValues(t, 7, (<-received).Summary.ID)
+				link.Close()
+				<-ended
+				return
+			}
+			require.ErrorIs(t, <-ended, ErrAuthentication)
+			require.Equal(t, 1, counter.values["drop_authentication"])
+		})
+	}
+}
