--- a/internal/link/control/link_test.go
+++ b/internal/link/control/link_test.go
@@ -58,7 +58,7 @@
 			if test.accepted {
 				require.EqualValues(t, 7, (<-received).Summary.ID)
 				link.Close()
-				<-ended
+				require.Error(t, <-ended)
 				return
 			}
 			require.ErrorIs(t, <-ended, ErrAuthentication)
