Join what stood twice: one datagram sender, one program start, one test start

Change: node.Sender, cmdutil.Execute, cluster.RunWithDaemon, launch.go; the unused Hinted flag is gone. A full agent hands a flow on or refuses it; it used to drop it in silence (TestFullAgentRefusesTrulyWhenNoSiblingHasRoom).

--- a/cmd/radishmast-lab/main.go
+++ b/cmd/radishmast-lab/main.go
@@ -3,11 +3,9 @@
 package main
 
 import (
-	"context"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
 	"github.com/radishmast/radishmast/internal/cmd/demo"
@@ -16,18 +14,14 @@
 )
 
 func main() {
-	os.Exit(execute())
+	os.Exit(cmdutil.Execute(newRoot))
 }
 
-func execute() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	factory := &cmdutil.Factory{Streams: cmdutil.SystemStreams(), HTTPClient: http.DefaultClient}
-	root := cmdutil.NewGroup("radishmast-lab", "Stand-ins and measurements.", factory.Streams,
-		demo.NewCmdDemo(factory),
-		run.NewCmdRun(factory),
-		run.NewCmdList(factory),
-		version.NewCmdVersion(factory, "radishmast-lab"),
+func newRoot(f *cmdutil.Factory) *ffcli.Command {
+	return cmdutil.NewGroup("radishmast-lab", "Stand-ins and measurements.", f.Streams,
+		demo.NewCmdDemo(f),
+		run.NewCmdRun(f),
+		run.NewCmdList(f),
+		version.NewCmdVersion(f, "radishmast-lab"),
 	)
-	return cmdutil.Main(ctx, factory.Streams, root, os.Args[1:])
 }
--- a/cmd/radishmast/main.go
+++ b/cmd/radishmast/main.go
@@ -2,11 +2,9 @@
 package main
 
 import (
-	"context"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/radishmast/radishmast/internal/cmd/backends"
 	"github.com/radishmast/radishmast/internal/cmd/check"
@@ -19,21 +17,17 @@
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(cmdutil.Execute(newRoot))
 }
 
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	factory := &cmdutil.Factory{Streams: cmdutil.SystemStreams(), HTTPClient: http.DefaultClient}
-	root := cmdutil.NewGroup("radishmast", "The operators' client, read-only.", factory.Streams,
-		status.NewCmdStatus(factory),
-		services.NewCmdServices(factory),
-		backends.NewCmdBackends(factory),
-		explain.NewCmdExplain(factory),
-		check.NewCmdCheck(factory),
-		watch.NewCmdWatch(factory),
-		version.NewCmdVersion(factory, "radishmast"),
+func newRoot(f *cmdutil.Factory) *ffcli.Command {
+	return cmdutil.NewGroup("radishmast", "The operators' client, read-only.", f.Streams,
+		status.NewCmdStatus(f),
+		services.NewCmdServices(f),
+		backends.NewCmdBackends(f),
+		explain.NewCmdExplain(f),
+		check.NewCmdCheck(f),
+		watch.NewCmdWatch(f),
+		version.NewCmdVersion(f, "radishmast"),
 	)
-	return cmdutil.Main(ctx, factory.Streams, root, os.Args[1:])
 }
--- a/cmd/radishmastd/main.go
+++ b/cmd/radishmastd/main.go
@@ -3,11 +3,9 @@
 package main
 
 import (
-	"context"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
 	"github.com/radishmast/radishmast/internal/cmd/daemon"
@@ -15,17 +13,13 @@
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(cmdutil.Execute(newRoot))
 }
 
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	factory := &cmdutil.Factory{Streams: cmdutil.SystemStreams(), HTTPClient: http.DefaultClient}
-	root := cmdutil.NewGroup("radishmastd", "The daemons of radishmast.", factory.Streams,
-		daemon.NewCmdBalancer(factory),
-		daemon.NewCmdAgent(factory),
-		version.NewCmdVersion(factory, "radishmastd"),
+func newRoot(f *cmdutil.Factory) *ffcli.Command {
+	return cmdutil.NewGroup("radishmastd", "The daemons of radishmast.", f.Streams,
+		daemon.NewCmdBalancer(f),
+		daemon.NewCmdAgent(f),
+		version.NewCmdVersion(f, "radishmastd"),
 	)
-	return cmdutil.Main(ctx, factory.Streams, root, os.Args[1:])
 }
--- a/internal/cmd/cmdutil/cmdutil.go
+++ b/internal/cmd/cmdutil/cmdutil.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"golang.org/x/term"
@@ -72,6 +74,17 @@
 // Unwrap returns the cause.
 func (e UnreachableError) Unwrap() error { return e.Err }
 
+// Execute runs a program with the process's own streams and arguments until it
+// ends or is interrupted, and returns the exit code.
+func Execute(newRoot func(*Factory) *ffcli.Command) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	factory := &Factory{Streams: SystemStreams(), HTTPClient: http.DefaultClient}
+	return Main(ctx, factory.Streams, newRoot(factory), os.Args[1:])
+}
+
 // Main runs a command and returns the exit code.
 func Main(ctx context.Context, streams *Streams, root *ffcli.Command, args []string) int {
 	if err := root.Parse(args); err != nil {
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -197,6 +197,15 @@
 	require.Equal(t, &Drop{Reason: DropUnknownService}, a.Receive(settled, foreign))
 }
 
+func TestFullAgentRefusesTrulyWhenNoSiblingHasRoom(t *testing.T) {
+	all, _ := agents(t, 1, HashOnly{})
+	a := all[fleet.InstanceIDOf("b0")]
+	for port := range uint16(a.config.MaxFlows) {
+		require.IsType(t, &Deliver{}, a.Receive(settled, arrival(1024+port, flow.Opening, 0)))
+	}
+	require.Equal(t, &Reset{Reason: RefuseConnections}, a.Receive(settled, arrival(60000, flow.Opening, 0)))
+}
+
 func TestUDPFlowOpensOnlyAfterASearch(t *testing.T) {
 	all, view := agents(t, 4, HashOnly{})
 	lookup := fleet.ServiceIDOf("lookup")
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -66,6 +66,8 @@
 	switch {
 	case a.draining:
 		return HandOverDraining
+	case a.owned >= a.config.MaxFlows:
+		return HandOverConnections
 	case !a.isSelected(service.ID()) && arrival.Revision <= a.view.Revisions().Highest():
 		return HandOverAbsent
 	}
@@ -85,6 +87,9 @@
 			return handOver{target, reason}
 		}
 	}
+	if reason == HandOverConnections {
+		return refuse{RefuseConnections}
+	}
 	return refuse{RefuseNotAccepting}
 }
 
--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -24,8 +24,6 @@
 	Service *fleet.RoutedService
 	// Target receives the packet unless Drop is set.
 	Target *fleet.Target
-	// Hinted reports whether a hint chose the target.
-	Hinted bool
 	// Drop is the reason for dropping the packet, or DropNone.
 	Drop Drop
 }
@@ -48,7 +46,7 @@
 	}
 	hash := packet.Flow().Hash()
 	if target := b.hinted(service, hash); target != nil && packet.Kind() != flow.Opening {
-		return Decision{Service: service, Target: target, Hinted: true}
+		return Decision{Service: service, Target: target}
 	}
 	return b.choose(service, packet.Kind(), hash)
 }
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -8,23 +8,22 @@
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
-	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
 // reporter sends load reports to the agent's siblings.
 type reporter struct {
 	agent  *Agent
-	codec  *datagram.Codec
-	writer *peer.Writer
+	sender *node.Sender
 }
 
 func newReporter(a *Agent) (*reporter, error) {
-	codec, err := a.node.NewCodec()
+	sender, err := a.node.NewSender()
 	if err != nil {
 		return nil, err
 	}
-	return &reporter{agent: a, codec: codec, writer: a.node.NewWriter()}, nil
+	return &reporter{agent: a, sender: sender}, nil
 }
 
 // send reports to every sibling.
@@ -65,18 +64,7 @@
 	}
 	for _, sibling := range siblings {
 		header := r.agent.node.Header(datagram.Load, sibling.ID(), sibling.Incarnation())
-		buffer, err := r.writer.Next()
-		if err == nil {
-			err = r.codec.AppendTo(buffer, &header, body)
-		}
-		if err != nil {
-			r.agent.counters.Add("drop_send_failed", 1)
-			continue
-		}
-		r.agent.counters.Add("control_bytes_sent", buffer.Len())
-		r.writer.Queue(sibling.Data())
-	}
-	if err := r.writer.Flush(); err != nil {
-		r.agent.counters.Add("drop_send_failed", 1)
+		r.sender.QueueControl(&header, body, sibling.Data())
 	}
+	r.sender.Flush()
 }
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -150,8 +150,9 @@
 }
 
 func (a *Agent) sendRetry(retry *core.Retry, action *core.PassOn) {
-	codec, err := a.node.NewCodec()
+	sender, err := a.node.NewSender()
 	if err != nil {
+		a.counters.Add("drop_send_failed", 1)
 		return
 	}
 	header := a.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
@@ -160,18 +161,8 @@
 	for _, id := range retry.Visited {
 		header.Visited = append(header.Visited, uint64(id))
 	}
-	writer := a.node.NewWriter()
-	buffer, err := writer.Next()
-	if err == nil {
-		err = codec.AppendTo(buffer, &header, retry.Opening)
-	}
-	if err == nil {
-		writer.Queue(action.Target.Data())
-		err = writer.Flush()
-	}
-	if err != nil {
-		a.counters.Add("drop_send_failed", 1)
-	}
+	sender.Queue(&header, retry.Opening, action.Target.Data())
+	sender.Flush()
 }
 
 // run copies both directions until they end.
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -9,7 +10,7 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
-	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
@@ -17,19 +18,18 @@
 // traffic carries out decisions about the packets of one goroutine.
 type traffic struct {
 	agent   *Agent
-	codec   *datagram.Codec
-	writer  *peer.Writer
+	sender  *node.Sender
 	arrival core.Arrival
 	out     datagram.Header
 	visited []uint64
 }
 
 func newTraffic(a *Agent) (*traffic, error) {
-	codec, err := a.node.NewCodec()
+	sender, err := a.node.NewSender()
 	if err != nil {
 		return nil, err
 	}
-	return &traffic{agent: a, codec: codec, writer: a.node.NewWriter()}, nil
+	return &traffic{agent: a, sender: sender}, nil
 }
 
 // handle processes one datagram from a balancer or another agent.
@@ -112,8 +112,8 @@
 
 func (t *traffic) passOn(in *datagram.Header, action *core.PassOn) {
 	t.visited = append(t.visited[:0], in.Visited...)
-	if !containsID(t.visited, t.agent.node.ID()) {
-		t.visited = append(t.visited, uint64(t.agent.node.ID()))
+	if self := uint64(t.agent.node.ID()); !slices.Contains(t.visited, self) {
+		t.visited = append(t.visited, self)
 	}
 	t.out = t.agent.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
 	t.out.Service = in.Service
@@ -125,7 +125,7 @@
 	if action.Reason != "" {
 		t.agent.counters.Add(string(action.Reason), 1)
 	}
-	t.queue(action.Target, t.arrival.Packet.Bytes())
+	t.sender.Queue(&t.out, t.arrival.Packet.Bytes(), action.Target.Data())
 }
 
 func flagsOf(action *core.PassOn) datagram.Flags {
@@ -139,18 +139,6 @@
 	return flags
 }
 
-func (t *traffic) queue(target *fleet.Target, body []byte) {
-	buffer, err := t.writer.Next()
-	if err == nil {
-		err = t.codec.AppendTo(buffer, &t.out, body)
-	}
-	if err != nil {
-		t.agent.counters.Add("drop_send_failed", 1)
-		return
-	}
-	t.writer.Queue(target.Data())
-}
-
 // sendHint tells the balancer that first received the packet who owns the flow.
 func (t *traffic) sendHint(in *datagram.Header) {
 	origin := t.agent.node.Load().Node(fleet.InstanceID(in.Origin))
@@ -160,32 +148,11 @@
 	var body [8]byte
 	binary.BigEndian.PutUint64(body[:], t.arrival.Packet.Flow().Hash())
 	t.out = t.agent.node.Header(datagram.Hint, origin.ID(), 0)
-	buffer, err := t.writer.Next()
-	if err == nil {
-		err = t.codec.AppendTo(buffer, &t.out, body[:])
-	}
-	if err != nil {
-		t.agent.counters.Add("drop_send_failed", 1)
-		return
-	}
-	t.writer.Queue(origin.Data())
+	t.sender.Queue(&t.out, body[:], origin.Data())
 	t.agent.counters.Add("hints_sent", 1)
 }
 
-func (t *traffic) flush() {
-	if err := t.writer.Flush(); err != nil {
-		t.agent.counters.Add("drop_send_failed", 1)
-	}
-}
-
-func containsID(ids []uint64, id fleet.InstanceID) bool {
-	for _, known := range ids {
-		if known == uint64(id) {
-			return true
-		}
-	}
-	return false
-}
+func (t *traffic) flush() { t.sender.Flush() }
 
 // reset answers the caller with a reset.
 func (a *Agent) reset(packet flow.Packet, reason core.Reason) {
--- a/internal/daemon/node/platform.go
+++ b/internal/daemon/node/platform.go
@@ -9,7 +9,6 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/radishmast/radishmast/internal/core/control"
-	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/link/platform"
 )
 
@@ -94,6 +93,3 @@
 	case <-timer.C:
 	}
 }
-
-// Nodes returns the nodes of the view in force.
-func (n *Node) Nodes() map[fleet.InstanceID]*fleet.Node { return n.Load().Nodes() }
--- a/internal/daemon/node/probes.go
+++ b/internal/daemon/node/probes.go
@@ -17,16 +17,15 @@
 type probeSender struct {
 	ctx    context.Context
 	node   *Node
-	codec  *datagram.Codec
-	writer *peer.Writer
+	sender *Sender
 }
 
 func newProbeSender(ctx context.Context, n *Node) (*probeSender, error) {
-	codec, err := n.NewCodec()
+	sender, err := n.NewSender()
 	if err != nil {
 		return nil, err
 	}
-	return &probeSender{ctx: ctx, node: n, codec: codec, writer: n.NewWriter()}, nil
+	return &probeSender{ctx: ctx, node: n, sender: sender}, nil
 }
 
 func (p *probeSender) send(probe control.Probe) {
@@ -38,7 +37,8 @@
 		}
 		return
 	}
-	p.node.write(p.codec, p.writer, &header, nil, probe.Node.Data())
+	p.sender.QueueControl(&header, nil, probe.Node.Data())
+	p.sender.Flush()
 }
 
 // freshLifetime is how long a fresh socket waits for the answer to its probe.
@@ -47,13 +47,16 @@
 // sendFresh probes a peer from a socket that it has not seen yet. If the answer
 // comes there, the usual path has gone silent and the socket replaces it.
 func (p *probeSender) sendFresh(header *datagram.Header, to netip.AddrPort) error {
-	any := netip.AddrPortFrom(p.node.endpoint.Addr(), 0)
-	conn, err := peer.Listen(p.ctx, any)
+	conn, err := peer.Listen(p.ctx, netip.AddrPortFrom(p.node.endpoint.Addr(), 0))
 	if err != nil {
 		return err
 	}
-	writer := peer.NewWriter(conn, peer.NewPaths())
-	p.node.write(p.codec, writer, header, nil, to)
+	sender, err := p.node.newSender(peer.NewWriter(conn, peer.NewPaths()))
+	if err != nil {
+		return errors.Join(err, conn.Close())
+	}
+	sender.QueueControl(header, nil, to)
+	sender.Flush()
 	receiver, err := p.node.newReceiver(conn, peer.NewSingleReader(conn))
 	if err != nil {
 		return errors.Join(err, conn.Close())
@@ -95,32 +98,12 @@
 	}
 }
 
-func (n *Node) write(codec *datagram.Codec, writer *peer.Writer, header *datagram.Header, body []byte, to netip.AddrPort) {
-	buffer, err := writer.Next()
-	if err == nil {
-		err = codec.AppendTo(buffer, header, body)
-	}
-	size := 0
-	if err == nil {
-		size = buffer.Len()
-		writer.Queue(to)
-		err = writer.Flush()
-	}
-	if err != nil {
-		n.counters.Add("drop_send_failed", 1)
-		return
-	}
-	n.counters.Add("control_datagrams_sent", 1)
-	n.counters.Add("control_bytes_sent", size)
-}
-
 // Receiver handles the datagrams of one traffic goroutine.
 type Receiver struct {
 	node   *Node
 	codec  *datagram.Codec
-	reply  *datagram.Codec
 	reader *peer.Reader
-	writer *peer.Writer
+	sender *Sender
 	header datagram.Header
 	// onAnswer is called when a probe is answered.
 	onAnswer func()
@@ -136,16 +119,15 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := n.NewCodec()
+	sender, err := n.newSender(peer.NewWriter(socket, n.paths))
 	if err != nil {
 		return nil, err
 	}
 	return &Receiver{
 		node:   n,
 		codec:  codec,
-		reply:  reply,
 		reader: reader,
-		writer: peer.NewWriter(socket, n.paths),
+		sender: sender,
 
 		onAnswer: func() {},
 	}, nil
@@ -211,7 +193,8 @@
 		to = sender.Data()
 	}
 	header := r.node.Header(kind, fleet.InstanceID(r.header.From), r.header.FromIncarnation)
-	r.node.write(r.reply, r.writer, &header, nil, to)
+	r.sender.QueueControl(&header, nil, to)
+	r.sender.Flush()
 }
 
 func decodeReason(err error) string {
--- /dev/null
+++ b/internal/daemon/node/sender.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// Sender encodes and sends datagrams to other processes, in batches. Each
+// goroutine has its own.
+type Sender struct {
+	node   *Node
+	codec  *datagram.Codec
+	writer *peer.Writer
+}
+
+// NewSender returns a sender from the node's datagram socket.
+func (n *Node) NewSender() (*Sender, error) { return n.newSender(n.NewWriter()) }
+
+func (n *Node) newSender(writer *peer.Writer) (*Sender, error) {
+	codec, err := n.NewCodec()
+	if err != nil {
+		return nil, fmt.Errorf("set up sender: %w", err)
+	}
+	return &Sender{node: n, codec: codec, writer: writer}, nil
+}
+
+// Queue adds a datagram to the batch and returns its size in bytes. One that
+// cannot be sent is lost and counted.
+func (s *Sender) Queue(header *datagram.Header, body []byte, to netip.AddrPort) int {
+	buffer, err := s.writer.Next()
+	if err == nil {
+		err = s.codec.AppendTo(buffer, header, body)
+	}
+	if err != nil {
+		s.node.counters.Add("drop_send_failed", 1)
+		return 0
+	}
+	size := buffer.Len()
+	s.writer.Queue(to)
+	return size
+}
+
+// QueueControl is Queue for a datagram that counts as control traffic.
+func (s *Sender) QueueControl(header *datagram.Header, body []byte, to netip.AddrPort) {
+	size := s.Queue(header, body, to)
+	s.node.counters.Add("control_datagrams_sent", 1)
+	s.node.counters.Add("control_bytes_sent", size)
+}
+
+// Flush sends the batch.
+func (s *Sender) Flush() {
+	if err := s.writer.Flush(); err != nil {
+		s.node.counters.Add("drop_send_failed", 1)
+	}
+}
--- a/internal/lab/cluster/binary.go
+++ b/internal/lab/cluster/binary.go
@@ -2,10 +2,33 @@
 
 import (
 	"fmt"
+	"log"
 	"os/exec"
 	"path/filepath"
 )
 
+// Tests is a set of tests to run, such as *testing.M.
+type Tests interface {
+	Run() int
+}
+
+// RunWithDaemon builds radishmastd, sets daemon to its path, runs the tests and
+// returns their exit code.
+func RunWithDaemon(tests Tests, daemon *string) int {
+	directory, remove, err := NewDirectory()
+	if err != nil {
+		log.Print(err)
+		return 1
+	}
+	defer remove()
+	*daemon, err = BuildDaemon(directory)
+	if err != nil {
+		log.Print(err)
+		return 1
+	}
+	return tests.Run()
+}
+
 // BuildDaemon builds radishmastd into a directory and returns its path.
 func BuildDaemon(directory string) (string, error) {
 	binary := filepath.Join(directory, "radishmastd")
--- /dev/null
+++ b/internal/lab/cluster/launch.go
@@ -0,0 +1,91 @@
+package cluster
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/lab/backend"
+)
+
+func (c *Cluster) launch(i *instance) error {
+	if i.listed.Role == fleet.RoleBalancer {
+		return c.launchBalancer(i)
+	}
+	if i.server == nil {
+		server, err := backend.Start(backend.Config{
+			Name:         i.listed.Name,
+			Address:      netip.AddrPortFrom(i.address, backendPort).String(),
+			Service:      i.backend.Service,
+			Slots:        i.backend.Slots,
+			MaxQueue:     maxBackendQueue,
+			Speed:        i.backend.Speed,
+			WarmRequests: i.backend.WarmRequests,
+			FallTime:     fallTime,
+			FeedPeriod:   c.spec.FeedPeriod,
+		}, c.ledger)
+		if err != nil {
+			return err
+		}
+		i.server = server
+	}
+	return c.launchAgent(i)
+}
+
+const (
+	maxBackendQueue = 1000
+	fallTime        = 2 * time.Second
+)
+
+// common returns the settings that both roles share.
+func (c *Cluster) common(i *instance) map[string]any {
+	settings := map[string]any{
+		"name":       i.listed.Name,
+		"dataCentre": i.listed.DataCentre,
+		"data":       netip.AddrPortFrom(i.address, dataPort).String(),
+		"control":    netip.AddrPortFrom(i.address, controlPort).String(),
+		"platform":   c.platform.URL(),
+		"peers":      c.seedPeers(i),
+	}
+	if len(c.spec.Keys) > 0 {
+		settings["keys"] = c.spec.Keys
+	}
+	return settings
+}
+
+// seedPeers returns the control endpoints of a few other instances.
+func (c *Cluster) seedPeers(except *instance) []string {
+	const wanted = 3
+	var peers []string
+	for _, name := range c.order {
+		if i := c.instances[name]; i != except && !i.removed && len(peers) < wanted {
+			peers = append(peers, i.listed.Control)
+		}
+	}
+	return peers
+}
+
+func (c *Cluster) launchBalancer(i *instance) error {
+	settings := c.common(i)
+	settings["fabric"] = netip.AddrPortFrom(i.address, fabricPort).String()
+	process, err := startProcess(c.spec.Binary, "balancer", c.spec.Directory, i.listed.Name, settings)
+	i.process = process
+	return err
+}
+
+func (c *Cluster) launchAgent(i *instance) error {
+	settings := c.common(i)
+	settings["egress"] = c.fabric.Address()
+	settings["backend"] = netip.AddrPortFrom(i.address, backendPort).String()
+	settings["health"] = "http://" + netip.AddrPortFrom(i.address, backendPort).String() + "/health"
+	settings["slots"] = i.backend.Slots
+	if i.backend.Connections > 0 {
+		settings["connections"] = i.backend.Connections
+	}
+	if c.spec.Placement != "" {
+		settings["placement"] = c.spec.Placement
+	}
+	process, err := startProcess(c.spec.Binary, "agent", c.spec.Directory, i.listed.Name, settings)
+	i.process = process
+	return err
+}
--- a/internal/lab/cluster/path_test.go
+++ b/internal/lab/cluster/path_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,19 +20,7 @@
 
 var daemon string
 
-func TestMain(m *testing.M) {
-	directory, remove, err := cluster.NewDirectory()
-	if err != nil {
-		log.Fatal(err)
-	}
-	daemon, err = cluster.BuildDaemon(directory)
-	if err != nil {
-		log.Fatal(err)
-	}
-	code := m.Run()
-	remove()
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(cluster.RunWithDaemon(m, &daemon)) }
 
 // member is the caller of tests that need only one.
 var member = netip.MustParseAddr("10.1.0.1")
--- a/internal/lab/scenario/capacity.go
+++ b/internal/lab/scenario/capacity.go
@@ -23,7 +23,7 @@
 	agentsPerBalancer  = 9
 	backendsPerService = 8
 	capacityFeeds      = 1
-	changes10          = 10
+	timedChanges       = 10
 )
 
 // fleetOf gives the cluster a number of processes, in services of eight targets.
@@ -86,7 +86,7 @@
 func (r *run) timeChanges() error {
 	var worst time.Duration
 	servers := r.orderServers()
-	for i := range changes10 {
+	for i := range timedChanges {
 		labels := map[string]string{"app": orders, "round": fmt.Sprint(i)}
 		started := time.Now()
 		if err := r.cluster.SetLabels(labels, servers[i%len(servers)]); err != nil {
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -1,7 +1,6 @@
 package scenario_test
 
 import (
-	"log"
 	"os"
 	"testing"
 	"time"
@@ -14,19 +13,7 @@
 
 var daemon string
 
-func TestMain(m *testing.M) {
-	directory, remove, err := cluster.NewDirectory()
-	if err != nil {
-		log.Fatal(err)
-	}
-	daemon, err = cluster.BuildDaemon(directory)
-	if err != nil {
-		log.Fatal(err)
-	}
-	code := m.Run()
-	remove()
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(cluster.RunWithDaemon(m, &daemon)) }
 
 // small is a size at which each scenario takes seconds.
 func small(t *testing.T) scenario.Options {
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -37,17 +37,12 @@
 	counter Counter
 	header  datagram.Header
 
-	prefixes   map[prefixKey]datagram.Prefix
+	// prefixes holds the encoded headers of prefixView by target. A target belongs
+	// to one service of the view.
+	prefixes   map[*fleet.Target]datagram.Prefix
 	prefixView *fleet.View
 }
 
-// prefixKey tells encoded headers of one view apart. A target belongs to one
-// service of the view.
-type prefixKey struct {
-	target *fleet.Target
-	hinted bool
-}
-
 // Identity is the sender that datagrams name.
 type Identity struct {
 	ID          fleet.InstanceID
@@ -65,7 +60,7 @@
 		writer:  writer,
 		counter: counter,
 
-		prefixes: make(map[prefixKey]datagram.Prefix),
+		prefixes: make(map[*fleet.Target]datagram.Prefix),
 		header: datagram.Header{
 			Kind:            datagram.Packet,
 			From:            uint64(identity.ID),
@@ -137,14 +132,9 @@
 		clear(f.prefixes)
 		f.prefixView = view
 	}
-	key := prefixKey{decision.Target, decision.Hinted}
-	if prefix, known := f.prefixes[key]; known {
+	if prefix, known := f.prefixes[decision.Target]; known {
 		return prefix, nil
 	}
-	f.header.Flags = 0
-	if decision.Hinted {
-		f.header.Flags = datagram.Hinted
-	}
 	f.header.To = uint64(decision.Target.ID())
 	f.header.ToIncarnation = decision.Target.Incarnation()
 	f.header.Service = uint64(decision.Service.ID())
@@ -153,7 +143,7 @@
 	if err != nil {
 		return prefix, fmt.Errorf("encode header for %s: %w", decision.Target.Name(), err)
 	}
-	f.prefixes[key] = prefix
+	f.prefixes[decision.Target] = prefix
 	return prefix, nil
 }
 
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -50,8 +50,6 @@
 	Placed Flags = 1 << iota
 	// Searched marks a connectionless packet that no candidate owns.
 	Searched
-	// Hinted marks a packet that was sent on the strength of a hint.
-	Hinted
 )
 
 // Header precedes every datagram.
