--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -66,7 +66,8 @@
 		s.request.ended()
 		return
 	}
-	s.run()
+	// The handshake has grown this goroutine's stack; idle flows keep small ones.
+	go s.run()
 }
 
 // connect joins the flow with the backend server. It reports false if the flow
