Find siblings once for each view, and share what stood twice

For every opening packet an agent walked all services of its view to list its siblings, with its mutex held (840 services at the planned size), though the list depends on the view alone. The traffic loop, the test whether a target is open to a new flow and the copying of causes each stood twice; two functions were never called; a comment named a method that does not exist. Change: the siblings are kept with the view; node.Repeat, isOpen and maps.Clone serve both places; the dead functions are gone. Behaviour is meant to be the same.

--- a/internal/cmd/cmdutil/source.go
+++ b/internal/cmd/cmdutil/source.go
@@ -95,9 +95,6 @@
 	flags.StringVar(&n.endpoint, "node", os.Getenv(EnvNode), "control endpoint of a daemon ($"+EnvNode+")")
 }
 
-// IsSet reports whether a daemon is named.
-func (n *NodeFlag) IsSet() bool { return n.endpoint != "" }
-
 // Check reports a missing or malformed endpoint.
 func (n *NodeFlag) Check() error {
 	if _, err := netip.ParseAddrPort(n.endpoint); err != nil {
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -80,8 +80,10 @@
 
 // Agent decides about packets.
 type Agent struct {
-	config   Config
-	view     *fleet.View
+	config Config
+	view   *fleet.View
+	// together holds the siblings in view.
+	together []*fleet.Target
 	flows    map[flow.ID]*entry
 	attempts Attempt
 	owned    int
@@ -114,6 +116,7 @@
 	return &Agent{
 		config:    config,
 		view:      view,
+		together:  siblingsIn(view, config.Self),
 		flows:     make(map[flow.ID]*entry),
 		load:      load,
 		admission: NewAdmission(load),
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -145,7 +145,7 @@
 // ApplyView puts a new view in force and returns the flows that must be reset
 // because their service is gone or their data centre is out.
 func (a *Agent) ApplyView(view *fleet.View) []Owned {
-	a.view = view
+	a.view, a.together = view, siblingsIn(view, a.config.Self)
 	var cut []Owned
 	for id, known := range a.flows {
 		if known.state == stateHanded || a.mayServe(known.service, id) {
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -83,7 +83,7 @@
 	}
 	for i := range service.Targets() {
 		target := &service.Targets()[i]
-		if target.IsAccepting() && target.IsReachable() && !slices.Contains(visited, target.ID()) {
+		if isOpen(target, visited) {
 			return handOver{target, reason}
 		}
 	}
@@ -149,11 +149,16 @@
 	return best
 }
 
+// isOpen reports whether a target that has not been visited may get a new flow.
+func isOpen(target *fleet.Target, visited []fleet.InstanceID) bool {
+	return target.IsAccepting() && target.IsReachable() && !slices.Contains(visited, target.ID())
+}
+
 // eachRoomy visits the accepting targets whose latest report shows room.
 func (a *Agent) eachRoomy(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID, visit func(*fleet.Target, Report)) {
 	for i := range service.Targets() {
 		target := &service.Targets()[i]
-		if !target.IsAccepting() || !target.IsReachable() || slices.Contains(visited, target.ID()) {
+		if !isOpen(target, visited) {
 			continue
 		}
 		if report, known := a.report(now, target.ID()); known && report.usage() < 1 {
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -124,16 +124,19 @@
 }
 
 // Siblings returns the instances that serve a service together with this agent.
-func (a *Agent) Siblings() []*fleet.Target {
+func (a *Agent) Siblings() []*fleet.Target { return a.together }
+
+// siblingsIn finds the instances that serve a service together with an agent.
+func siblingsIn(view *fleet.View, self fleet.InstanceID) []*fleet.Target {
 	seen := make(map[fleet.InstanceID]bool)
 	var siblings []*fleet.Target
-	for _, service := range a.view.Services() {
-		if service.Target(a.config.Self) == nil {
+	for _, service := range view.Services() {
+		if service.Target(self) == nil {
 			continue
 		}
 		for i := range service.Targets() {
 			target := &service.Targets()[i]
-			if target.ID() != a.config.Self && !seen[target.ID()] {
+			if target.ID() != self && !seen[target.ID()] {
 				seen[target.ID()] = true
 				siblings = append(siblings, target)
 			}
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -153,17 +152,10 @@
 		return err
 	}
 	group.Go(func() error {
-		for {
-			err := receiver.Step(traffic.handle)
-			switch {
-			case err == nil:
-			case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
-				return nil
-			default:
-				return err
-			}
-			traffic.flush()
-		}
+		return node.Repeat(ctx, a.node.Socket(), func() error {
+			defer traffic.flush()
+			return receiver.Step(traffic.handle)
+		})
 	})
 	group.Go(func() error { return a.sendAnswers(ctx) })
 	group.Go(func() error { return a.maintain(ctx) })
--- a/internal/daemon/agent/gate.go
+++ b/internal/daemon/agent/gate.go
@@ -14,8 +14,7 @@
 const expiryInterval = 50 * time.Millisecond
 
 // gate lets requests through to the backend server in the order that the core's
-// admission decides. Its methods are called with the agent's mutex held, but for
-// wait.
+// admission decides. Its methods are called with the agent's mutex held.
 type gate struct {
 	admission *core.Admission
 	tickets   map[core.Ticket]chan core.Outcome
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -4,9 +4,7 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -78,14 +76,14 @@
 		}
 		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation()}
 		forwarder := fabric.NewForwarder(identity, balancer, n, codec, in, n.NewWriter(), counters)
-		group.Go(func() error { return repeat(ctx, in, forwarder.Step) })
+		group.Go(func() error { return node.Repeat(ctx, in, forwarder.Step) })
 	}
 	receiver, err := n.NewReceiver()
 	if err != nil {
 		return err
 	}
 	group.Go(func() error {
-		return repeat(ctx, n.Socket(), func() error {
+		return node.Repeat(ctx, n.Socket(), func() error {
 			return receiver.Step(func(header *datagram.Header, body []byte) {
 				learn(balancer, header, body)
 			})
@@ -99,19 +97,3 @@
 		balancer.Learn(binary.BigEndian.Uint64(body), fleet.InstanceID(header.From))
 	}
 }
-
-// repeat calls step until it fails; closing the socket ends it when ctx is done.
-func repeat(ctx context.Context, socket *net.UDPConn, step func() error) error {
-	release := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	defer release()
-	for {
-		err := step()
-		switch {
-		case err == nil:
-		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
-			return nil
-		default:
-			return err
-		}
-	}
-}
--- a/internal/lab/gateway/gateway.go
+++ b/internal/lab/gateway/gateway.go
@@ -32,9 +32,6 @@
 	return g, nil
 }
 
-// Address returns the gateway's address.
-func (g *Gateway) Address() string { return g.listener.Addr().String() }
-
 // Close stops accepting.
 func (g *Gateway) Close() { _ = g.listener.Close() }
 
--- a/internal/lab/workload/feeds.go
+++ b/internal/lab/workload/feeds.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -159,11 +160,7 @@
 func (f *Feeds) Causes() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	causes := make(map[string]int, len(f.causes))
-	for cause, count := range f.causes {
-		causes[cause] = count
-	}
-	return causes
+	return maps.Clone(f.causes)
 }
 
 // Close ends all feeds.
--- a/internal/lab/workload/requests.go
+++ b/internal/lab/workload/requests.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -259,9 +260,5 @@
 func (r *Requests) Causes() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	causes := make(map[string]int, len(r.causes))
-	for cause, count := range r.causes {
-		causes[cause] = count
-	}
-	return causes
+	return maps.Clone(r.causes)
 }
