--- /dev/null
+++ b/internal/cmd/daemon/daemon.go
@@ -0,0 +1,107 @@
+// Package daemon holds the commands of radishmastd.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
+	"github.com/radishmast/radishmast/internal/daemon/agent"
+	"github.com/radishmast/radishmast/internal/daemon/balancer"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+)
+
+// Options are the flags of a daemon command.
+type Options struct {
+	Streams *cmdutil.Streams
+	Config  string
+	Check   bool
+	Verbose bool
+}
+
+// role is what differs between the daemon commands: how the settings are read,
+// and what is run with them.
+type role[S any] struct {
+	name string
+	help string
+	read func([]byte) (S, error)
+	run  func(context.Context, S, log.Interface) error
+}
+
+// NewCmdBalancer returns the command that runs an entry instance.
+func NewCmdBalancer(f *cmdutil.Factory) *ffcli.Command {
+	return newCmd(f, role[*settings.Balancer]{
+		name: "balancer",
+		help: "Run an entry instance that forwards callers' packets to agents.",
+		read: settings.ReadBalancer,
+		run:  balancer.Run,
+	})
+}
+
+// NewCmdAgent returns the command that runs the process beside a backend server.
+func NewCmdAgent(f *cmdutil.Factory) *ffcli.Command {
+	return newCmd(f, role[*settings.Agent]{
+		name: "agent",
+		help: "Run the process beside a backend server that owns its flows.",
+		read: settings.ReadAgent,
+		run:  agent.Run,
+	})
+}
+
+func newCmd[S any](f *cmdutil.Factory, r role[S]) *ffcli.Command {
+	opts := &Options{Streams: f.Streams}
+	flags := cmdutil.NewFlagSet("radishmastd "+r.name, f.Streams)
+	opts.register(flags)
+	return &ffcli.Command{
+		Name:       r.name,
+		ShortUsage: fmt.Sprintf("radishmastd %s --config FILE [--check]", r.name),
+		ShortHelp:  r.help,
+		LongHelp:   fmt.Sprintf("Example:\n  radishmastd %s --config /etc/radishmast/%s.json --check", r.name, r.name),
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return cmdutil.Usagef("unexpected argument %q", args[0])
+			}
+			return runDaemon(ctx, opts, r)
+		},
+	}
+}
+
+func (o *Options) register(flags *flag.FlagSet) {
+	flags.StringVar(&o.Config, "config", "", "file with the settings, in JSON")
+	flags.BoolVar(&o.Check, "check", false, "only check the settings")
+	flags.BoolVar(&o.Verbose, "verbose", false, "log events of single links as well")
+}
+
+func runDaemon[S any](ctx context.Context, opts *Options, r role[S]) error {
+	if opts.Config == "" {
+		return cmdutil.Usagef("--config is missing; name the file with the settings")
+	}
+	data, err := os.ReadFile(opts.Config)
+	if err != nil {
+		return cmdutil.UsageError{Err: fmt.Errorf("read settings: %w", err)}
+	}
+	s, err := r.read(data)
+	if err != nil {
+		return cmdutil.UsageError{Err: err}
+	}
+	if opts.Check {
+		_, _ = fmt.Fprintf(opts.Streams.Out, "%s: settings are valid\n", opts.Config)
+		return nil
+	}
+	return r.run(ctx, s, newLogger(opts))
+}
+
+func newLogger(opts *Options) log.Interface {
+	level := log.InfoLevel
+	if opts.Verbose {
+		level = log.DebugLevel
+	}
+	return &log.Logger{Handler: logfmt.New(opts.Streams.Err), Level: level}
+}
--- /dev/null
+++ b/internal/core/agent/action.go
@@ -0,0 +1,70 @@
+package agent
+
+import "github.com/radishmast/radishmast/internal/core/fleet"
+
+// Action is what to do with a packet: one of *Deliver, *PassOn, *Reset, *Drop.
+type Action interface{ isAction() }
+
+// Deliver hands the packet to the agent's own stack.
+type Deliver struct {
+	// Hint reports whether the balancer should be told who owns the flow.
+	Hint bool
+}
+
+// PassOn sends the packet to another agent.
+type PassOn struct {
+	Target *fleet.Target
+	// Placed tells the receiver that it was chosen for a new flow.
+	Placed bool
+	// Searched tells the receiver that no candidate owns the flow.
+	Searched bool
+	// Reason is the counter for the hand-over, empty for an ordinary search.
+	Reason Reason
+}
+
+// Reset answers the caller with a reset.
+type Reset struct {
+	Reason Reason
+}
+
+// Drop discards the packet.
+type Drop struct {
+	Reason Reason
+}
+
+func (*Deliver) isAction() {}
+func (*PassOn) isAction()  {}
+func (*Reset) isAction()   {}
+func (*Drop) isAction()    {}
+
+// Reason names a counter for a refusal, a drop or a retry.
+type Reason string
+
+// Reasons.
+const (
+	DropUnknownService Reason = "drop_unknown_service"
+	DropDataCentreOut  Reason = "drop_data_centre_out"
+	DropUnreachable    Reason = "drop_candidate_unreachable"
+	DropUnsettled      Reason = "drop_view_unsettled"
+	DropStaleView      Reason = "drop_view_stale"
+	DropClosing        Reason = "drop_closing_unowned"
+	DropPending        Reason = "drop_opening_pending"
+	DropTableFull      Reason = "drop_table_full"
+	DropNoTarget       Reason = "drop_no_target"
+
+	ResetUnowned Reason = "reset_unowned"
+
+	RefuseNotAccepting Reason = "refuse_not_accepting"
+	RefuseConnections  Reason = "refuse_connections"
+	RefuseWait         Reason = "refuse_wait"
+	RefuseDial         Reason = "refuse_dial"
+	RefuseBudget       Reason = "refuse_retry_budget"
+
+	RetryDial         Reason = "retry_dial"
+	RetryWait         Reason = "retry_wait"
+	HandOverFull      Reason = "handover_full"
+	HandOverCold      Reason = "handover_cold"
+	HandOverAbsent    Reason = "handover_not_selected"
+	HandOverDraining  Reason = "handover_draining"
+	HandOverRemembers Reason = "handover_remembered"
+)
--- /dev/null
+++ b/internal/core/agent/agent.go
@@ -0,0 +1,313 @@
+// Package agent is the decision core of the process beside a backend server. It
+// owns the flows of its backend server, decides who serves a new flow, and
+// passes on packets of flows it does not own.
+//
+// The core is pure: the caller passes clock readings and packets in and carries
+// out the actions that come back. It is not safe for concurrent use.
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Lifetimes of table entries.
+const (
+	handedLifetime  = 60 * time.Second
+	halfOpenTimeout = 30 * time.Second
+)
+
+// state is the state of a flow in the agent's table.
+type state uint8
+
+const (
+	// statePending waits for admission or for the connection to the backend server.
+	statePending state = iota + 1
+	// stateHalfOpen has answered the handshake and waits for the confirmation.
+	stateHalfOpen
+	stateOpen
+	// stateClosing has ended but may still have to answer retransmissions.
+	stateClosing
+	// stateHanded was given to another agent when it opened.
+	stateHanded
+)
+
+// entry is one flow.
+type entry struct {
+	service  fleet.ServiceID
+	state    state
+	sequence uint32
+	token    uint32
+	owner    fleet.InstanceID
+	expires  time.Time
+	opening  []byte
+	visited  []fleet.InstanceID
+}
+
+// Arrival is a packet with what its sender says about it.
+type Arrival struct {
+	Packet   flow.Packet
+	Service  fleet.ServiceID
+	Revision uint64
+	Placed   bool
+	Searched bool
+	Visited  []fleet.InstanceID
+}
+
+// Config holds the constants of one agent.
+type Config struct {
+	Self       fleet.InstanceID
+	DataCentre string
+	// MaxFlows bounds the flows the agent owns.
+	MaxFlows int
+	// MaxHanded bounds the hand-overs it remembers.
+	MaxHanded int
+	Placement Placement
+}
+
+// Agent decides about packets.
+type Agent struct {
+	config   Config
+	view     *fleet.View
+	flows    map[flow.ID]*entry
+	owned    int
+	handed   int
+	draining bool
+	load     *Load
+	siblings map[fleet.InstanceID]siblingReport
+	budget   retryBudget
+
+	// Actions are reused, so that deciding about a packet allocates nothing.
+	deliver Deliver
+	passOn  PassOn
+	reset   Reset
+	drop    Drop
+}
+
+// New returns an agent that owns no flows.
+func New(config Config, view *fleet.View, load *Load) *Agent {
+	return &Agent{
+		config:   config,
+		view:     view,
+		flows:    make(map[flow.ID]*entry),
+		load:     load,
+		siblings: make(map[fleet.InstanceID]siblingReport),
+	}
+}
+
+// Receive decides what to do with a packet. The action is valid until the next
+// call.
+func (a *Agent) Receive(now time.Time, arrival *Arrival) Action {
+	service := a.view.Service(arrival.Service)
+	if service == nil || service.Address() != arrival.Packet.Flow().Service() {
+		return a.dropped(DropUnknownService)
+	}
+	if !service.IsPresent(a.config.DataCentre) {
+		return a.receiveOut(service, arrival)
+	}
+	if known := a.flows[arrival.Packet.Flow()]; known != nil {
+		return a.receiveKnown(now, service, known, arrival)
+	}
+	switch arrival.Packet.Kind() {
+	case flow.Opening:
+		return a.receiveOpening(now, service, arrival)
+	case flow.Connectionless:
+		return a.receiveConnectionless(now, service, arrival)
+	}
+	return a.search(now, service, arrival)
+}
+
+// receiveOut keeps packets from a backend server whose data centre is out. A
+// sender that has not learned of it yet is helped along.
+func (a *Agent) receiveOut(service *fleet.RoutedService, arrival *Arrival) Action {
+	walk := service.NextCandidate(arrival.Packet.Flow().Hash(), arrival.Visited)
+	if walk.Next == nil || arrival.Searched {
+		return a.dropped(DropDataCentreOut)
+	}
+	return a.passedOn(walk.Next, "")
+}
+
+func (a *Agent) receiveKnown(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
+	switch known.state {
+	case stateHanded:
+		return a.receiveHanded(now, service, known, arrival)
+	case statePending:
+		return a.receivePending(now, service, arrival)
+	case stateHalfOpen:
+		return a.receiveHalfOpen(now, service, known, arrival)
+	case stateClosing:
+		if arrival.Packet.Kind() == flow.Opening && arrival.Packet.Sequence() != known.sequence {
+			a.remove(arrival.Packet.Flow(), known)
+			return a.receiveOpening(now, service, arrival)
+		}
+	}
+	return a.delivered(arrival)
+}
+
+// receiveHanded repeats the decision that was taken when the flow opened.
+func (a *Agent) receiveHanded(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
+	target := service.Target(known.owner)
+	opening := arrival.Packet.Kind() == flow.Opening
+	usable := target != nil && target.IsReachable() && !slices.Contains(arrival.Visited, known.owner)
+	if usable && (!opening || target.IsAccepting()) {
+		known.expires = now.Add(handedLifetime)
+		action := a.passedOn(target, HandOverRemembers)
+		action.Placed = opening
+		return action
+	}
+	if !opening {
+		return a.search(now, service, arrival)
+	}
+	a.remove(arrival.Packet.Flow(), known)
+	return a.receiveOpening(now, service, arrival)
+}
+
+func (a *Agent) receivePending(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	switch arrival.Packet.Kind() {
+	case flow.Opening:
+		return a.dropped(DropPending)
+	case flow.Connectionless:
+		return a.delivered(arrival)
+	}
+	return a.search(now, service, arrival)
+}
+
+// receiveHalfOpen accepts only the confirmation of this agent's own answer. Any
+// other packet belongs to a flow that another agent opened.
+func (a *Agent) receiveHalfOpen(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
+	packet := arrival.Packet
+	if packet.Kind() == flow.Opening {
+		return a.delivered(arrival)
+	}
+	if packet.Confirms() != known.token {
+		return a.search(now, service, arrival)
+	}
+	if packet.Kind() == flow.Established {
+		known.state = stateOpen
+	}
+	return a.delivered(arrival)
+}
+
+// receiveOpening decides who serves a new flow, and remembers it.
+func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	verdict := a.place(now, service, arrival)
+	switch v := verdict.(type) {
+	case take:
+		return a.take(now, service, arrival)
+	case handOver:
+		a.rememberHandOver(now, service, arrival, v.target.ID())
+		action := a.passedOn(v.target, v.reason)
+		action.Placed = true
+		return action
+	case refuse:
+		a.reset.Reason = v.reason
+		return &a.reset
+	}
+	return a.dropped(DropNoTarget)
+}
+
+func (a *Agent) take(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	if a.owned >= a.config.MaxFlows {
+		return a.dropped(DropTableFull)
+	}
+	a.owned++
+	a.budget.deposit()
+	a.flows[arrival.Packet.Flow()] = &entry{
+		service:  service.ID(),
+		state:    statePending,
+		sequence: arrival.Packet.Sequence(),
+		expires:  now.Add(halfOpenTimeout),
+		opening:  slices.Clone(arrival.Packet.Bytes()),
+		visited:  slices.Clone(arrival.Visited),
+	}
+	return a.delivered(arrival)
+}
+
+func (a *Agent) rememberHandOver(now time.Time, service *fleet.RoutedService, arrival *Arrival, owner fleet.InstanceID) {
+	if a.handed >= a.config.MaxHanded {
+		return
+	}
+	a.handed++
+	a.flows[arrival.Packet.Flow()] = &entry{
+		service: service.ID(),
+		state:   stateHanded,
+		owner:   owner,
+		expires: now.Add(handedLifetime),
+	}
+}
+
+// receiveConnectionless asks every candidate for the owner before the primary
+// opens a flow, since there is no handshake to settle a difference afterwards.
+func (a *Agent) receiveConnectionless(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	if arrival.Searched {
+		return a.take(now, service, arrival)
+	}
+	walk := service.NextCandidate(arrival.Packet.Flow().Hash(), a.visitedWithSelf(arrival.Visited))
+	if walk.Next != nil {
+		return a.passedOn(walk.Next, "")
+	}
+	primary := service.Primary(arrival.Packet.Flow().Hash())
+	if primary == nil {
+		return a.dropped(DropNoTarget)
+	}
+	if primary.ID() == a.config.Self {
+		return a.take(now, service, arrival)
+	}
+	action := a.passedOn(primary, "")
+	action.Searched = true
+	return action
+}
+
+// search passes a packet of a flow this agent does not own to the next
+// candidate. When all have said that they do not own it, the caller gets a reset.
+func (a *Agent) search(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	walk := service.NextCandidate(arrival.Packet.Flow().Hash(), a.visitedWithSelf(arrival.Visited))
+	switch {
+	case walk.Next != nil:
+		return a.passedOn(walk.Next, "")
+	case arrival.Packet.Kind() == flow.Closing:
+		return a.dropped(DropClosing)
+	case walk.Skipped:
+		return a.dropped(DropUnreachable)
+	case arrival.Revision > a.view.Revisions().Highest():
+		return a.dropped(DropStaleView)
+	case now.Before(a.view.SettledAt()):
+		return a.dropped(DropUnsettled)
+	}
+	a.reset.Reason = ResetUnowned
+	return &a.reset
+}
+
+func (a *Agent) visitedWithSelf(visited []fleet.InstanceID) []fleet.InstanceID {
+	if slices.Contains(visited, a.config.Self) {
+		return visited
+	}
+	return append(visited, a.config.Self)
+}
+
+func (a *Agent) delivered(arrival *Arrival) Action {
+	a.deliver.Hint = len(arrival.Visited) > 0 && arrival.Packet.Kind() != flow.Opening
+	return &a.deliver
+}
+
+func (a *Agent) passedOn(target *fleet.Target, reason Reason) *PassOn {
+	a.passOn = PassOn{Target: target, Reason: reason}
+	return &a.passOn
+}
+
+func (a *Agent) dropped(reason Reason) Action {
+	a.drop.Reason = reason
+	return &a.drop
+}
+
+func (a *Agent) remove(id flow.ID, e *entry) {
+	if e.state == stateHanded {
+		a.handed--
+	} else {
+		a.owned--
+	}
+	delete(a.flows, id)
+}
--- /dev/null
+++ b/internal/core/agent/lifecycle.go
@@ -0,0 +1,154 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Answered records that the stack has answered the handshake of a flow. token
+// is the value that the caller must confirm.
+func (a *Agent) Answered(id flow.ID, token uint32) {
+	known := a.flows[id]
+	if known == nil || (known.state != statePending && known.state != stateHalfOpen) {
+		return
+	}
+	known.state = stateHalfOpen
+	known.token = token
+}
+
+// Opened records that a flow is established. It reports false if the agent no
+// longer owns the flow.
+func (a *Agent) Opened(id flow.ID) bool {
+	known := a.flows[id]
+	if known == nil || known.state == stateHanded {
+		return false
+	}
+	known.state = stateOpen
+	known.opening, known.visited = nil, nil
+	return true
+}
+
+// Closing records that both directions of a flow have ended. Late packets are
+// still delivered until Closed.
+func (a *Agent) Closing(id flow.ID) {
+	if known := a.flows[id]; known != nil && known.state != stateHanded {
+		known.state = stateClosing
+	}
+}
+
+// Closed forgets a flow that the agent owned.
+func (a *Agent) Closed(id flow.ID) {
+	if known := a.flows[id]; known != nil && known.state != stateHanded {
+		a.remove(id, known)
+	}
+}
+
+// Retry is the outcome of a flow that could not be opened here: one of
+// *PassOn and *Reset, with the opening packet.
+type Retry struct {
+	Action  Action
+	Service fleet.ServiceID
+	Opening []byte
+	Visited []fleet.InstanceID
+}
+
+// Failed decides what becomes of a flow whose backend server refused the
+// connection or whose wait ran out. Nothing was delivered, so another agent may
+// try; if none has room the refusal is final.
+func (a *Agent) Failed(now time.Time, id flow.ID, retryReason, refuseReason Reason) Retry {
+	known := a.flows[id]
+	if known == nil || known.state != statePending {
+		return Retry{Action: &Drop{Reason: DropPending}}
+	}
+	a.remove(id, known)
+	retry := Retry{Service: known.service, Opening: known.opening, Visited: a.visitedWithSelf(known.visited)}
+	service := a.view.Service(known.service)
+	if service == nil {
+		retry.Action = &Reset{Reason: refuseReason}
+		return retry
+	}
+	sibling := a.roomiest(now, service, retry.Visited)
+	switch {
+	case sibling == nil:
+		retry.Action = &Reset{Reason: refuseReason}
+	case !a.budget.withdraw():
+		retry.Action = &Reset{Reason: RefuseBudget}
+	default:
+		retry.Action = &PassOn{Target: sibling, Placed: true, Reason: retryReason}
+	}
+	return retry
+}
+
+// ApplyView puts a new view in force and returns the flows that must be reset
+// because their service is gone or their data centre is out.
+func (a *Agent) ApplyView(view *fleet.View) []flow.ID {
+	a.view = view
+	var cut []flow.ID
+	for id, known := range a.flows {
+		if known.state == stateHanded || a.mayServe(known.service, id) {
+			continue
+		}
+		cut = append(cut, id)
+	}
+	return cut
+}
+
+func (a *Agent) mayServe(id fleet.ServiceID, flowID flow.ID) bool {
+	service := a.view.Service(id)
+	return service != nil && service.Address() == flowID.Service() && service.IsPresent(a.config.DataCentre)
+}
+
+// Drain stops the agent from taking new flows.
+func (a *Agent) Drain() { a.draining = true }
+
+// IsDraining reports whether the agent takes no new flows.
+func (a *Agent) IsDraining() bool { return a.draining }
+
+// Owned returns the number of flows the agent owns.
+func (a *Agent) Owned() int { return a.owned }
+
+// ResidualServices returns the services that do not select this backend server
+// any more but whose flows it still owns.
+func (a *Agent) ResidualServices() []fleet.ServiceID {
+	var residual []fleet.ServiceID
+	seen := make(map[fleet.ServiceID]bool)
+	for _, known := range a.flows {
+		if known.state == stateHanded || seen[known.service] {
+			continue
+		}
+		seen[known.service] = true
+		if !a.isSelected(known.service) {
+			residual = append(residual, known.service)
+		}
+	}
+	return residual
+}
+
+func (a *Agent) isSelected(id fleet.ServiceID) bool {
+	service := a.view.Service(id)
+	if service == nil {
+		return false
+	}
+	target := service.Target(a.config.Self)
+	return target != nil && !target.IsResidual()
+}
+
+// Sweep forgets hand-overs that have expired and returns the half-open flows
+// that have.
+func (a *Agent) Sweep(now time.Time) []flow.ID {
+	var expired []flow.ID
+	for id, known := range a.flows {
+		if known.expires.After(now) {
+			continue
+		}
+		switch known.state {
+		case stateHanded:
+			a.remove(id, known)
+		case statePending, stateHalfOpen:
+			expired = append(expired, id)
+		}
+	}
+	return expired
+}
--- /dev/null
+++ b/internal/core/agent/placement.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// Placement is the policy by which the primary of a new flow decides who serves
+// it: one of HashOnly, HandOverWhenFull and TwoChoices.
+type Placement interface{ isPlacement() }
+
+// HashOnly always serves flows at their primary.
+type HashOnly struct{}
+
+// HandOverWhenFull hands a flow over when the primary's slots are taken.
+type HandOverWhenFull struct{}
+
+// TwoChoices compares the primary with the second candidate by reports.
+type TwoChoices struct{}
+
+func (HashOnly) isPlacement()         {}
+func (HandOverWhenFull) isPlacement() {}
+func (TwoChoices) isPlacement()       {}
+
+// verdict is one of take, handOver and refuse.
+type verdict interface{ isVerdict() }
+
+type take struct{}
+
+type handOver struct {
+	target *fleet.Target
+	reason Reason
+}
+
+type refuse struct{ reason Reason }
+
+func (take) isVerdict()     {}
+func (handOver) isVerdict() {}
+func (refuse) isVerdict()   {}
+
+// place decides who serves a new flow.
+func (a *Agent) place(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
+	if reason := a.unfit(service, arrival); reason != "" {
+		return a.placeElsewhere(now, service, arrival, reason)
+	}
+	if arrival.Placed {
+		return take{}
+	}
+	switch a.config.Placement.(type) {
+	case HandOverWhenFull:
+		return a.placeWhenFull(now, service, arrival)
+	case TwoChoices:
+		return a.placeByReports(now, service, arrival)
+	}
+	return take{}
+}
+
+// unfit returns why this agent must not take new flows of the service.
+func (a *Agent) unfit(service *fleet.RoutedService, arrival *Arrival) Reason {
+	switch {
+	case a.draining:
+		return HandOverDraining
+	case !a.isSelected(service.ID()) && arrival.Revision <= a.view.Revisions().Highest():
+		return HandOverAbsent
+	}
+	return ""
+}
+
+// placeElsewhere finds another target, first by reports and then by rendezvous
+// order. Without one the flow is refused.
+func (a *Agent) placeElsewhere(now time.Time, service *fleet.RoutedService, arrival *Arrival, reason Reason) verdict {
+	visited := a.visitedWithSelf(arrival.Visited)
+	if sibling := a.roomiest(now, service, visited); sibling != nil {
+		return handOver{sibling, reason}
+	}
+	for i := range service.Targets() {
+		target := &service.Targets()[i]
+		if target.IsAccepting() && target.IsReachable() && !slices.Contains(visited, target.ID()) {
+			return handOver{target, reason}
+		}
+	}
+	return refuse{RefuseNotAccepting}
+}
+
+func (a *Agent) placeWhenFull(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
+	if a.load.HasRoom() {
+		return take{}
+	}
+	sibling := a.roomiest(now, service, a.visitedWithSelf(arrival.Visited))
+	if sibling == nil {
+		return take{}
+	}
+	if a.load.IsCold() {
+		return handOver{sibling, HandOverCold}
+	}
+	return handOver{sibling, HandOverFull}
+}
+
+func (a *Agent) placeByReports(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
+	walk := service.NextCandidate(arrival.Packet.Flow().Hash(), a.visitedWithSelf(arrival.Visited))
+	if walk.Next == nil || !walk.Next.IsAccepting() {
+		return take{}
+	}
+	report, known := a.report(now, walk.Next.ID())
+	if !known || report.usage() >= a.load.usage() {
+		return take{}
+	}
+	return handOver{walk.Next, HandOverFull}
+}
+
+// roomiest returns the sibling with the most room by its latest report, or nil
+// if none is known to have any.
+func (a *Agent) roomiest(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) *fleet.Target {
+	var best *fleet.Target
+	lowest := 1.0
+	for i := range service.Targets() {
+		target := &service.Targets()[i]
+		if !target.IsAccepting() || !target.IsReachable() || slices.Contains(visited, target.ID()) {
+			continue
+		}
+		report, known := a.report(now, target.ID())
+		if !known {
+			continue
+		}
+		if usage := report.usage(); usage < lowest {
+			best, lowest = target, usage
+		}
+	}
+	a.reserve(best)
+	return best
+}
--- /dev/null
+++ b/internal/core/agent/siblings.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// reportLifetime is how long a sibling's report counts.
+const reportLifetime = 2 * time.Second
+
+// Report is what an agent tells its siblings of its load.
+type Report struct {
+	_ struct{} `cbor:",toarray"`
+	// Running is the number of flows that await an answer.
+	Running uint32
+	// Limit is the number of such flows the backend server can bear.
+	Limit uint32
+	// Open is the number of flows the agent owns.
+	Open uint32
+	// MaxOpen is the number of flows it can own.
+	MaxOpen uint32
+}
+
+// usage is the share of the limit in use; 1 means that there is no room.
+func (r Report) usage() float64 {
+	if r.Limit == 0 || r.Open >= r.MaxOpen {
+		return 1
+	}
+	return float64(r.Running) / float64(r.Limit)
+}
+
+type siblingReport struct {
+	report  Report
+	expires time.Time
+}
+
+// Heard stores a sibling's report.
+func (a *Agent) Heard(now time.Time, id fleet.InstanceID, report Report) {
+	a.siblings[id] = siblingReport{report: report, expires: now.Add(reportLifetime)}
+}
+
+func (a *Agent) report(now time.Time, id fleet.InstanceID) (Report, bool) {
+	held, known := a.siblings[id]
+	if !known || now.After(held.expires) {
+		return Report{}, false
+	}
+	return held.report, true
+}
+
+// reserve counts a hand-over against the held report until the next one comes,
+// so that one report does not draw a burst.
+func (a *Agent) reserve(target *fleet.Target) {
+	if target == nil {
+		return
+	}
+	held := a.siblings[target.ID()]
+	held.report.Running++
+	held.report.Open++
+	a.siblings[target.ID()] = held
+}
+
+// Siblings returns the instances that serve a service together with this agent.
+func (a *Agent) Siblings() []*fleet.Target {
+	seen := make(map[fleet.InstanceID]bool)
+	var siblings []*fleet.Target
+	for _, service := range a.view.Services() {
+		if service.Target(a.config.Self) == nil {
+			continue
+		}
+		for i := range service.Targets() {
+			target := &service.Targets()[i]
+			if target.ID() != a.config.Self && !seen[target.ID()] {
+				seen[target.ID()] = true
+				siblings = append(siblings, target)
+			}
+		}
+	}
+	return siblings
+}
+
+// Report returns the agent's own report.
+func (a *Agent) Report() Report {
+	report := Report{
+		Running: uint32(a.load.Running()),
+		Limit:   uint32(a.load.Limit()),
+		Open:    uint32(a.owned),
+		MaxOpen: uint32(a.config.MaxFlows),
+	}
+	if a.draining {
+		report.Limit = 0
+	}
+	return report
+}
--- /dev/null
+++ b/internal/core/control/controller.go
@@ -0,0 +1,300 @@
+// Package control is the decision core of a process's control state: the
+// documents in force, the peer table, the links over which both spread, and the
+// probing of peers.
+//
+// The core is pure and single-threaded: messages and clock readings go in,
+// outputs come out.
+package control
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// Intervals of the control protocol.
+const (
+	// TickInterval is how often Tick is to be called.
+	TickInterval = 100 * time.Millisecond
+
+	summaryInterval  = time.Second
+	linkTimeout      = 2500 * time.Millisecond
+	linkRotation     = 60 * time.Second
+	dialInterval     = 500 * time.Millisecond
+	weightViewDelay  = time.Second
+	pauseThreshold   = time.Second
+	confirmTimeout   = 2 * time.Second
+	wantedLinks      = 3
+	maxRecordsInSend = 512
+)
+
+// Config identifies the process.
+type Config struct {
+	Self        fleet.InstanceID
+	Incarnation uint64
+	Role        fleet.Role
+	DataCentre  string
+	// Seeds are control endpoints to learn from when nothing is known yet.
+	Seeds []netip.AddrPort
+}
+
+// link is one control link.
+type link struct {
+	peer       fleet.InstanceID
+	dialled    bool
+	silentAt   time.Time
+	rotateAt   time.Time
+	mismatches int
+}
+
+// Controller owns the control state.
+type Controller struct {
+	config  Config
+	random  *rand.Rand
+	state   *fleet.State
+	own     fleet.PeerRecord
+	links   map[LinkID]*link
+	prober  *prober
+	changed map[fleet.InstanceID]fleet.PeerRecord
+
+	outputs     []Output
+	viewAt      time.Time
+	viewDue     bool
+	view        *fleet.View
+	summaryAt   time.Time
+	dialAt      time.Time
+	lastTick    time.Time
+	confirmBy   time.Time
+	unconfirmed bool
+}
+
+// New returns a controller without documents.
+func New(now time.Time, config Config, random *rand.Rand) *Controller {
+	c := &Controller{
+		config:      config,
+		random:      random,
+		state:       fleet.NewState(),
+		own:         fleet.PeerRecord{ID: config.Self, Incarnation: config.Incarnation},
+		links:       make(map[LinkID]*link),
+		prober:      newProber(),
+		changed:     make(map[fleet.InstanceID]fleet.PeerRecord),
+		lastTick:    now,
+		confirmBy:   now.Add(confirmTimeout),
+		unconfirmed: true,
+	}
+	c.state.Peers().Merge(c.own)
+	c.view = c.state.View(now)
+	return c
+}
+
+// IsConfirmed reports whether the view was compared with a peer or the platform
+// since the process started or resumed. Traffic waits for it.
+func (c *Controller) IsConfirmed(now time.Time) bool {
+	return !c.unconfirmed || (now.After(c.confirmBy) && c.state.Revisions().Services > 0)
+}
+
+// View returns the view last published.
+func (c *Controller) View() *fleet.View { return c.view }
+
+// Records returns the peer table.
+func (c *Controller) Records() []fleet.PeerRecord { return c.state.Peers().All() }
+
+// Links returns the number of control links.
+func (c *Controller) Links() int { return len(c.links) }
+
+// take returns the outputs collected since the last call.
+func (c *Controller) take() []Output {
+	outputs := c.outputs
+	c.outputs = nil
+	return outputs
+}
+
+func (c *Controller) emit(output Output) {
+	c.outputs = append(c.outputs, output)
+}
+
+// Tick does what is due.
+func (c *Controller) Tick(now time.Time) []Output {
+	c.detectPause(now)
+	c.maintainLinks(now)
+	c.flushRecords()
+	if !now.Before(c.summaryAt) {
+		c.summaryAt = now.Add(summaryInterval)
+		c.broadcast(c.summary(), 0)
+	}
+	c.probe(now)
+	c.publish(now)
+	return c.take()
+}
+
+// detectPause notices that the process did not run for a while. What it knows
+// is then old until a peer or the platform confirms it.
+func (c *Controller) detectPause(now time.Time) {
+	if now.Sub(c.lastTick) > pauseThreshold {
+		c.unconfirmed = true
+		c.confirmBy = now.Add(confirmTimeout)
+		c.summaryAt = now
+		for _, l := range c.links {
+			l.silentAt = now.Add(linkTimeout)
+		}
+		c.prober.restart()
+		c.emit(Report{Event: EventResumed})
+	}
+	c.lastTick = now
+}
+
+// Document applies a document read from the platform.
+func (c *Controller) Document(now time.Time, document fleet.Document) []Output {
+	c.apply(now, document, 0)
+	c.unconfirmed = false
+	c.publish(now)
+	return c.take()
+}
+
+// Confirm records that the platform answered that nothing has changed.
+func (c *Controller) Confirm() { c.unconfirmed = false }
+
+func (c *Controller) apply(now time.Time, document fleet.Document, source LinkID) {
+	change := changeBetween(c.state, document)
+	applied, err := c.state.Apply(document)
+	switch {
+	case err != nil:
+		c.emit(Report{Event: EventDocumentRefused, Err: err})
+	case !applied:
+		c.emit(Report{Event: EventDocumentOlder})
+	default:
+		c.emit(Report{Event: EventDocumentApplied})
+		c.broadcast(&Message{Change: change}, source)
+		c.scheduleView(now)
+	}
+}
+
+// scheduleView asks for a new view at an instant, or earlier if one is due.
+func (c *Controller) scheduleView(at time.Time) {
+	if !c.viewDue || at.Before(c.viewAt) {
+		c.viewAt = at
+	}
+	c.viewDue = true
+}
+
+func (c *Controller) publish(now time.Time) {
+	if !c.viewDue || now.Before(c.viewAt) {
+		return
+	}
+	c.viewDue = false
+	c.view = c.state.View(now)
+	c.prober.setPeers(c.peersToProbe())
+	c.emit(Publish{View: c.view})
+}
+
+// Message handles a message from a link.
+func (c *Controller) Message(now time.Time, id LinkID, message *Message) []Output {
+	l := c.links[id]
+	if l == nil {
+		return nil
+	}
+	l.silentAt = now.Add(linkTimeout)
+	switch {
+	case message.Summary != nil:
+		c.receiveSummary(id, l, message.Summary)
+	case message.Digests != nil:
+		c.receiveDigests(id, message.Digests)
+	case message.Change != nil:
+		c.receiveChange(now, id, message.Change)
+	}
+	for _, record := range message.Records {
+		c.merge(now, record)
+	}
+	c.publish(now)
+	return c.take()
+}
+
+func (c *Controller) receiveSummary(id LinkID, l *link, summary *Summary) {
+	l.peer = summary.ID
+	mine := c.state.Revisions()
+	for _, change := range missing(c.state, summary.Revisions) {
+		c.emit(Send{Link: id, Message: &Message{Change: change}})
+	}
+	behind := summary.Revisions.Services > mine.Services ||
+		summary.Revisions.Backends > mine.Backends ||
+		summary.Revisions.Instances > mine.Instances
+	if behind {
+		c.emit(Send{Link: id, Message: c.summary()})
+	} else {
+		c.unconfirmed = false
+	}
+	c.compareTables(id, l, summary.Peers)
+}
+
+// compareTables starts a comparison by parts when the tables differed in two
+// summaries running, since a change on its way makes them differ for a moment.
+func (c *Controller) compareTables(id LinkID, l *link, digest uint64) {
+	if digest == c.tableDigest() {
+		l.mismatches = 0
+		return
+	}
+	l.mismatches++
+	if l.mismatches < 2 {
+		return
+	}
+	l.mismatches = 0
+	c.emit(Send{Link: id, Message: &Message{Digests: &Digests{Buckets: c.bucketDigests(), Reply: true}}})
+}
+
+func (c *Controller) receiveDigests(id LinkID, digests *Digests) {
+	mine := c.bucketDigests()
+	if len(digests.Buckets) != len(mine) {
+		return
+	}
+	if digests.Reply {
+		c.emit(Send{Link: id, Message: &Message{Digests: &Digests{Buckets: mine}}})
+	}
+	var records []fleet.PeerRecord
+	for _, record := range c.state.Peers().All() {
+		bucket := uint64(record.ID) % digestBuckets
+		if mine[bucket] != digests.Buckets[bucket] {
+			records = append(records, record)
+		}
+	}
+	for part := range slices.Chunk(records, maxRecordsInSend) {
+		c.emit(Send{Link: id, Message: &Message{Records: part}})
+	}
+}
+
+func (c *Controller) receiveChange(now time.Time, id LinkID, change *Change) {
+	document, err := change.document(c.state)
+	var gap GapError
+	if errors.As(err, &gap) {
+		if change.To > gap.Have {
+			c.emit(Report{Event: EventChangeGap, Err: err})
+			c.emit(Send{Link: id, Message: c.summary()})
+		}
+		return
+	}
+	if err != nil {
+		c.emit(Report{Event: EventDocumentRefused, Err: err})
+		return
+	}
+	c.apply(now, document, id)
+}
+
+func (c *Controller) summary() *Message {
+	return &Message{Summary: &Summary{
+		ID:          c.config.Self,
+		Incarnation: c.config.Incarnation,
+		Revisions:   c.state.Revisions(),
+		Peers:       c.tableDigest(),
+	}}
+}
+
+func (c *Controller) broadcast(message *Message, except LinkID) {
+	for id := range c.links {
+		if id != except {
+			c.emit(Send{Link: id, Message: message})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/control/delta.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// diff returns the delta from one list of named entries to another.
+func diff[T any](before, after []T, name func(*T) string) *Delta[T] {
+	old := make(map[string]*T, len(before))
+	for i := range before {
+		old[name(&before[i])] = &before[i]
+	}
+	delta := new(Delta[T])
+	for i := range after {
+		key := name(&after[i])
+		if previous, known := old[key]; !known || !reflect.DeepEqual(*previous, after[i]) {
+			delta.Upserts = append(delta.Upserts, after[i])
+		}
+		delete(old, key)
+	}
+	for key := range old {
+		delta.Removed = append(delta.Removed, key)
+	}
+	return delta
+}
+
+// patch applies a delta to a list of named entries and returns a new list.
+func patch[T any](before []T, delta *Delta[T], name func(*T) string) []T {
+	replaced := make(map[string]bool, len(delta.Upserts)+len(delta.Removed))
+	for i := range delta.Upserts {
+		replaced[name(&delta.Upserts[i])] = true
+	}
+	for _, key := range delta.Removed {
+		replaced[key] = true
+	}
+	after := make([]T, 0, len(before)+len(delta.Upserts))
+	for i := range before {
+		if !replaced[name(&before[i])] {
+			after = append(after, before[i])
+		}
+	}
+	return append(after, delta.Upserts...)
+}
+
+func serviceName(s *fleet.Service) string   { return s.Name }
+func backendName(b *fleet.Backend) string   { return b.Name }
+func instanceName(i *fleet.Instance) string { return i.Name }
+
+// changeBetween returns the change from one state of the documents to a newer
+// document.
+func changeBetween(state *fleet.State, document fleet.Document) *Change {
+	services, backends, instances := state.Documents()
+	switch d := document.(type) {
+	case *fleet.ServicesDocument:
+		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName)}
+	case *fleet.BackendsDocument:
+		return &Change{From: backends.Revision, To: d.Revision, Backends: diff(backends.Backends, d.Backends, backendName)}
+	case *fleet.InstancesDocument:
+		return &Change{From: instances.Revision, To: d.Revision, Instances: diff(instances.Instances, d.Instances, instanceName)}
+	}
+	return nil
+}
+
+// GapError reports a change whose starting revision is not the one in force.
+type GapError struct {
+	Have uint64
+	From uint64
+}
+
+// Error implements error.
+func (e GapError) Error() string {
+	return fmt.Sprintf("change starts at revision %d but revision %d is in force", e.From, e.Have)
+}
+
+// document computes the document that a change leads to.
+func (c *Change) document(state *fleet.State) (fleet.Document, error) {
+	services, backends, instances := state.Documents()
+	switch {
+	case c.Services != nil:
+		base, err := c.base(services.Revision)
+		if err != nil || !base {
+			return &fleet.ServicesDocument{Revision: c.To, Services: c.Services.Upserts}, err
+		}
+		return &fleet.ServicesDocument{Revision: c.To, Services: patch(services.Services, c.Services, serviceName)}, nil
+	case c.Backends != nil:
+		base, err := c.base(backends.Revision)
+		if err != nil || !base {
+			return &fleet.BackendsDocument{Revision: c.To, Backends: c.Backends.Upserts}, err
+		}
+		return &fleet.BackendsDocument{Revision: c.To, Backends: patch(backends.Backends, c.Backends, backendName)}, nil
+	case c.Instances != nil:
+		base, err := c.base(instances.Revision)
+		if err != nil || !base {
+			return &fleet.InstancesDocument{Revision: c.To, Instances: c.Instances.Upserts}, err
+		}
+		return &fleet.InstancesDocument{Revision: c.To, Instances: patch(instances.Instances, c.Instances, instanceName)}, nil
+	}
+	return nil, fmt.Errorf("change to revision %d names no document", c.To)
+}
+
+// base reports whether the change builds on the revision in force; a whole
+// document builds on none.
+func (c *Change) base(have uint64) (bool, error) {
+	if c.From == 0 {
+		return false, nil
+	}
+	if c.From != have {
+		return false, GapError{Have: have, From: c.From}
+	}
+	return true, nil
+}
+
+// missing returns whole documents for a peer that has older revisions.
+func missing(state *fleet.State, have fleet.Revisions) []*Change {
+	services, backends, instances := state.Documents()
+	var changes []*Change
+	if instances.Revision > have.Instances {
+		changes = append(changes, &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}})
+	}
+	if backends.Revision > have.Backends {
+		changes = append(changes, &Change{To: backends.Revision, Backends: &Delta[fleet.Backend]{Upserts: backends.Backends}})
+	}
+	if services.Revision > have.Services {
+		changes = append(changes, &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}})
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/core/control/links.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// LinkUp records a new link, dialled by this process or accepted by it.
+func (c *Controller) LinkUp(now time.Time, id LinkID, dialled bool) []Output {
+	c.links[id] = &link{
+		dialled:  dialled,
+		silentAt: now.Add(linkTimeout),
+		rotateAt: now.Add(linkRotation + time.Duration(c.random.Int64N(int64(linkRotation)))),
+	}
+	c.emit(Send{Link: id, Message: c.summary()})
+	return c.take()
+}
+
+// LinkDown records that a link has ended.
+func (c *Controller) LinkDown(id LinkID) {
+	delete(c.links, id)
+}
+
+// maintainLinks closes silent links, replaces old ones, and dials new ones until
+// the wanted number of own links stands.
+func (c *Controller) maintainLinks(now time.Time) {
+	dialled := 0
+	for id, l := range c.links {
+		switch {
+		case now.After(l.silentAt):
+			c.emit(Report{Event: EventLinkSilent, Peer: c.nodeName(l.peer)})
+			c.closeLink(id)
+		case l.dialled && now.After(l.rotateAt):
+			c.closeLink(id)
+		case l.dialled:
+			dialled++
+		}
+	}
+	if dialled >= wantedLinks || now.Before(c.dialAt) {
+		return
+	}
+	c.dialAt = now.Add(dialInterval/2 + time.Duration(c.random.Int64N(int64(dialInterval))))
+	if endpoint, found := c.randomPeer(); found {
+		c.emit(OpenLink{Control: endpoint})
+	}
+}
+
+func (c *Controller) closeLink(id LinkID) {
+	delete(c.links, id)
+	c.emit(CloseLink{Link: id})
+}
+
+// randomPeer picks a node that has no link yet, or a seed if no node is known.
+func (c *Controller) randomPeer() (netip.AddrPort, bool) {
+	linked := make(map[fleet.InstanceID]bool, len(c.links))
+	for _, l := range c.links {
+		linked[l.peer] = true
+	}
+	var candidates []netip.AddrPort
+	for id, node := range c.view.Nodes() {
+		if id != c.config.Self && !linked[id] {
+			candidates = append(candidates, node.Control())
+		}
+	}
+	if len(candidates) == 0 && len(c.view.Nodes()) == 0 {
+		candidates = c.config.Seeds
+	}
+	if len(candidates) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return candidates[c.random.IntN(len(candidates))], true
+}
+
+func (c *Controller) nodeName(id fleet.InstanceID) string {
+	if node := c.view.Node(id); node != nil {
+		return node.Name()
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/control/prober.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// Parameters of probing. The budget is the same at any size of the fleet: more
+// peers are probed less often by each process, but by more processes.
+const (
+	probesPerTick   = 2
+	probeInterval   = 500 * time.Millisecond
+	probeTimeout    = 300 * time.Millisecond
+	maxMisses       = 3
+	vouchLifetime   = 10 * time.Second
+	suspectInterval = 5 * time.Second
+)
+
+// probeState is what a process knows of one peer by its own probes.
+type probeState struct {
+	dueAt     time.Time
+	timeoutAt time.Time
+	waiting   bool
+	misses    int
+	suspectAt time.Time
+}
+
+// prober schedules probes round robin within a budget.
+type prober struct {
+	states map[fleet.InstanceID]*probeState
+	order  []fleet.InstanceID
+	next   int
+}
+
+func newProber() *prober {
+	return &prober{states: make(map[fleet.InstanceID]*probeState)}
+}
+
+// setPeers replaces the peers to probe and keeps what is known of those that stay.
+func (p *prober) setPeers(peers []fleet.InstanceID) {
+	states := make(map[fleet.InstanceID]*probeState, len(peers))
+	for _, id := range peers {
+		if known := p.states[id]; known != nil {
+			states[id] = known
+		} else {
+			states[id] = new(probeState)
+		}
+	}
+	p.states, p.order = states, peers
+}
+
+// restart forgets what is in flight, as after a pause.
+func (p *prober) restart() {
+	for _, state := range p.states {
+		state.waiting = false
+		state.misses = 0
+	}
+}
+
+// due returns the peers to probe now.
+func (p *prober) due(now time.Time) []fleet.InstanceID {
+	var due []fleet.InstanceID
+	for id, state := range p.states {
+		if len(due) < probesPerTick && state.misses > 0 && state.misses < maxMisses && !state.waiting && !now.Before(state.dueAt) {
+			due = append(due, id)
+		}
+	}
+	for range p.order {
+		if len(due) >= probesPerTick {
+			break
+		}
+		id := p.order[p.next%len(p.order)]
+		p.next = (p.next + 1) % len(p.order)
+		state := p.states[id]
+		if !state.waiting && !now.Before(state.dueAt) {
+			due = append(due, id)
+		}
+	}
+	for _, id := range due {
+		state := p.states[id]
+		state.waiting = true
+		state.timeoutAt = now.Add(probeTimeout)
+		state.dueAt = now.Add(probeInterval)
+	}
+	return due
+}
+
+// peersToProbe returns the peers whose reachability matters to this process:
+// targets for a balancer, siblings and balancers of its data centre for an agent.
+func (c *Controller) peersToProbe() []fleet.InstanceID {
+	wanted := make(map[fleet.InstanceID]bool)
+	for _, service := range c.view.Services() {
+		targets := service.Targets()
+		if c.config.Role == fleet.RoleAgent && service.Target(c.config.Self) == nil {
+			continue
+		}
+		for i := range targets {
+			wanted[targets[i].ID()] = true
+		}
+	}
+	delete(wanted, c.config.Self)
+	peers := make([]fleet.InstanceID, 0, len(wanted))
+	for id := range wanted {
+		peers = append(peers, id)
+	}
+	return peers
+}
+
+func (c *Controller) probe(now time.Time) {
+	for id, state := range c.prober.states {
+		if state.waiting && now.After(state.timeoutAt) {
+			state.waiting = false
+			state.misses++
+			state.dueAt = now
+			c.missed(now, id, state)
+		}
+	}
+	for _, id := range c.prober.due(now) {
+		node := c.view.Node(id)
+		if node == nil {
+			continue
+		}
+		record, _ := c.state.Peers().Record(id)
+		fresh := c.prober.states[id].misses == maxMisses-1
+		c.emit(Probe{Node: node, Incarnation: record.Incarnation, Fresh: fresh})
+	}
+}
+
+// missed marks a peer unreachable after several misses and shares the suspicion.
+func (c *Controller) missed(now time.Time, id fleet.InstanceID, state *probeState) {
+	if state.misses < maxMisses {
+		return
+	}
+	state.dueAt = now.Add(probeInterval)
+	if c.state.Peers().SetReachable(id, false, time.Time{}) {
+		c.emit(Report{Event: EventPeerUnreachable, Peer: c.nodeName(id)})
+		c.scheduleView(now)
+	}
+	record, known := c.state.Peers().Record(id)
+	if !known || record.State == fleet.PeerSuspect || now.Before(state.suspectAt) {
+		return
+	}
+	state.suspectAt = now.Add(suspectInterval)
+	record.State = fleet.PeerSuspect
+	c.emit(Report{Event: EventPeerSuspected, Peer: c.nodeName(id)})
+	c.merge(now, record)
+}
+
+// Answered records that a peer answered a probe.
+func (c *Controller) Answered(now time.Time, id fleet.InstanceID, incarnation uint64) []Output {
+	state := c.prober.states[id]
+	if state == nil {
+		return nil
+	}
+	state.waiting = false
+	state.misses = 0
+	if c.state.Peers().SetReachable(id, true, now.Add(vouchLifetime)) {
+		c.emit(Report{Event: EventPeerReachable, Peer: c.nodeName(id)})
+		c.scheduleView(now)
+	}
+	if record, _ := c.state.Peers().Record(id); incarnation > record.Incarnation {
+		c.merge(now, fleet.PeerRecord{ID: id, Incarnation: incarnation})
+	}
+	c.publish(now)
+	return c.take()
+}
--- /dev/null
+++ b/internal/core/control/records.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// merge applies a peer record and spreads it if it was news.
+func (c *Controller) merge(now time.Time, record fleet.PeerRecord) {
+	if record.ID == c.config.Self {
+		c.refute(now, record)
+		return
+	}
+	old, _ := c.state.Peers().Record(record.ID)
+	if !c.state.Peers().Merge(record) {
+		return
+	}
+	c.changed[record.ID] = record
+	if isRouting(old, record) {
+		c.scheduleView(now)
+	} else {
+		c.scheduleView(now.Add(weightViewDelay))
+	}
+}
+
+// isRouting reports whether the change decides where packets may go, and not
+// only how much each target gets.
+func isRouting(old, record fleet.PeerRecord) bool {
+	return old.Incarnation != record.Incarnation || old.State != record.State || !slices.Equal(old.Residual, record.Residual)
+}
+
+// refute raises the own sequence above a record that others hold of this process.
+func (c *Controller) refute(now time.Time, record fleet.PeerRecord) {
+	if record.Incarnation > c.own.Incarnation {
+		c.own.Incarnation = record.Incarnation + 1
+		c.own.Sequence = 0
+	} else if record.Incarnation < c.own.Incarnation || record.Sequence < c.own.Sequence || record.State == c.own.State {
+		return
+	}
+	c.own.Sequence = max(c.own.Sequence, record.Sequence) + 1
+	c.emit(Report{Event: EventRefuted})
+	c.spreadOwn(now)
+}
+
+func (c *Controller) spreadOwn(now time.Time) {
+	c.state.Peers().Merge(c.own)
+	c.changed[c.own.ID] = c.own
+	c.scheduleView(now)
+}
+
+// Describe sets what this process says of itself.
+func (c *Controller) Describe(now time.Time, state fleet.PeerState, weight fleet.Weight, residual []fleet.ServiceID) []Output {
+	slices.Sort(residual)
+	same := c.own.State == state && c.own.Weight == weight && slices.Equal(c.own.Residual, residual)
+	if same {
+		return nil
+	}
+	c.own.State, c.own.Weight, c.own.Residual = state, weight, residual
+	c.own.Sequence++
+	c.spreadOwn(now)
+	c.flushRecords()
+	c.publish(now)
+	return c.take()
+}
+
+// flushRecords sends the records that changed since the last flush.
+func (c *Controller) flushRecords() {
+	if len(c.changed) == 0 {
+		return
+	}
+	records := make([]fleet.PeerRecord, 0, len(c.changed))
+	for _, record := range c.changed {
+		records = append(records, record)
+	}
+	clear(c.changed)
+	for part := range slices.Chunk(records, maxRecordsInSend) {
+		c.broadcast(&Message{Records: part}, 0)
+	}
+}
+
+func (c *Controller) tableDigest() uint64 {
+	var digest uint64
+	for _, bucket := range c.bucketDigests() {
+		digest ^= bucket
+	}
+	return digest
+}
+
+func (c *Controller) bucketDigests() []uint64 {
+	buckets := make([]uint64, digestBuckets)
+	for _, record := range c.state.Peers().All() {
+		buckets[uint64(record.ID)%digestBuckets] ^= recordDigest(record)
+	}
+	return buckets
+}
+
+func recordDigest(record fleet.PeerRecord) uint64 {
+	var fixed [26]byte
+	binary.LittleEndian.PutUint64(fixed[0:], uint64(record.ID))
+	binary.LittleEndian.PutUint64(fixed[8:], record.Incarnation)
+	binary.LittleEndian.PutUint64(fixed[16:], record.Sequence)
+	fixed[24] = byte(record.State)
+	return xxhash.Sum64(fixed[:])
+}
--- /dev/null
+++ b/internal/core/fleet/document.go
@@ -0,0 +1,248 @@
+// Package fleet holds a process's picture of the system: the documents that
+// operators publish, what peers say of themselves, and the routing view that is
+// computed from both.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Limits on published documents.
+const (
+	maxNameBytes       = 128
+	maxServices        = 4096
+	maxBackends        = 32768
+	maxInstances       = 65536
+	maxLabelsPerServer = 32
+)
+
+// InstanceID identifies an instance. It is the hash of the instance's name, so a
+// reused network address never inherits an identity.
+type InstanceID uint64
+
+// ServiceID identifies a service. It is the hash of the service's name.
+type ServiceID uint64
+
+// InstanceIDOf returns the ID of the instance with a name.
+func InstanceIDOf(name string) InstanceID {
+	return InstanceID(xxhash.Sum64String(name))
+}
+
+// ServiceIDOf returns the ID of the service with a name.
+func ServiceIDOf(name string) ServiceID {
+	return ServiceID(xxhash.Sum64String("service/" + name))
+}
+
+// Selector selects backend servers by label: every key must be present with one
+// of the listed values. An empty selector matches every backend server.
+type Selector map[string][]string
+
+// Matches reports whether the labels satisfy the selector.
+func (s Selector) Matches(labels map[string]string) bool {
+	for key, allowed := range s {
+		if !contains(allowed, labels[key]) {
+			return false
+		}
+	}
+	return true
+}
+
+func contains(values []string, value string) bool {
+	for _, v := range values {
+		if v == value {
+			return true
+		}
+	}
+	return false
+}
+
+// Service is a published service. Selectors is keyed by data centre; a data
+// centre without an entry is out of the service.
+type Service struct {
+	Name      string              `json:"name"`
+	Address   string              `json:"address"`
+	Protocol  string              `json:"protocol"`
+	Selectors map[string]Selector `json:"selectors"`
+}
+
+// Backend is a published backend server with its labels.
+type Backend struct {
+	Name       string            `json:"name"`
+	DataCentre string            `json:"dataCentre"`
+	Labels     map[string]string `json:"labels"`
+}
+
+// Role is what an instance runs.
+type Role string
+
+// Roles of instances.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+)
+
+// InstanceState is the state of an instance in the platform's list, which lags.
+type InstanceState string
+
+// States of instances.
+const (
+	StateLive    InstanceState = "live"
+	StateLeaving InstanceState = "leaving"
+)
+
+// Instance is an entry of the platform's list of instances. An agent has the
+// same name as the backend server it stands beside.
+type Instance struct {
+	Name       string        `json:"name"`
+	Role       Role          `json:"role"`
+	DataCentre string        `json:"dataCentre"`
+	Data       string        `json:"data"`
+	Control    string        `json:"control"`
+	State      InstanceState `json:"state"`
+}
+
+// ServicesDocument is the document "services".
+type ServicesDocument struct {
+	Revision uint64    `json:"revision"`
+	Services []Service `json:"services"`
+}
+
+// BackendsDocument is the document "backends".
+type BackendsDocument struct {
+	Revision uint64    `json:"revision"`
+	Backends []Backend `json:"backends"`
+}
+
+// InstancesDocument is the document "instances".
+type InstancesDocument struct {
+	Revision  uint64     `json:"revision"`
+	Instances []Instance `json:"instances"`
+}
+
+// DocumentError says which entry of a document is wrong and what is allowed.
+type DocumentError struct {
+	Document string
+	Entry    string
+	Reason   string
+}
+
+// Error implements error.
+func (e DocumentError) Error() string {
+	return fmt.Sprintf("document %q: %s: %s", e.Document, e.Entry, e.Reason)
+}
+
+// Validate checks the whole document; a document is applied whole or refused.
+func (d *ServicesDocument) Validate() error {
+	if len(d.Services) > maxServices {
+		return DocumentError{"services", "services", fmt.Sprintf("more than %d entries", maxServices)}
+	}
+	names := make(map[string]bool, len(d.Services))
+	addresses := make(map[flow.Address]string, len(d.Services))
+	for i := range d.Services {
+		service := &d.Services[i]
+		if err := checkName(service.Name, names); err != nil {
+			return DocumentError{"services", entry(i, service.Name), err.Error()}
+		}
+		address, err := service.address()
+		if err != nil {
+			return DocumentError{"services", entry(i, service.Name), err.Error()}
+		}
+		if other, taken := addresses[address]; taken {
+			return DocumentError{"services", entry(i, service.Name), "address is already used by service " + other}
+		}
+		addresses[address] = service.Name
+	}
+	return nil
+}
+
+// Validate checks the whole document; a document is applied whole or refused.
+func (d *BackendsDocument) Validate() error {
+	if len(d.Backends) > maxBackends {
+		return DocumentError{"backends", "backends", fmt.Sprintf("more than %d entries", maxBackends)}
+	}
+	names := make(map[string]bool, len(d.Backends))
+	for i := range d.Backends {
+		backend := &d.Backends[i]
+		if err := checkName(backend.Name, names); err != nil {
+			return DocumentError{"backends", entry(i, backend.Name), err.Error()}
+		}
+		if backend.DataCentre == "" {
+			return DocumentError{"backends", entry(i, backend.Name), "dataCentre is missing"}
+		}
+		if len(backend.Labels) > maxLabelsPerServer {
+			return DocumentError{"backends", entry(i, backend.Name), fmt.Sprintf("more than %d labels", maxLabelsPerServer)}
+		}
+	}
+	return nil
+}
+
+// Validate checks the whole document; a document is applied whole or refused.
+func (d *InstancesDocument) Validate() error {
+	if len(d.Instances) > maxInstances {
+		return DocumentError{"instances", "instances", fmt.Sprintf("more than %d entries", maxInstances)}
+	}
+	names := make(map[string]bool, len(d.Instances))
+	for i := range d.Instances {
+		instance := &d.Instances[i]
+		if err := checkName(instance.Name, names); err != nil {
+			return DocumentError{"instances", entry(i, instance.Name), err.Error()}
+		}
+		if err := instance.check(); err != nil {
+			return DocumentError{"instances", entry(i, instance.Name), err.Error()}
+		}
+	}
+	return nil
+}
+
+func (s *Service) address() (flow.Address, error) {
+	endpoint, err := netip.ParseAddrPort(s.Address)
+	if err != nil || !endpoint.Addr().Is4() || endpoint.Port() == 0 {
+		return flow.Address{}, fmt.Errorf("address %q is not an IPv4 address and port such as 10.9.0.1:80", s.Address)
+	}
+	switch s.Protocol {
+	case "tcp":
+		return flow.NewAddress(flow.TCP, endpoint), nil
+	case "udp":
+		return flow.NewAddress(flow.UDP, endpoint), nil
+	}
+	return flow.Address{}, fmt.Errorf("protocol %q is neither tcp nor udp", s.Protocol)
+}
+
+func (i *Instance) check() error {
+	if i.Role != RoleBalancer && i.Role != RoleAgent {
+		return fmt.Errorf("role %q is neither balancer nor agent", i.Role)
+	}
+	if i.State != StateLive && i.State != StateLeaving {
+		return fmt.Errorf("state %q is neither live nor leaving", i.State)
+	}
+	if i.DataCentre == "" {
+		return errors.New("dataCentre is missing")
+	}
+	for field, value := range map[string]string{"data": i.Data, "control": i.Control} {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return fmt.Errorf("%s %q is not an address and port", field, value)
+		}
+	}
+	return nil
+}
+
+func checkName(name string, seen map[string]bool) error {
+	if name == "" || len(name) > maxNameBytes {
+		return fmt.Errorf("name must have 1 to %d bytes", maxNameBytes)
+	}
+	if seen[name] {
+		return errors.New("name appears twice")
+	}
+	seen[name] = true
+	return nil
+}
+
+func entry(index int, name string) string {
+	return fmt.Sprintf("entry %d (%s)", index, name)
+}
--- /dev/null
+++ b/internal/core/fleet/peer.go
@@ -0,0 +1,124 @@
+package fleet
+
+import "time"
+
+// Weight is the relative speed of a backend server in quantised steps.
+// DefaultWeight stands for a backend server whose speed is not known.
+type Weight uint16
+
+// DefaultWeight is the weight of a backend server that has not reported one.
+const DefaultWeight Weight = 16
+
+// PeerState is the liveness of a peer as spread between processes.
+type PeerState uint8
+
+const (
+	// PeerAlive means that the peer answers probes.
+	PeerAlive PeerState = iota
+	// PeerSuspect means that a prober has had no answer for several periods.
+	PeerSuspect
+	// PeerLeaving means that the peer takes no new flows.
+	PeerLeaving
+)
+
+// PeerRecord is what one process says of itself, or others suspect of it. The
+// record with the higher (Incarnation, Sequence) wins; at the same pair a
+// suspicion wins, and only the peer itself can raise its sequence to refute it.
+type PeerRecord struct {
+	_           struct{} `cbor:",toarray"`
+	ID          InstanceID
+	Incarnation uint64
+	Sequence    uint64
+	State       PeerState
+	Weight      Weight
+	Residual    []ServiceID
+}
+
+// supersedes reports whether r replaces old.
+func (r PeerRecord) supersedes(old PeerRecord) bool {
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	if r.Sequence != old.Sequence {
+		return r.Sequence > old.Sequence
+	}
+	return r.State == PeerSuspect && old.State != PeerSuspect
+}
+
+// Peers is the table of peer records. It is not safe for concurrent use.
+type Peers struct {
+	records map[InstanceID]PeerRecord
+	// reached holds until when a direct answer vouches for a peer.
+	reached map[InstanceID]time.Time
+	// unreachable holds the peers that do not answer this process.
+	unreachable map[InstanceID]bool
+}
+
+// NewPeers returns an empty table.
+func NewPeers() *Peers {
+	return &Peers{
+		records:     make(map[InstanceID]PeerRecord),
+		reached:     make(map[InstanceID]time.Time),
+		unreachable: make(map[InstanceID]bool),
+	}
+}
+
+// Merge applies a record and reports whether it changed the table.
+func (p *Peers) Merge(record PeerRecord) bool {
+	old, known := p.records[record.ID]
+	if known && !record.supersedes(old) {
+		return false
+	}
+	p.records[record.ID] = record
+	return true
+}
+
+// Record returns what is known of a peer.
+func (p *Peers) Record(id InstanceID) (PeerRecord, bool) {
+	record, known := p.records[id]
+	return record, known
+}
+
+// All returns every record in no particular order.
+func (p *Peers) All() []PeerRecord {
+	all := make([]PeerRecord, 0, len(p.records))
+	for _, record := range p.records {
+		all = append(all, record)
+	}
+	return all
+}
+
+// SetReachable records whether the peer answers this process. A direct answer
+// outweighs the suspicion of others until the given instant. It reports whether
+// reachability changed.
+func (p *Peers) SetReachable(id InstanceID, reachable bool, vouchedUntil time.Time) bool {
+	if reachable {
+		p.reached[id] = vouchedUntil
+	}
+	changed := p.unreachable[id] == reachable
+	if reachable {
+		delete(p.unreachable, id)
+	} else {
+		p.unreachable[id] = true
+	}
+	return changed
+}
+
+// Forget drops peers that the keep function rejects.
+func (p *Peers) Forget(keep func(InstanceID) bool) {
+	for id := range p.records {
+		if !keep(id) {
+			delete(p.records, id)
+			delete(p.reached, id)
+			delete(p.unreachable, id)
+		}
+	}
+}
+
+// suspected reports whether new flows should pass the peer over.
+func (p *Peers) suspected(id InstanceID, now time.Time) bool {
+	if p.unreachable[id] {
+		return true
+	}
+	return p.records[id].State == PeerSuspect && now.After(p.reached[id])
+}
--- /dev/null
+++ b/internal/core/fleet/state.go
@@ -0,0 +1,234 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// settleTime is how long a change of the view needs to reach every process.
+const settleTime = 3 * time.Second
+
+// State owns the documents and the peer table of one process. It is not safe
+// for concurrent use: one goroutine owns it and publishes views.
+type State struct {
+	services  ServicesDocument
+	backends  BackendsDocument
+	instances InstancesDocument
+	peers     *Peers
+}
+
+// NewState returns a state without documents.
+func NewState() *State {
+	return &State{peers: NewPeers()}
+}
+
+// Peers returns the peer table.
+func (s *State) Peers() *Peers { return s.peers }
+
+// Revisions returns the revisions in force.
+func (s *State) Revisions() Revisions {
+	return Revisions{
+		Services:  s.services.Revision,
+		Backends:  s.backends.Revision,
+		Instances: s.instances.Revision,
+	}
+}
+
+// Document is one of *ServicesDocument, *BackendsDocument and
+// *InstancesDocument.
+type Document interface {
+	Validate() error
+	isDocument()
+}
+
+func (*ServicesDocument) isDocument()  {}
+func (*BackendsDocument) isDocument()  {}
+func (*InstancesDocument) isDocument() {}
+
+// Apply puts a document in force if its revision is newer. It reports whether
+// it did. An invalid document is refused whole.
+func (s *State) Apply(document Document) (bool, error) {
+	if !s.isNewer(document) {
+		return false, nil
+	}
+	if err := document.Validate(); err != nil {
+		return false, fmt.Errorf("apply document: %w", err)
+	}
+	switch d := document.(type) {
+	case *ServicesDocument:
+		s.services = *d
+	case *BackendsDocument:
+		s.backends = *d
+	case *InstancesDocument:
+		s.instances = *d
+		s.forgetRemovedPeers()
+	}
+	return true, nil
+}
+
+func (s *State) isNewer(document Document) bool {
+	switch d := document.(type) {
+	case *ServicesDocument:
+		return d.Revision > s.services.Revision
+	case *BackendsDocument:
+		return d.Revision > s.backends.Revision
+	case *InstancesDocument:
+		return d.Revision > s.instances.Revision
+	}
+	return false
+}
+
+// Documents returns the documents in force. They must not be changed.
+func (s *State) Documents() (*ServicesDocument, *BackendsDocument, *InstancesDocument) {
+	return &s.services, &s.backends, &s.instances
+}
+
+func (s *State) forgetRemovedPeers() {
+	listed := make(map[InstanceID]bool, len(s.instances.Instances))
+	for i := range s.instances.Instances {
+		listed[InstanceIDOf(s.instances.Instances[i].Name)] = true
+	}
+	s.peers.Forget(func(id InstanceID) bool { return listed[id] })
+}
+
+// View computes the routing view.
+func (s *State) View(now time.Time) *View {
+	view := &View{
+		revisions: s.Revisions(),
+		services:  make(map[flow.Address]*RoutedService, len(s.services.Services)),
+		byID:      make(map[ServiceID]*RoutedService, len(s.services.Services)),
+		nodes:     s.nodes(),
+		settledAt: now.Add(settleTime),
+	}
+	servers := s.servers(view.nodes)
+	residual := s.residualOwners(view.nodes)
+	for i := range s.services.Services {
+		routed := s.route(&s.services.Services[i], servers, residual, now)
+		view.services[routed.address] = routed
+		view.byID[routed.id] = routed
+	}
+	return view
+}
+
+// server is a backend server together with the node of its agent.
+type server struct {
+	backend *Backend
+	node    *Node
+}
+
+func (s *State) nodes() map[InstanceID]*Node {
+	nodes := make(map[InstanceID]*Node, len(s.instances.Instances))
+	for i := range s.instances.Instances {
+		instance := &s.instances.Instances[i]
+		data, _ := netip.ParseAddrPort(instance.Data)
+		control, _ := netip.ParseAddrPort(instance.Control)
+		id := InstanceIDOf(instance.Name)
+		nodes[id] = &Node{
+			id:         id,
+			name:       instance.Name,
+			role:       instance.Role,
+			dataCentre: instance.DataCentre,
+			data:       data,
+			control:    control,
+			leaving:    instance.State == StateLeaving,
+		}
+	}
+	return nodes
+}
+
+func (s *State) servers(nodes map[InstanceID]*Node) map[string][]server {
+	servers := make(map[string][]server)
+	for i := range s.backends.Backends {
+		backend := &s.backends.Backends[i]
+		node := nodes[InstanceIDOf(backend.Name)]
+		if node == nil || node.role != RoleAgent {
+			continue
+		}
+		servers[backend.DataCentre] = append(servers[backend.DataCentre], server{backend, node})
+	}
+	return servers
+}
+
+func (s *State) residualOwners(nodes map[InstanceID]*Node) map[ServiceID][]*Node {
+	owners := make(map[ServiceID][]*Node)
+	for id, record := range s.peers.records {
+		node := nodes[id]
+		if node == nil {
+			continue
+		}
+		for _, service := range record.Residual {
+			owners[service] = append(owners[service], node)
+		}
+	}
+	return owners
+}
+
+func (s *State) route(service *Service, servers map[string][]server, residual map[ServiceID][]*Node, now time.Time) *RoutedService {
+	address, _ := service.address()
+	routed := &RoutedService{
+		id:      ServiceIDOf(service.Name),
+		name:    service.Name,
+		address: address,
+		present: make(map[string]bool, len(service.Selectors)),
+	}
+	for dataCentre, selector := range service.Selectors {
+		routed.present[dataCentre] = true
+		for _, candidate := range servers[dataCentre] {
+			if selector.Matches(candidate.backend.Labels) {
+				routed.targets = append(routed.targets, s.target(candidate.node, now))
+			}
+		}
+	}
+	slices.SortFunc(routed.targets, compareTargets)
+	routed.selected = len(routed.targets)
+	routed.targets = append(routed.targets, s.residualTargets(routed, residual[routed.id], now)...)
+	return routed
+}
+
+func (s *State) residualTargets(routed *RoutedService, owners []*Node, now time.Time) []Target {
+	var targets []Target
+	for _, node := range owners {
+		if routed.Target(node.id) != nil || !routed.present[node.dataCentre] {
+			continue
+		}
+		target := s.target(node, now)
+		target.residual = true
+		target.accepting = false
+		targets = append(targets, target)
+	}
+	slices.SortFunc(targets, compareTargets)
+	return targets
+}
+
+func (s *State) target(node *Node, now time.Time) Target {
+	record, known := s.peers.Record(node.id)
+	weight := DefaultWeight
+	if known && record.Weight > 0 {
+		weight = record.Weight
+	}
+	suspected := s.peers.suspected(node.id, now)
+	return Target{
+		id:          node.id,
+		name:        node.name,
+		dataCentre:  node.dataCentre,
+		data:        node.data,
+		incarnation: record.Incarnation,
+		weight:      weight,
+		accepting:   !node.leaving && !suspected && record.State != PeerLeaving,
+		reachable:   !s.peers.unreachable[node.id],
+	}
+}
+
+func compareTargets(a, b Target) int {
+	switch {
+	case a.id < b.id:
+		return -1
+	case a.id > b.id:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/fleet/view.go
@@ -0,0 +1,246 @@
+package fleet
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Target is a backend server as seen by one service.
+type Target struct {
+	id          InstanceID
+	name        string
+	dataCentre  string
+	data        netip.AddrPort
+	incarnation uint64
+	weight      Weight
+	accepting   bool
+	reachable   bool
+	residual    bool
+}
+
+// ID returns the instance that serves the target.
+func (t *Target) ID() InstanceID { return t.id }
+
+// Name returns the name of the backend server.
+func (t *Target) Name() string { return t.name }
+
+// DataCentre returns the data centre of the backend server.
+func (t *Target) DataCentre() string { return t.dataCentre }
+
+// Data returns the UDP endpoint of the agent.
+func (t *Target) Data() netip.AddrPort { return t.data }
+
+// Incarnation returns the agent's incarnation, or zero if it is not known yet.
+func (t *Target) Incarnation() uint64 { return t.incarnation }
+
+// Weight returns the relative speed of the backend server.
+func (t *Target) Weight() Weight { return t.weight }
+
+// IsAccepting reports whether the target may be given new flows.
+func (t *Target) IsAccepting() bool { return t.accepting }
+
+// IsReachable reports whether this process gets answers from the agent.
+func (t *Target) IsReachable() bool { return t.reachable }
+
+// IsResidual reports whether the target is no longer selected and only keeps
+// the flows it already owns.
+func (t *Target) IsResidual() bool { return t.residual }
+
+// RoutedService is a service with its targets.
+type RoutedService struct {
+	id      ServiceID
+	name    string
+	address flow.Address
+	// targets holds the selected targets by ID, then the residual ones.
+	targets  []Target
+	selected int
+	// present holds the data centres that have a selector.
+	present map[string]bool
+}
+
+// ID returns the service's identifier.
+func (s *RoutedService) ID() ServiceID { return s.id }
+
+// Name returns the service's published name.
+func (s *RoutedService) Name() string { return s.name }
+
+// Address returns the service's address.
+func (s *RoutedService) Address() flow.Address { return s.address }
+
+// Targets returns the selected targets, then the residual ones.
+func (s *RoutedService) Targets() []Target { return s.targets }
+
+// Target returns the target served by an instance, or nil.
+func (s *RoutedService) Target(id InstanceID) *Target {
+	for i := range s.targets {
+		if s.targets[i].id == id {
+			return &s.targets[i]
+		}
+	}
+	return nil
+}
+
+// IsPresent reports whether the data centre has a selector for the service.
+func (s *RoutedService) IsPresent(dataCentre string) bool { return s.present[dataCentre] }
+
+// Node is a peer process: where it listens and what it runs.
+type Node struct {
+	id         InstanceID
+	name       string
+	role       Role
+	dataCentre string
+	data       netip.AddrPort
+	control    netip.AddrPort
+	leaving    bool
+}
+
+// ID returns the node's identifier.
+func (n *Node) ID() InstanceID { return n.id }
+
+// Name returns the node's published name.
+func (n *Node) Name() string { return n.name }
+
+// Role returns what the node runs.
+func (n *Node) Role() Role { return n.role }
+
+// DataCentre returns the node's data centre.
+func (n *Node) DataCentre() string { return n.dataCentre }
+
+// Data returns the node's UDP endpoint.
+func (n *Node) Data() netip.AddrPort { return n.data }
+
+// Control returns the node's control endpoint.
+func (n *Node) Control() netip.AddrPort { return n.control }
+
+// IsLeaving reports whether the platform lists the node as leaving.
+func (n *Node) IsLeaving() bool { return n.leaving }
+
+// View is an immutable picture of the fleet. Traffic goroutines share one view
+// and never change it.
+type View struct {
+	revisions Revisions
+	services  map[flow.Address]*RoutedService
+	byID      map[ServiceID]*RoutedService
+	nodes     map[InstanceID]*Node
+	settledAt time.Time
+}
+
+// Revisions holds the revision of each document.
+type Revisions struct {
+	_         struct{} `cbor:",toarray"`
+	Services  uint64   `json:"services"`
+	Backends  uint64   `json:"backends"`
+	Instances uint64   `json:"instances"`
+}
+
+// Highest returns the highest revision of any document.
+func (r Revisions) Highest() uint64 {
+	return max(r.Services, r.Backends, r.Instances)
+}
+
+// Revisions returns the revisions the view was computed from.
+func (v *View) Revisions() Revisions { return v.revisions }
+
+// ServiceAt returns the service with an address, or nil.
+func (v *View) ServiceAt(address flow.Address) *RoutedService { return v.services[address] }
+
+// Service returns the service with an ID, or nil.
+func (v *View) Service(id ServiceID) *RoutedService { return v.byID[id] }
+
+// Services returns all services in no particular order.
+func (v *View) Services() map[ServiceID]*RoutedService { return v.byID }
+
+// Node returns a node of the fleet, or nil.
+func (v *View) Node(id InstanceID) *Node { return v.nodes[id] }
+
+// Nodes returns all nodes by ID.
+func (v *View) Nodes() map[InstanceID]*Node { return v.nodes }
+
+// SettledAt returns the instant from which the view counts as settled: every
+// process has had time to apply the change that led to it.
+func (v *View) SettledAt() time.Time { return v.settledAt }
+
+// score is the weighted rendezvous score of a target for a flow hash.
+func score(hash uint64, target *Target) float64 {
+	h := hash ^ uint64(target.id)*0x9E3779B97F4A7C15
+	h = (h ^ h>>32) * 0xd6e8feb86659fd93
+	h = (h ^ h>>32) * 0xd6e8feb86659fd93
+	h ^= h >> 32
+	uniform := (float64(h>>11) + 0.5) / (1 << 53)
+	return -float64(target.weight) / math.Log(uniform)
+}
+
+// Primary returns the target that decides about a new flow: the first accepting
+// candidate. It returns nil if no target is accepting.
+func (s *RoutedService) Primary(hash uint64) *Target {
+	return s.best(hash, (*Target).IsAccepting)
+}
+
+// Home returns the first reachable candidate of an established flow, selected
+// targets before residual ones. It returns nil if none is reachable.
+func (s *RoutedService) Home(hash uint64) *Target {
+	if home := s.best(hash, (*Target).IsReachable); home != nil {
+		return home
+	}
+	for i := s.selected; i < len(s.targets); i++ {
+		if s.targets[i].reachable {
+			return &s.targets[i]
+		}
+	}
+	return nil
+}
+
+func (s *RoutedService) best(hash uint64, eligible func(*Target) bool) *Target {
+	var best *Target
+	highest := math.Inf(-1)
+	for i := range s.targets[:s.selected] {
+		target := &s.targets[i]
+		if !eligible(target) {
+			continue
+		}
+		if value := score(hash, target); value > highest {
+			best, highest = target, value
+		}
+	}
+	return best
+}
+
+// Walk is the next step of the search for the owner of a flow.
+type Walk struct {
+	// Next is the next candidate to ask, or nil if none is left.
+	Next *Target
+	// Skipped reports whether a candidate was passed over because it does not
+	// answer. The search is then not conclusive.
+	Skipped bool
+}
+
+// NextCandidate returns the first reachable candidate that is not in visited:
+// selected targets in rendezvous order, then residual owners.
+func (s *RoutedService) NextCandidate(hash uint64, visited []InstanceID) Walk {
+	var walk Walk
+	unvisited := func(target *Target) bool {
+		if slices.Contains(visited, target.id) {
+			return false
+		}
+		if !target.reachable {
+			walk.Skipped = true
+			return false
+		}
+		return true
+	}
+	walk.Next = s.best(hash, unvisited)
+	if walk.Next != nil {
+		return walk
+	}
+	for i := s.selected; i < len(s.targets); i++ {
+		if unvisited(&s.targets[i]) {
+			walk.Next = &s.targets[i]
+			return walk
+		}
+	}
+	return walk
+}
--- /dev/null
+++ b/internal/core/flow/flow.go
@@ -0,0 +1,123 @@
+// Package flow defines what the decision cores know of traffic: a service
+// address, a flow, the phase a packet belongs to, and opaque bytes.
+//
+// Nothing here depends on a packet format. Adapters such as wire/ipv4 translate
+// their format into these types.
+package flow
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Protocol is the transport protocol number of a service, as assigned by IANA.
+type Protocol uint8
+
+// Transport protocols that a service may use.
+const (
+	TCP Protocol = 6
+	UDP Protocol = 17
+)
+
+// Kind is the phase of a flow that a packet belongs to.
+type Kind uint8
+
+const (
+	// Opening is the first packet of a flow in a protocol with a handshake.
+	Opening Kind = iota + 1
+	// Established is any later packet of a flow.
+	Established
+	// Closing tells that the caller has aborted the flow. It is never answered.
+	Closing
+	// Connectionless is any packet of a protocol without a handshake.
+	Connectionless
+)
+
+// ID identifies a flow exactly: protocol, caller endpoint and service address.
+type ID [16]byte
+
+// Address identifies a service endpoint: protocol, IP address and port.
+type Address [8]byte
+
+// NewAddress returns the service address for a protocol and an IPv4 endpoint.
+func NewAddress(protocol Protocol, endpoint netip.AddrPort) Address {
+	var address Address
+	address[0] = byte(protocol)
+	ip := endpoint.Addr().As4()
+	copy(address[1:5], ip[:])
+	binary.BigEndian.PutUint16(address[5:7], endpoint.Port())
+	return address
+}
+
+// NewID returns the flow between a caller endpoint and a service address.
+func NewID(service Address, caller netip.AddrPort) ID {
+	var id ID
+	copy(id[:7], service[:7])
+	ip := caller.Addr().As4()
+	copy(id[7:11], ip[:])
+	binary.BigEndian.PutUint16(id[11:13], caller.Port())
+	return id
+}
+
+// Service returns the service address of the flow.
+func (id ID) Service() Address {
+	var address Address
+	copy(address[:7], id[:7])
+	return address
+}
+
+// ServiceEndpoint returns the service's IP address and port.
+func (id ID) ServiceEndpoint() netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte(id[1:5]))
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(id[5:7]))
+}
+
+// Caller returns the caller's endpoint.
+func (id ID) Caller() netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte(id[7:11]))
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(id[11:13]))
+}
+
+// Protocol returns the transport protocol of the flow.
+func (id ID) Protocol() Protocol {
+	return Protocol(id[0])
+}
+
+// Hash returns a 64-bit hash of the flow, the same in every process.
+func (id ID) Hash() uint64 {
+	return xxhash.Sum64(id[:])
+}
+
+// Packet is one packet of a flow.
+type Packet struct {
+	flow     ID
+	kind     Kind
+	sequence uint32
+	confirms uint32
+	bytes    []byte
+}
+
+// NewPacket returns a packet. The bytes are kept, not copied.
+//
+// confirms is the handshake token that the packet acknowledges, or zero if the
+// packet format has none; sequence identifies the attempt of an opening packet.
+func NewPacket(id ID, kind Kind, sequence, confirms uint32, bytes []byte) Packet {
+	return Packet{flow: id, kind: kind, sequence: sequence, confirms: confirms, bytes: bytes}
+}
+
+// Flow returns the flow the packet belongs to.
+func (p Packet) Flow() ID { return p.flow }
+
+// Kind returns the phase of the flow the packet belongs to.
+func (p Packet) Kind() Kind { return p.kind }
+
+// Sequence returns the caller's sequence token.
+func (p Packet) Sequence() uint32 { return p.sequence }
+
+// Confirms returns the handshake token the packet acknowledges.
+func (p Packet) Confirms() uint32 { return p.confirms }
+
+// Bytes returns the packet as received, without encapsulation.
+func (p Packet) Bytes() []byte { return p.bytes }
--- /dev/null
+++ b/internal/daemon/agent/agent.go
@@ -0,0 +1,293 @@
+// Package agent runs the process beside a backend server.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/metrics"
+	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/backend"
+	"github.com/radishmast/radishmast/internal/link/caller"
+	"github.com/radishmast/radishmast/internal/link/fabric"
+)
+
+const (
+	// handedPerFlow is how many hand-overs are remembered for each flow owned.
+	handedPerFlow  = 2
+	sweepInterval  = time.Second
+	reportInterval = 500 * time.Millisecond
+	leaveTime      = 2 * time.Second
+	drainPoll      = 100 * time.Millisecond
+	maxDrain       = 24 * time.Hour
+)
+
+// Agent is a running agent.
+type Agent struct {
+	settings *settings.Agent
+	node     *node.Node
+	counters *metrics.Counters
+	logger   log.Interface
+	stack    *caller.Stack
+	dialer   *backend.Dialer
+	egress   *fabric.Egress
+
+	// mu guards the decision core, which every traffic goroutine asks.
+	mu    sync.Mutex
+	core  *core.Agent
+	load  *core.Load
+	conns map[flow.ID]*splice
+}
+
+// Run serves until ctx is done, then drains: it takes no new flows and ends when
+// the last one has.
+func Run(ctx context.Context, s *settings.Agent, logger log.Interface) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	a, err := newAgent(serving, s, logger)
+	if err != nil {
+		return fmt.Errorf("start agent %s: %w", s.Name, err)
+	}
+	group, serving := errgroup.WithContext(serving)
+	if err := a.start(serving, group); err != nil {
+		return fmt.Errorf("start agent %s: %w", s.Name, err)
+	}
+	logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.drain(serving)
+			stop()
+		case <-serving.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	logger.WithField("instance", s.Name).Info("stopped")
+	return err
+}
+
+func newAgent(ctx context.Context, s *settings.Agent, logger log.Interface) (*Agent, error) {
+	counters := metrics.New()
+	n, err := node.New(ctx, &s.Common, fleet.RoleAgent, counters, logger)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: settings.Endpoint(s.Data).Addr().AsSlice()})
+	if err != nil {
+		return nil, fmt.Errorf("open egress socket: %w", err)
+	}
+	load := core.NewLoad(s.Slots)
+	a := &Agent{
+		settings: s,
+		node:     n,
+		counters: counters,
+		logger:   logger.WithField("instance", s.Name),
+		dialer:   backend.NewDialer(settings.Endpoint(s.Backend)),
+		egress:   fabric.NewEgress(socket, settings.Endpoint(s.Egress), counters),
+		load:     load,
+		conns:    make(map[flow.ID]*splice),
+	}
+	a.core = core.New(core.Config{
+		Self:       n.ID(),
+		DataCentre: s.DataCentre,
+		MaxFlows:   s.Connections,
+		MaxHanded:  s.Connections * handedPerFlow,
+		Placement:  placement(s.Placement),
+	}, n.Load(), load)
+	a.stack, err = caller.New(a)
+	if err != nil {
+		return nil, err
+	}
+	n.OnPublish(a.applyView)
+	counters.Gauge("flows_owned", func() any {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.core.Owned()
+	})
+	return a, nil
+}
+
+func placement(name string) core.Placement {
+	switch name {
+	case "hash":
+		return core.HashOnly{}
+	case "choices":
+		return core.TwoChoices{}
+	}
+	return core.HandOverWhenFull{}
+}
+
+func (a *Agent) start(ctx context.Context, group *errgroup.Group) error {
+	if err := a.node.Start(ctx, group); err != nil {
+		return err
+	}
+	receiver, err := a.node.NewReceiver()
+	if err != nil {
+		return err
+	}
+	traffic, err := newTraffic(a)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		for {
+			err := receiver.Step(traffic.handle)
+			switch {
+			case err == nil:
+			case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+				return nil
+			default:
+				return err
+			}
+			traffic.flush()
+		}
+	})
+	group.Go(func() error { return a.sendAnswers(ctx) })
+	group.Go(func() error { return a.maintain(ctx) })
+	return nil
+}
+
+// maintain sweeps the flow table and reports load until ctx is done.
+func (a *Agent) maintain(ctx context.Context) error {
+	reporter, err := newReporter(a)
+	if err != nil {
+		return err
+	}
+	sweep, report := time.NewTicker(sweepInterval), time.NewTicker(reportInterval)
+	defer sweep.Stop()
+	defer report.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sweep.C:
+			a.sweep(time.Now())
+			a.describe()
+		case <-report.C:
+			reporter.send()
+		}
+	}
+}
+
+// describe tells peers of the agent's state and of the services whose flows it
+// keeps although it is not selected for them.
+func (a *Agent) describe() {
+	a.mu.Lock()
+	residual := a.core.ResidualServices()
+	draining := a.core.IsDraining()
+	a.mu.Unlock()
+	state := fleet.PeerAlive
+	if draining {
+		state = fleet.PeerLeaving
+	}
+	a.node.Describe(state, fleet.DefaultWeight, residual)
+}
+
+// sweep ends what has expired and forgets flows that the stack has finished with.
+func (a *Agent) sweep(now time.Time) {
+	a.mu.Lock()
+	expired := a.core.Sweep(now)
+	var ended []flow.ID
+	for id, s := range a.conns {
+		if s.hasEnded() && !a.stack.HasEndpoint(id) {
+			ended = append(ended, id)
+		}
+	}
+	for _, id := range ended {
+		delete(a.conns, id)
+		a.core.Closed(id)
+	}
+	a.mu.Unlock()
+	for _, id := range expired {
+		a.counters.Add("refuse_handshake_timeout", 1)
+		a.cut(id)
+	}
+}
+
+// applyView puts a view in force and resets the flows it no longer allows.
+func (a *Agent) applyView(view *fleet.View) {
+	a.mu.Lock()
+	cut := a.core.ApplyView(view)
+	a.mu.Unlock()
+	for _, id := range cut {
+		a.counters.Add("reset_data_centre_out", 1)
+		a.cut(id)
+	}
+}
+
+func (a *Agent) cut(id flow.ID) {
+	a.mu.Lock()
+	s := a.conns[id]
+	delete(a.conns, id)
+	a.core.Closed(id)
+	a.mu.Unlock()
+	if s != nil {
+		s.abort()
+	}
+}
+
+// drain takes no new flows and waits for the last one to end.
+func (a *Agent) drain(ctx context.Context) {
+	a.mu.Lock()
+	a.core.Drain()
+	a.mu.Unlock()
+	a.describe()
+	a.logger.Info("draining")
+	ctx, cancel := context.WithTimeout(ctx, maxDrain)
+	defer cancel()
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	earliest := time.Now().Add(leaveTime)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-poll.C:
+			a.mu.Lock()
+			idle := a.core.Owned() == 0
+			a.mu.Unlock()
+			if idle && time.Now().After(earliest) {
+				return
+			}
+		}
+	}
+}
+
+// sendAnswers carries the stack's packets to the fabric.
+func (a *Agent) sendAnswers(ctx context.Context) error {
+	packets := make([][]byte, 0, maxAnswers)
+	buffers := make([][]byte, maxAnswers)
+	for i := range buffers {
+		buffers[i] = make([]byte, 0, caller.MTU)
+	}
+	for {
+		first, err := a.stack.Next(ctx, buffers[0][:0])
+		if err != nil {
+			return nil
+		}
+		packets = append(packets[:0], first)
+		for len(packets) < maxAnswers {
+			next := a.stack.TryNext(buffers[len(packets)][:0])
+			if next == nil {
+				break
+			}
+			packets = append(packets, next)
+		}
+		a.noteAnswers(packets)
+		a.egress.Send(packets...)
+	}
+}
+
+// maxAnswers is the number of packets sent to the fabric in one batch.
+const maxAnswers = 64
--- /dev/null
+++ b/internal/daemon/agent/report.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// reporter sends load reports to the agent's siblings.
+type reporter struct {
+	agent  *Agent
+	codec  *datagram.Codec
+	writer *peer.Writer
+}
+
+func newReporter(a *Agent) (*reporter, error) {
+	codec, err := a.node.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &reporter{agent: a, codec: codec, writer: peer.NewWriter(a.node.Socket())}, nil
+}
+
+func (r *reporter) send() {
+	r.agent.mu.Lock()
+	report := r.agent.core.Report()
+	siblings := r.agent.core.Siblings()
+	r.agent.mu.Unlock()
+	body, err := cbor.Marshal(&report)
+	if err != nil {
+		r.agent.logger.WithError(fmt.Errorf("encode load report: %w", err)).Error("report")
+		return
+	}
+	for _, sibling := range siblings {
+		header := r.agent.node.Header(datagram.Load, sibling.ID(), sibling.Incarnation())
+		buffer, err := r.writer.Next()
+		if err == nil {
+			_, err = r.codec.AppendTo(buffer, &header, body)
+		}
+		if err != nil {
+			r.agent.counters.Add("drop_send_failed", 1)
+			continue
+		}
+		r.agent.counters.Add("control_bytes_sent", buffer.Len())
+		r.writer.Queue(sibling.Data())
+	}
+	if err := r.writer.Flush(); err != nil {
+		r.agent.counters.Add("drop_send_failed", 1)
+	}
+}
--- /dev/null
+++ b/internal/daemon/agent/splice.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/link/backend"
+	"github.com/radishmast/radishmast/internal/link/caller"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/chunk"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+	"github.com/radishmast/radishmast/internal/wire/ipv4"
+)
+
+// splice joins a caller's flow with a connection to the backend server.
+type splice struct {
+	agent   *Agent
+	id      flow.ID
+	backend *backend.Conn
+	caller  *caller.Conn
+	ended   atomic.Bool
+
+	mu        sync.Mutex
+	waiting   bool
+	startedAt time.Time
+}
+
+// Serve connects a new flow to the backend server before it answers the caller,
+// so that what is refused here has delivered nothing.
+func (a *Agent) Serve(request *caller.Request) {
+	id := request.Flow()
+	upstream, err := a.dialer.Dial(context.Background(), id.Protocol())
+	if err != nil {
+		request.Abandon()
+		a.logger.WithError(err).Warn("flow refused")
+		a.failed(id)
+		return
+	}
+	conn, err := request.Accept()
+	if err != nil {
+		upstream.Abort()
+		a.counters.Add("refuse_handshake", 1)
+		a.forget(id)
+		return
+	}
+	s := &splice{agent: a, id: id, backend: upstream, caller: conn}
+	if !a.opened(s) {
+		s.abort()
+		return
+	}
+	s.run()
+}
+
+// opened registers the flow. It reports false if the flow was cut meanwhile.
+func (a *Agent) opened(s *splice) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.core.Opened(s.id) {
+		return false
+	}
+	a.conns[s.id] = s
+	a.counters.Add("flows_opened", 1)
+	return true
+}
+
+func (a *Agent) forget(id flow.ID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Closed(id)
+}
+
+// failed hands a flow on that could not be opened here, or refuses it.
+func (a *Agent) failed(id flow.ID) {
+	a.mu.Lock()
+	a.load.Restarted()
+	retry := a.core.Failed(time.Now(), id, core.RetryDial, core.RefuseDial)
+	a.mu.Unlock()
+	switch action := retry.Action.(type) {
+	case *core.Reset:
+		if packet, err := ipv4.Parse(retry.Opening); err == nil {
+			a.reset(packet, action.Reason)
+		}
+	case *core.PassOn:
+		a.counters.Add(string(action.Reason), 1)
+		a.sendRetry(&retry, action)
+	}
+}
+
+func (a *Agent) sendRetry(retry *core.Retry, action *core.PassOn) {
+	codec, err := a.node.NewCodec()
+	if err != nil {
+		return
+	}
+	header := a.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
+	header.Service = uint64(retry.Service)
+	header.Flags = flagsOf(action)
+	for _, id := range retry.Visited {
+		header.Visited = append(header.Visited, uint64(id))
+	}
+	writer := peer.NewWriter(a.node.Socket())
+	buffer, err := writer.Next()
+	if err == nil {
+		_, err = codec.AppendTo(buffer, &header, retry.Opening)
+	}
+	if err == nil {
+		writer.Queue(action.Target.Data())
+		err = writer.Flush()
+	}
+	if err != nil {
+		a.counters.Add("drop_send_failed", 1)
+	}
+}
+
+// run copies both directions until they end.
+func (s *splice) run() {
+	var group sync.WaitGroup
+	group.Go(s.copyRequests)
+	s.copyAnswers()
+	group.Wait()
+	s.finishWaiting(false)
+	s.caller.Close()
+	s.backend.Close()
+	s.agent.mu.Lock()
+	s.agent.core.Closing(s.id)
+	s.agent.mu.Unlock()
+	s.ended.Store(true)
+}
+
+// copyRequests copies from the caller to the backend server. A caller that
+// resets the flow cancels the work at the backend server.
+func (s *splice) copyRequests() {
+	for {
+		data, err := s.caller.Next()
+		if errors.Is(err, io.EOF) {
+			s.backend.CloseWrite()
+			return
+		}
+		if err != nil {
+			s.agent.counters.Add("cancel_caller_gone", 1)
+			s.backend.Abort()
+			return
+		}
+		s.startWaiting()
+		err = write(s.backend, data)
+		if err != nil {
+			s.caller.Abort()
+			return
+		}
+	}
+}
+
+// copyAnswers copies from the backend server to the caller. A connection that
+// the backend server breaks ends with a reset, never with a clean end.
+func (s *splice) copyAnswers() {
+	for {
+		data, err := s.backend.Next()
+		if errors.Is(err, io.EOF) {
+			s.caller.CloseWrite()
+			return
+		}
+		if err != nil {
+			s.caller.Abort()
+			return
+		}
+		s.finishWaiting(true)
+		if err := write(s.caller, data); err != nil {
+			s.backend.Abort()
+			return
+		}
+	}
+}
+
+func write(to io.Writer, data *chunk.Chunk) error {
+	defer data.Put()
+	_, err := to.Write(data.Bytes())
+	return err
+}
+
+// startWaiting counts a request when the caller sends after the last answer.
+func (s *splice) startWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting {
+		return
+	}
+	s.waiting = true
+	s.startedAt = time.Now()
+	s.agent.mu.Lock()
+	s.agent.load.Start()
+	s.agent.mu.Unlock()
+}
+
+func (s *splice) finishWaiting(answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.waiting {
+		return
+	}
+	s.waiting = false
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	if answered {
+		s.agent.load.Finish(time.Since(s.startedAt))
+	} else {
+		s.agent.load.Cancel()
+	}
+}
+
+func (s *splice) hasEnded() bool { return s.ended.Load() }
+
+// abort resets both sides.
+func (s *splice) abort() {
+	s.caller.Abort()
+	s.backend.Abort()
+}
--- /dev/null
+++ b/internal/daemon/agent/traffic.go
@@ -0,0 +1,203 @@
+package agent
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+	"github.com/radishmast/radishmast/internal/wire/ipv4"
+)
+
+// traffic carries out decisions about the packets of one goroutine.
+type traffic struct {
+	agent   *Agent
+	codec   *datagram.Codec
+	writer  *peer.Writer
+	arrival core.Arrival
+	out     datagram.Header
+	visited []uint64
+}
+
+func newTraffic(a *Agent) (*traffic, error) {
+	codec, err := a.node.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &traffic{agent: a, codec: codec, writer: peer.NewWriter(a.node.Socket())}, nil
+}
+
+// handle processes one datagram from a balancer or another agent.
+func (t *traffic) handle(header *datagram.Header, body []byte) {
+	switch header.Kind {
+	case datagram.Packet:
+		t.handlePacket(header, body)
+	case datagram.Load:
+		t.handleLoad(header, body)
+	default:
+		t.agent.counters.Add("drop_unexpected_kind", 1)
+	}
+}
+
+func (t *traffic) handleLoad(header *datagram.Header, body []byte) {
+	var report core.Report
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		t.agent.counters.Add("drop_undecodable", 1)
+		return
+	}
+	t.agent.mu.Lock()
+	defer t.agent.mu.Unlock()
+	t.agent.core.Heard(time.Now(), fleet.InstanceID(header.From), report)
+}
+
+func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
+	now := time.Now()
+	if !t.agent.node.IsValid(now) {
+		t.agent.counters.Add("drop_view_expired", 1)
+		return
+	}
+	packet, err := ipv4.Parse(body)
+	if err != nil {
+		t.agent.counters.Add("drop_malformed", 1)
+		return
+	}
+	t.arrival.Packet = packet
+	t.arrival.Service = fleet.ServiceID(header.Service)
+	t.arrival.Revision = header.Revision
+	t.arrival.Placed = header.Flags&datagram.Placed != 0
+	t.arrival.Searched = header.Flags&datagram.Searched != 0
+	t.arrival.Visited = t.arrival.Visited[:0]
+	for _, id := range header.Visited {
+		t.arrival.Visited = append(t.arrival.Visited, fleet.InstanceID(id))
+	}
+	t.decide(now, header)
+}
+
+func (t *traffic) decide(now time.Time, header *datagram.Header) {
+	t.agent.mu.Lock()
+	action := t.agent.core.Receive(now, &t.arrival)
+	switch a := action.(type) {
+	case *core.Deliver:
+		hint := a.Hint
+		t.agent.mu.Unlock()
+		t.agent.stack.Inject(t.arrival.Packet.Bytes())
+		if hint {
+			t.sendHint(header)
+		}
+	case *core.PassOn:
+		passOn := *a
+		t.agent.mu.Unlock()
+		t.passOn(header, &passOn)
+	case *core.Reset:
+		reason := a.Reason
+		t.agent.mu.Unlock()
+		t.agent.reset(t.arrival.Packet, reason)
+	case *core.Drop:
+		reason := a.Reason
+		t.agent.mu.Unlock()
+		t.agent.counters.Add(string(reason), 1)
+	}
+}
+
+func (t *traffic) passOn(in *datagram.Header, action *core.PassOn) {
+	t.visited = append(t.visited[:0], in.Visited...)
+	if !containsID(t.visited, t.agent.node.ID()) {
+		t.visited = append(t.visited, uint64(t.agent.node.ID()))
+	}
+	t.out = t.agent.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
+	t.out.Service = in.Service
+	t.out.Revision = max(t.out.Revision, in.Revision)
+	t.out.Origin = in.Origin
+	t.out.Visited = t.visited
+	t.out.Flags = flagsOf(action)
+	t.agent.counters.Add("packets_passed_on", 1)
+	if action.Reason != "" {
+		t.agent.counters.Add(string(action.Reason), 1)
+	}
+	t.queue(action.Target, t.arrival.Packet.Bytes())
+}
+
+func flagsOf(action *core.PassOn) datagram.Flags {
+	var flags datagram.Flags
+	if action.Placed {
+		flags |= datagram.Placed
+	}
+	if action.Searched {
+		flags |= datagram.Searched
+	}
+	return flags
+}
+
+func (t *traffic) queue(target *fleet.Target, body []byte) {
+	buffer, err := t.writer.Next()
+	if err == nil {
+		_, err = t.codec.AppendTo(buffer, &t.out, body)
+	}
+	if err != nil {
+		t.agent.counters.Add("drop_send_failed", 1)
+		return
+	}
+	t.writer.Queue(target.Data())
+}
+
+// sendHint tells the balancer that first received the packet who owns the flow.
+func (t *traffic) sendHint(in *datagram.Header) {
+	origin := t.agent.node.Load().Node(fleet.InstanceID(in.Origin))
+	if origin == nil {
+		return
+	}
+	var body [8]byte
+	binary.BigEndian.PutUint64(body[:], t.arrival.Packet.Flow().Hash())
+	t.out = t.agent.node.Header(datagram.Hint, origin.ID(), 0)
+	buffer, err := t.writer.Next()
+	if err == nil {
+		_, err = t.codec.AppendTo(buffer, &t.out, body[:])
+	}
+	if err != nil {
+		t.agent.counters.Add("drop_send_failed", 1)
+		return
+	}
+	t.writer.Queue(origin.Data())
+	t.agent.counters.Add("hints_sent", 1)
+}
+
+func (t *traffic) flush() {
+	if err := t.writer.Flush(); err != nil {
+		t.agent.counters.Add("drop_send_failed", 1)
+	}
+}
+
+func containsID(ids []uint64, id fleet.InstanceID) bool {
+	for _, known := range ids {
+		if known == uint64(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// reset answers the caller with a reset.
+func (a *Agent) reset(packet flow.Packet, reason core.Reason) {
+	a.counters.Add(string(reason), 1)
+	if answer := ipv4.Reset(packet); answer != nil {
+		a.egress.Send(answer)
+	}
+}
+
+// noteAnswers tells the core about the handshakes that the stack answers.
+func (a *Agent) noteAnswers(packets [][]byte) {
+	for _, packet := range packets {
+		answer, opens := ipv4.ParseAnswer(packet)
+		if !opens {
+			continue
+		}
+		a.mu.Lock()
+		a.core.Answered(answer.Flow, answer.Token)
+		a.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/daemon/balancer/balancer.go
@@ -0,0 +1,117 @@
+// Package balancer runs an entry instance.
+package balancer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	core "github.com/radishmast/radishmast/internal/core/balancer"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/daemon/metrics"
+	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/fabric"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// leaveTime is how long a leaving balancer goes on forwarding, so that the
+// fabric and its peers notice before it stops.
+const leaveTime = 2 * time.Second
+
+// hintBytes is the size of a hint's body: the hash of the flow.
+const hintBytes = 8
+
+// Run serves until ctx is done, then leaves without losing packets on the way.
+func Run(ctx context.Context, s *settings.Balancer, logger log.Interface) error {
+	counters := metrics.New()
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	n, err := node.New(serving, &s.Common, fleet.RoleBalancer, counters, logger)
+	if err != nil {
+		return fmt.Errorf("start balancer %s: %w", s.Name, err)
+	}
+	group, serving := errgroup.WithContext(serving)
+	if err := n.Start(serving, group); err != nil {
+		return fmt.Errorf("start balancer %s: %w", s.Name, err)
+	}
+	if err := start(serving, group, s, n, counters); err != nil {
+		return fmt.Errorf("start balancer %s: %w", s.Name, err)
+	}
+	logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("fabric", s.Fabric).Info("started")
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			leave(n)
+			stop()
+		case <-serving.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	logger.WithField("instance", s.Name).Info("stopped")
+	return err
+}
+
+func leave(n *node.Node) {
+	n.Describe(fleet.PeerLeaving, 0, nil)
+	time.Sleep(leaveTime)
+}
+
+func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, n *node.Node, counters *metrics.Counters) error {
+	balancer := core.New(core.NewHints(s.Hints))
+	for range s.Readers {
+		in, err := peer.Listen(ctx, settings.Endpoint(s.Fabric))
+		if err != nil {
+			return err
+		}
+		codec, err := n.NewCodec()
+		if err != nil {
+			return err
+		}
+		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation()}
+		forwarder := fabric.NewForwarder(identity, balancer, n, codec, in, n.Socket(), counters)
+		group.Go(func() error { return repeat(ctx, in, forwarder.Step) })
+	}
+	receiver, err := n.NewReceiver()
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		return repeat(ctx, n.Socket(), func() error {
+			return receiver.Step(func(header *datagram.Header, body []byte) {
+				learn(balancer, header, body)
+			})
+		})
+	})
+	return nil
+}
+
+func learn(balancer *core.Balancer, header *datagram.Header, body []byte) {
+	if header.Kind == datagram.Hint && len(body) == hintBytes {
+		balancer.Learn(binary.BigEndian.Uint64(body), fleet.InstanceID(header.From))
+	}
+}
+
+// repeat calls step until it fails; closing the socket ends it when ctx is done.
+func repeat(ctx context.Context, socket *net.UDPConn, step func() error) error {
+	release := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer release()
+	for {
+		err := step()
+		switch {
+		case err == nil:
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/node/node.go
@@ -0,0 +1,210 @@
+// Package node runs what both daemons share: the control goroutine, control
+// links, the platform reader, and the datagram socket for probes.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/radishmast/radishmast/internal/core/control"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/daemon/metrics"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+	link "github.com/radishmast/radishmast/internal/link/control"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/link/platform"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// validity is how long traffic may rely on the view after the control goroutine
+// last ran. A process that was paused finds it expired.
+const validity = time.Second
+
+// Node is the shared part of a daemon.
+type Node struct {
+	name        string
+	id          fleet.InstanceID
+	incarnation uint64
+	role        fleet.Role
+	dataCentre  string
+	keys        []datagram.Key
+	endpoint    netip.AddrPort
+	control     netip.AddrPort
+	socket      *net.UDPConn
+	platform    *platform.Client
+	counters    *metrics.Counters
+	logger      log.Interface
+
+	view       atomic.Pointer[fleet.View]
+	validUntil atomic.Int64
+	inputs     chan func(now time.Time) []control.Output
+	controller *control.Controller
+	onPublish  func(*fleet.View)
+	sendProbe  func(control.Probe)
+
+	mu       sync.Mutex
+	links    map[control.LinkID]*link.Link
+	nextLink control.LinkID
+}
+
+// New returns a node with an open datagram socket.
+func New(ctx context.Context, common *settings.Common, role fleet.Role, counters *metrics.Counters, logger log.Interface) (*Node, error) {
+	socket, err := peer.Listen(ctx, settings.Endpoint(common.Data))
+	if err != nil {
+		return nil, err
+	}
+	client, err := platform.New(common.Platform, http.DefaultTransport)
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	now := time.Now()
+	n := &Node{
+		name:        common.Name,
+		id:          fleet.InstanceIDOf(common.Name),
+		incarnation: uint64(now.UnixNano()),
+		role:        role,
+		dataCentre:  common.DataCentre,
+		endpoint:    settings.Endpoint(common.Data),
+		control:     settings.Endpoint(common.Control),
+		socket:      socket,
+		platform:    client,
+		counters:    counters,
+		logger:      logger.WithField("instance", common.Name),
+		inputs:      make(chan func(time.Time) []control.Output, 1024),
+		links:       make(map[control.LinkID]*link.Link),
+		onPublish:   func(*fleet.View) {},
+	}
+	for _, secret := range common.Keys {
+		n.keys = append(n.keys, datagram.NewKey(secret))
+	}
+	n.controller = control.New(now, control.Config{
+		Self:        n.id,
+		Incarnation: n.incarnation,
+		Role:        role,
+		DataCentre:  n.dataCentre,
+		Seeds:       seeds(common.Peers),
+	}, rand.New(rand.NewPCG(uint64(n.id), n.incarnation)))
+	n.view.Store(n.controller.View())
+	n.sendProbe = newProbeSender(n).send
+	return n, nil
+}
+
+func seeds(peers []string) []netip.AddrPort {
+	endpoints := make([]netip.AddrPort, 0, len(peers))
+	for _, p := range peers {
+		endpoints = append(endpoints, settings.Endpoint(p))
+	}
+	return endpoints
+}
+
+// ID returns the instance's identifier.
+func (n *Node) ID() fleet.InstanceID { return n.id }
+
+// Incarnation returns a number that is higher for each start of the instance.
+func (n *Node) Incarnation() uint64 { return n.incarnation }
+
+// Socket returns the datagram socket shared with other processes.
+func (n *Node) Socket() *net.UDPConn { return n.socket }
+
+// Load returns the view in force.
+func (n *Node) Load() *fleet.View { return n.view.Load() }
+
+// IsValid reports whether traffic may rely on the view.
+func (n *Node) IsValid(now time.Time) bool {
+	return now.UnixNano() < n.validUntil.Load()
+}
+
+// NewCodec returns a datagram codec with the fleet's keys.
+func (n *Node) NewCodec() (*datagram.Codec, error) {
+	codec, err := datagram.NewCodec(n.keys...)
+	if err != nil {
+		return nil, fmt.Errorf("set up datagrams: %w", err)
+	}
+	return codec, nil
+}
+
+// OnPublish sets the function that is called with each new view.
+func (n *Node) OnPublish(publish func(*fleet.View)) { n.onPublish = publish }
+
+// Do runs a function on the control goroutine. It is lost if the node is busy
+// beyond its queue.
+func (n *Node) Do(input func(now time.Time) []control.Output) {
+	select {
+	case n.inputs <- input:
+	default:
+		n.counters.Add("drop_control_input", 1)
+	}
+}
+
+// Describe sets what the node says of itself to its peers.
+func (n *Node) Describe(state fleet.PeerState, weight fleet.Weight, residual []fleet.ServiceID) {
+	n.Do(func(now time.Time) []control.Output {
+		return n.controller.Describe(now, state, weight, residual)
+	})
+}
+
+// Run owns the control state until ctx is done.
+func (n *Node) Run(ctx context.Context) error {
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case input := <-n.inputs:
+			n.carryOut(ctx, input(time.Now()))
+		case <-ticker.C:
+			now := time.Now()
+			n.carryOut(ctx, n.controller.Tick(now))
+			n.extendValidity(now)
+		}
+	}
+}
+
+func (n *Node) extendValidity(now time.Time) {
+	if n.controller.IsConfirmed(now) {
+		n.validUntil.Store(now.Add(validity).UnixNano())
+	}
+}
+
+func (n *Node) carryOut(ctx context.Context, outputs []control.Output) {
+	for _, output := range outputs {
+		switch o := output.(type) {
+		case control.Send:
+			n.send(o)
+		case control.OpenLink:
+			go n.dial(ctx, o.Control)
+		case control.CloseLink:
+			n.closeLink(o.Link)
+		case control.Probe:
+			n.sendProbe(o)
+		case control.Publish:
+			n.view.Store(o.View)
+			n.onPublish(o.View)
+		case control.Report:
+			n.report(o)
+		}
+	}
+}
+
+func (n *Node) report(r control.Report) {
+	n.counters.Add(string(r.Event), 1)
+	entry := n.logger.WithField("event", string(r.Event))
+	if r.Peer != "" {
+		entry = entry.WithField("peer", r.Peer)
+	}
+	if r.Err != nil {
+		entry = entry.WithError(r.Err)
+	}
+	entry.Info("control")
+}
--- /dev/null
+++ b/internal/daemon/node/probes.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/control"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// probeSender sends probes from the control goroutine.
+type probeSender struct {
+	node   *Node
+	codec  *datagram.Codec
+	writer *peer.Writer
+}
+
+func newProbeSender(n *Node) *probeSender {
+	codec, err := n.NewCodec()
+	if err != nil {
+		n.logger.WithError(err).Error("probe sender")
+	}
+	return &probeSender{node: n, codec: codec, writer: peer.NewWriter(n.socket)}
+}
+
+func (p *probeSender) send(probe control.Probe) {
+	header := p.node.Header(datagram.Probe, probe.Node.ID(), probe.Incarnation)
+	p.node.write(p.codec, p.writer, &header, nil, probe.Node.Data())
+}
+
+// Header returns a header from this node.
+func (n *Node) Header(kind datagram.Kind, to fleet.InstanceID, incarnation uint64) datagram.Header {
+	return datagram.Header{
+		Kind:            kind,
+		To:              uint64(to),
+		ToIncarnation:   incarnation,
+		From:            uint64(n.id),
+		FromIncarnation: n.incarnation,
+		Revision:        n.Load().Revisions().Highest(),
+	}
+}
+
+func (n *Node) write(codec *datagram.Codec, writer *peer.Writer, header *datagram.Header, body []byte, to netip.AddrPort) {
+	buffer, err := writer.Next()
+	if err == nil {
+		_, err = codec.AppendTo(buffer, header, body)
+	}
+	size := 0
+	if err == nil {
+		size = buffer.Len()
+		writer.Queue(to)
+		err = writer.Flush()
+	}
+	if err != nil {
+		n.counters.Add("drop_send_failed", 1)
+		return
+	}
+	n.counters.Add("control_datagrams_sent", 1)
+	n.counters.Add("control_bytes_sent", size)
+}
+
+// Receiver handles the datagrams of one traffic goroutine.
+type Receiver struct {
+	node   *Node
+	codec  *datagram.Codec
+	reply  *datagram.Codec
+	reader *peer.Reader
+	writer *peer.Writer
+	header datagram.Header
+}
+
+// NewReceiver returns a receiver of the node's datagram socket.
+func (n *Node) NewReceiver() (*Receiver, error) {
+	codec, err := n.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	reply, err := n.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &Receiver{
+		node:   n,
+		codec:  codec,
+		reply:  reply,
+		reader: peer.NewReader(n.socket),
+		writer: peer.NewWriter(n.socket),
+	}, nil
+}
+
+// Step reads one batch. It answers probes itself and passes every other
+// datagram meant for this node to handle. The header is valid during the call.
+func (r *Receiver) Step(handle func(header *datagram.Header, body []byte)) error {
+	count, err := r.reader.Read()
+	if err != nil {
+		return err
+	}
+	for i := range count {
+		body, err := r.codec.Decode(r.reader.Datagram(i), &r.header)
+		if err != nil {
+			r.node.counters.Add(decodeReason(err), 1)
+			continue
+		}
+		if !r.isForThisNode() {
+			continue
+		}
+		r.dispatch(body, r.reader.Source(i), handle)
+	}
+	return nil
+}
+
+func (r *Receiver) isForThisNode() bool {
+	switch {
+	case r.header.To != uint64(r.node.id):
+		r.node.counters.Add("drop_wrong_instance", 1)
+		return false
+	case r.header.ToIncarnation != 0 && r.header.ToIncarnation != r.node.incarnation:
+		r.node.counters.Add("drop_wrong_incarnation", 1)
+		r.answer(datagram.ProbeAnswer, netip.AddrPort{})
+		return false
+	}
+	return true
+}
+
+func (r *Receiver) dispatch(body []byte, source netip.AddrPort, handle func(*datagram.Header, []byte)) {
+	switch r.header.Kind {
+	case datagram.Probe:
+		r.answer(datagram.ProbeAnswer, source)
+	case datagram.ProbeAnswer:
+		id, incarnation := fleet.InstanceID(r.header.From), r.header.FromIncarnation
+		r.node.Do(func(now time.Time) []control.Output {
+			return r.node.controller.Answered(now, id, incarnation)
+		})
+	default:
+		handle(&r.header, body)
+	}
+}
+
+// answer replies to the sender of the current datagram, at a source address or
+// at its published one.
+func (r *Receiver) answer(kind datagram.Kind, to netip.AddrPort) {
+	if !to.IsValid() {
+		sender := r.node.Load().Node(fleet.InstanceID(r.header.From))
+		if sender == nil {
+			return
+		}
+		to = sender.Data()
+	}
+	header := r.node.Header(kind, fleet.InstanceID(r.header.From), r.header.FromIncarnation)
+	r.node.write(r.reply, r.writer, &header, nil, to)
+}
+
+func decodeReason(err error) string {
+	switch err {
+	case datagram.ErrVersion:
+		return "drop_header_version"
+	case datagram.ErrTag:
+		return "drop_authentication"
+	case datagram.ErrSize:
+		return "drop_oversized"
+	case datagram.ErrVisited:
+		return "drop_visited"
+	}
+	return "drop_undecodable"
+}
--- /dev/null
+++ b/internal/daemon/node/serve.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	link "github.com/radishmast/radishmast/internal/link/control"
+	"github.com/radishmast/radishmast/internal/link/operator"
+	"github.com/radishmast/radishmast/internal/link/platform"
+)
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = time.Second
+)
+
+// Start runs the control goroutine, the control endpoint and the platform
+// readers in a group until ctx is done.
+func (n *Node) Start(ctx context.Context, group *errgroup.Group) error {
+	config := net.ListenConfig{}
+	listener, err := config.Listen(ctx, "tcp4", n.control.String())
+	if err != nil {
+		return fmt.Errorf("listen for control links on %s: %w", n.control, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(link.Path, n.acceptLink)
+	mux.Handle("/debug/vars", expvar.Handler())
+	mux.Handle("/status", operator.NewHandler(n.Status))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return n.Run(ctx) })
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve control endpoint %s: %w", n.control, err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		n.closeAll()
+		return shutDown(server)
+	})
+	for _, name := range platform.Names() {
+		group.Go(func() error {
+			n.readPlatform(ctx, name)
+			return nil
+		})
+	}
+	return nil
+}
+
+func shutDown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return errors.Join(fmt.Errorf("shut down control endpoint: %w", err), server.Close())
+	}
+	return nil
+}
+
+func (n *Node) closeAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		l.Close()
+	}
+	// The socket has no use after the last traffic goroutine.
+	_ = n.socket.Close()
+}
+
+// Status reports what the node has in force, for the operators' client.
+func (n *Node) Status() operator.Status {
+	view := n.Load()
+	status := operator.Status{
+		Name:        n.name,
+		Role:        string(n.role),
+		DataCentre:  n.dataCentre,
+		Incarnation: n.incarnation,
+		Revisions:   view.Revisions(),
+		Valid:       n.IsValid(time.Now()),
+		Nodes:       len(view.Nodes()),
+	}
+	for _, service := range view.Services() {
+		status.Services = append(status.Services, operator.DescribeService(service))
+	}
+	return status.Sorted()
+}
--- /dev/null
+++ b/internal/lab/backend/backend.go
@@ -0,0 +1,287 @@
+// Package backend is a stand-in for backend servers: HTTP with a number of
+// slots, a speed, a cold start that falls over under load, drain, shedding, and
+// health and load endpoints that lag.
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	maxBodyBytes  = 1 << 30
+	feedPeriod    = 100 * time.Millisecond
+	loadLag       = time.Second
+)
+
+// Config describes a backend server.
+type Config struct {
+	Name    string
+	Address string
+	// Service is the service it belongs to; requests for another one are crossed.
+	Service string
+	// Slots is the number of requests that run at once; others wait in line.
+	Slots int
+	// MaxQueue is the number of requests that may wait before it sheds load.
+	MaxQueue int
+	// Speed divides the work of a request.
+	Speed float64
+	// WarmRequests is the number of answers after which it is warm. Until then
+	// it falls over when more than a growing number of requests run at once.
+	WarmRequests int
+	// FallTime is how long it stays down after it fell over.
+	FallTime time.Duration
+}
+
+// Server is a running backend server.
+type Server struct {
+	config Config
+	ledger *Ledger
+
+	mu        sync.Mutex
+	http      *http.Server
+	startedAt time.Time
+	running   int
+	queued    int
+	answered  int
+	busy      time.Duration
+	falls     int
+	lagged    loadReport
+	slots     chan struct{}
+	ctx       context.Context
+	cancel    context.CancelFunc
+}
+
+type loadReport struct {
+	Running int       `json:"running"`
+	Queued  int       `json:"queued"`
+	readAt  time.Time `json:"-"`
+}
+
+// Start runs a backend server that records requests in a ledger.
+func Start(config Config, ledger *Ledger) (*Server, error) {
+	s := &Server{config: config, ledger: ledger}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) listen() error {
+	listener, err := net.Listen("tcp4", s.config.Address)
+	if err != nil {
+		return fmt.Errorf("start backend server %s: %w", s.config.Name, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/work/{id}", s.work)
+	mux.HandleFunc("/feed", s.feed)
+	mux.HandleFunc("/bytes/{count}", s.bytes)
+	mux.HandleFunc("/health", s.health)
+	mux.HandleFunc("/load", s.load)
+	mux.HandleFunc("/", s.hello)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.startedAt = time.Now()
+	s.answered = 0
+	s.slots = make(chan struct{}, s.config.Slots)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
+	return nil
+}
+
+// Stop kills the backend server: every connection breaks.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancel()
+	_ = s.http.Close()
+}
+
+// Restart brings a stopped backend server back, cold.
+func (s *Server) Restart() error { return s.listen() }
+
+// Busy returns the time for which slots have been in use, summed over slots.
+func (s *Server) Busy() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
+// Falls returns how often it fell over.
+func (s *Server) Falls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.falls
+}
+
+// Config returns the server's configuration.
+func (s *Server) Config() Config { return s.config }
+
+func (s *Server) hello(w http.ResponseWriter, r *http.Request) {
+	_, _ = fmt.Fprintf(w, "%s of %s serves %s\n", s.config.Name, s.config.Service, r.URL.Path)
+}
+
+// work runs a request that costs a number of milliseconds at speed 1.
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if r.Header.Get("X-Service") != s.config.Service {
+		s.ledger.cross(id)
+		http.Error(w, "request for another service", http.StatusMisdirectedRequest)
+		return
+	}
+	cost, _ := strconv.ParseFloat(r.URL.Query().Get("ms"), 64)
+	release, accepted := s.acquire(r.Context())
+	if !accepted {
+		http.Error(w, "not run", http.StatusServiceUnavailable)
+		return
+	}
+	defer release()
+	s.ledger.run(id, s.config.Name)
+	timer := time.NewTimer(time.Duration(cost / s.config.Speed * float64(time.Millisecond)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		return
+	}
+	_, _ = fmt.Fprintf(w, "done %s\n", id)
+}
+
+// acquire waits for a slot. It reports false if the request was shed or given up.
+func (s *Server) acquire(ctx context.Context) (release func(), accepted bool) {
+	s.mu.Lock()
+	if s.queued >= s.config.MaxQueue+s.config.Slots {
+		s.mu.Unlock()
+		return nil, false
+	}
+	s.queued++
+	if s.isOverloadedCold() {
+		s.mu.Unlock()
+		s.fall()
+		return nil, false
+	}
+	slots := s.slots
+	s.mu.Unlock()
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		s.leaveQueue()
+		return nil, false
+	}
+	started := time.Now()
+	s.mu.Lock()
+	s.running++
+	s.mu.Unlock()
+	return func() { s.release(slots, started) }, true
+}
+
+func (s *Server) release(slots chan struct{}, started time.Time) {
+	<-slots
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.queued--
+	s.answered++
+	s.busy += time.Since(started)
+}
+
+func (s *Server) leaveQueue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+}
+
+// isOverloadedCold reports whether a cold server has more requests than it bears:
+// one at first, then one more for each equal part of the warm-up.
+func (s *Server) isOverloadedCold() bool {
+	if s.answered >= s.config.WarmRequests {
+		return false
+	}
+	bearable := 1 + s.answered*s.config.Slots/s.config.WarmRequests
+	return s.queued > bearable
+}
+
+// fall breaks every connection and comes back cold after a while.
+func (s *Server) fall() {
+	s.mu.Lock()
+	s.falls++
+	s.mu.Unlock()
+	s.Stop()
+	time.AfterFunc(s.config.FallTime, func() { _ = s.Restart() })
+}
+
+// feed sends a numbered line every period until the client or the server ends.
+func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	ctx := s.ctx
+	s.mu.Unlock()
+	ticker := time.NewTicker(feedPeriod)
+	defer ticker.Stop()
+	key := r.URL.Query().Get("key")
+	for line := 0; ; line++ {
+		if _, err := fmt.Fprintf(w, "%s %d\n", key, line); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-ticker.C:
+		case <-r.Context().Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) bytes(w http.ResponseWriter, r *http.Request) {
+	count, err := strconv.Atoi(r.PathValue("count"))
+	if err != nil || count < 0 || count > maxBodyBytes {
+		http.Error(w, "count must be a number of bytes up to 1 GiB", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(count))
+	block := make([]byte, 64<<10)
+	for i := range block {
+		block[i] = byte('a' + i%26)
+	}
+	for count > 0 {
+		size := min(count, len(block))
+		if _, err := w.Write(block[:size]); err != nil {
+			return
+		}
+		count -= size
+	}
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	started := s.startedAt
+	s.mu.Unlock()
+	writeJSON(w, struct {
+		Started time.Time `json:"started"`
+	}{started})
+}
+
+// load reports what was true a while ago.
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	if time.Since(s.lagged.readAt) > loadLag {
+		s.lagged = loadReport{Running: s.running, Queued: s.queued - s.running, readAt: time.Now()}
+	}
+	report := s.lagged
+	s.mu.Unlock()
+	writeJSON(w, report)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/lab/backend/ledger.go
@@ -0,0 +1,56 @@
+package backend
+
+import "sync"
+
+// Ledger is the backend servers' own record of the requests they ran.
+type Ledger struct {
+	mu      sync.Mutex
+	runs    map[string]int
+	crossed int
+	servers map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{runs: make(map[string]int), servers: make(map[string]int)}
+}
+
+func (l *Ledger) run(id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+	l.servers[server]++
+}
+
+func (l *Ledger) cross(string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crossed++
+}
+
+// Runs returns how often a request ran.
+func (l *Ledger) Runs(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// Doubled returns the number of requests that ran more than once.
+func (l *Ledger) Doubled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	doubled := 0
+	for _, runs := range l.runs {
+		if runs > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
+
+// Crossed returns the number of requests that reached another service.
+func (l *Ledger) Crossed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crossed
+}
--- /dev/null
+++ b/internal/lab/cluster/cluster.go
@@ -0,0 +1,367 @@
+// Package cluster runs real radishmastd processes between the lab's stand-ins
+// for platform, fabric, backend servers and callers. It is a tool for tests and
+// measurement.
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/lab/backend"
+	"github.com/radishmast/radishmast/internal/lab/caller"
+	"github.com/radishmast/radishmast/internal/lab/fabric"
+	"github.com/radishmast/radishmast/internal/lab/platform"
+)
+
+// Ports of the processes; each instance has an IP address of its own.
+const (
+	dataPort    = 7000
+	controlPort = 7001
+	fabricPort  = 6081
+	backendPort = 8080
+
+	stopTimeout = 10 * time.Second
+)
+
+// BackendSpec describes a backend server and the agent beside it.
+type BackendSpec struct {
+	Name       string
+	DataCentre string
+	Service    string
+	Labels     map[string]string
+	Slots      int
+	Speed      float64
+	// WarmRequests is zero for a backend server that does not fall over.
+	WarmRequests int
+}
+
+// Spec describes a cluster.
+type Spec struct {
+	Binary      string
+	Directory   string
+	Seed        uint64
+	DataCentres []string
+	Balancers   int
+	Services    []fleet.Service
+	Backends    []BackendSpec
+	Placement   string
+	Keys        []string
+	Faults      fabric.Faults
+}
+
+// Cluster is a running cluster.
+type Cluster struct {
+	spec     Spec
+	network  byte
+	lock     net.Listener
+	platform *platform.Platform
+	fabric   *fabric.Fabric
+	callers  *caller.Callers
+	ledger   *backend.Ledger
+
+	mu        sync.Mutex
+	instances map[string]*instance
+	order     []string
+	services  []fleet.Service
+}
+
+// instance is one radishmastd process with what stands beside it.
+type instance struct {
+	listed  fleet.Instance
+	address netip.Addr
+	process *process
+	server  *backend.Server
+	backend *BackendSpec
+	removed bool
+}
+
+// Start runs a cluster and waits until it serves.
+func Start(spec Spec) (*Cluster, error) {
+	c := &Cluster{
+		spec:      spec,
+		ledger:    backend.NewLedger(),
+		instances: make(map[string]*instance),
+		services:  spec.Services,
+	}
+	if err := c.reserveNetwork(); err != nil {
+		return nil, err
+	}
+	if err := c.startStandIns(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	if err := c.startInstances(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// reserveNetwork picks a /16 of the loopback range that no other cluster uses.
+func (c *Cluster) reserveNetwork() error {
+	const first, last = 64, 250
+	for n := first; n < last; n++ {
+		lock, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:%d", n, controlPort))
+		if err == nil {
+			c.lock, c.network = lock, byte(n)
+			return nil
+		}
+	}
+	return fmt.Errorf("no loopback network between 127.%d and 127.%d is free", first, last)
+}
+
+func (c *Cluster) startStandIns() error {
+	var err error
+	if c.platform, err = platform.Start(c.at(0, 2, 8500).String()); err != nil {
+		return err
+	}
+	c.fabric, err = fabric.Start(c.at(0, 3, fabricPort), c.spec.Seed, func(p []byte) { c.callers.Deliver(p) })
+	if err != nil {
+		return err
+	}
+	c.fabric.SetFaults(c.spec.Faults)
+	c.callers, err = caller.New(c.fabric.Send)
+	return err
+}
+
+func (c *Cluster) at(group, number byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, c.network, group, number}), port)
+}
+
+func (c *Cluster) startInstances() error {
+	for i := range c.spec.Balancers {
+		dataCentre := c.spec.DataCentres[i%len(c.spec.DataCentres)]
+		c.addInstance(fmt.Sprintf("entry-%d", i+1), fleet.RoleBalancer, dataCentre, c.at(1, byte(i+1), 0).Addr())
+	}
+	for i := range c.spec.Backends {
+		b := &c.spec.Backends[i]
+		c.addInstance(b.Name, fleet.RoleAgent, b.DataCentre, c.at(2, byte(i+1), 0).Addr()).backend = b
+	}
+	if err := c.PublishAll(); err != nil {
+		return err
+	}
+	for _, name := range c.order {
+		if err := c.launch(c.instances[name]); err != nil {
+			return err
+		}
+	}
+	c.sprayOverBalancers()
+	return nil
+}
+
+func (c *Cluster) addInstance(name string, role fleet.Role, dataCentre string, address netip.Addr) *instance {
+	i := &instance{
+		address: address,
+		listed: fleet.Instance{
+			Name:       name,
+			Role:       role,
+			DataCentre: dataCentre,
+			Data:       netip.AddrPortFrom(address, dataPort).String(),
+			Control:    netip.AddrPortFrom(address, controlPort).String(),
+			State:      fleet.StateLive,
+		},
+	}
+	c.instances[name] = i
+	c.order = append(c.order, name)
+	return i
+}
+
+func (c *Cluster) launch(i *instance) error {
+	if i.listed.Role == fleet.RoleBalancer {
+		return c.launchBalancer(i)
+	}
+	if i.server == nil {
+		server, err := backend.Start(backend.Config{
+			Name:         i.listed.Name,
+			Address:      netip.AddrPortFrom(i.address, backendPort).String(),
+			Service:      i.backend.Service,
+			Slots:        i.backend.Slots,
+			MaxQueue:     maxBackendQueue,
+			Speed:        i.backend.Speed,
+			WarmRequests: i.backend.WarmRequests,
+			FallTime:     fallTime,
+		}, c.ledger)
+		if err != nil {
+			return err
+		}
+		i.server = server
+	}
+	return c.launchAgent(i)
+}
+
+const (
+	maxBackendQueue = 1000
+	fallTime        = 2 * time.Second
+)
+
+// common returns the settings that both roles share.
+func (c *Cluster) common(i *instance) map[string]any {
+	settings := map[string]any{
+		"name":       i.listed.Name,
+		"dataCentre": i.listed.DataCentre,
+		"data":       netip.AddrPortFrom(i.address, dataPort).String(),
+		"control":    netip.AddrPortFrom(i.address, controlPort).String(),
+		"platform":   c.platform.URL(),
+		"peers":      c.seedPeers(i),
+	}
+	if len(c.spec.Keys) > 0 {
+		settings["keys"] = c.spec.Keys
+	}
+	return settings
+}
+
+// seedPeers returns the control endpoints of a few other instances.
+func (c *Cluster) seedPeers(except *instance) []string {
+	const wanted = 3
+	var peers []string
+	for _, name := range c.order {
+		if i := c.instances[name]; i != except && !i.removed && len(peers) < wanted {
+			peers = append(peers, i.listed.Control)
+		}
+	}
+	return peers
+}
+
+func (c *Cluster) launchBalancer(i *instance) error {
+	settings := c.common(i)
+	settings["fabric"] = netip.AddrPortFrom(i.address, fabricPort).String()
+	process, err := startProcess(c.spec.Binary, "balancer", c.spec.Directory, i.listed.Name, settings)
+	i.process = process
+	return err
+}
+
+func (c *Cluster) launchAgent(i *instance) error {
+	settings := c.common(i)
+	settings["egress"] = c.fabric.Address()
+	settings["backend"] = netip.AddrPortFrom(i.address, backendPort).String()
+	settings["health"] = "http://" + netip.AddrPortFrom(i.address, backendPort).String() + "/health"
+	settings["slots"] = i.backend.Slots
+	if c.spec.Placement != "" {
+		settings["placement"] = c.spec.Placement
+	}
+	process, err := startProcess(c.spec.Binary, "agent", c.spec.Directory, i.listed.Name, settings)
+	i.process = process
+	return err
+}
+
+func (c *Cluster) sprayOverBalancers() {
+	var endpoints []netip.AddrPort
+	for _, name := range c.order {
+		i := c.instances[name]
+		if i.listed.Role == fleet.RoleBalancer && !i.removed && i.process != nil {
+			endpoints = append(endpoints, netip.AddrPortFrom(i.address, fabricPort))
+		}
+	}
+	c.fabric.SetBalancers(endpoints)
+}
+
+// PublishAll publishes every document as it stands.
+func (c *Cluster) PublishAll() error {
+	if err := c.publishInstances(); err != nil {
+		return err
+	}
+	if err := c.publishBackends(); err != nil {
+		return err
+	}
+	return c.platform.Publish(&fleet.ServicesDocument{Services: c.services})
+}
+
+func (c *Cluster) publishInstances() error {
+	document := new(fleet.InstancesDocument)
+	for _, name := range c.order {
+		if i := c.instances[name]; !i.removed {
+			document.Instances = append(document.Instances, i.listed)
+		}
+	}
+	return c.platform.Publish(document)
+}
+
+func (c *Cluster) publishBackends() error {
+	document := new(fleet.BackendsDocument)
+	for _, name := range c.order {
+		i := c.instances[name]
+		if i.removed || i.backend == nil {
+			continue
+		}
+		document.Backends = append(document.Backends, fleet.Backend{
+			Name:       name,
+			DataCentre: i.listed.DataCentre,
+			Labels:     i.backend.Labels,
+		})
+	}
+	return c.platform.Publish(document)
+}
+
+// Close ends every process and stand-in.
+func (c *Cluster) Close() {
+	for _, i := range c.instances {
+		if i.process != nil {
+			// A process that has ended already cannot be signalled.
+			_ = i.process.signal(syscall.SIGKILL)
+			i.process.waitFor(stopTimeout)
+		}
+		if i.server != nil {
+			i.server.Stop()
+		}
+	}
+	if c.callers != nil {
+		c.callers.Close()
+	}
+	if c.fabric != nil {
+		c.fabric.Close()
+	}
+	if c.platform != nil {
+		c.platform.Close()
+	}
+	if c.lock != nil {
+		_ = c.lock.Close()
+	}
+}
+
+// Dial opens a flow from a member to the service with a name.
+func (c *Cluster) Dial(ctx context.Context, member netip.Addr, service string) (net.Conn, error) {
+	endpoint, err := c.ServiceEndpoint(service)
+	if err != nil {
+		return nil, err
+	}
+	return c.callers.Dial(ctx, member, endpoint)
+}
+
+// ServiceEndpoint returns the address of the service with a name.
+func (c *Cluster) ServiceEndpoint(name string) (netip.AddrPort, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.services, func(s fleet.Service) bool { return s.Name == name })
+	if i < 0 {
+		return netip.AddrPort{}, fmt.Errorf("no service %q is published", name)
+	}
+	return netip.ParseAddrPort(c.services[i].Address)
+}
+
+// Platform returns the platform's stand-in.
+func (c *Cluster) Platform() *platform.Platform { return c.platform }
+
+// Ledger returns the backend servers' record of requests.
+func (c *Cluster) Ledger() *backend.Ledger { return c.ledger }
+
+// NewDirectory returns a directory for settings and logs, and its removal.
+func NewDirectory() (string, func(), error) {
+	directory, err := os.MkdirTemp("", "radishmast-lab-")
+	if err != nil {
+		return "", nil, fmt.Errorf("create directory for settings and logs: %w", err)
+	}
+	return directory, func() { _ = os.RemoveAll(directory) }, nil
+}
+
+// ControlOf returns the control endpoint of an instance.
+func (c *Cluster) ControlOf(name string) string {
+	return c.instances[name].listed.Control
+}
--- /dev/null
+++ b/internal/lab/cluster/path_test.go
@@ -0,0 +1,106 @@
+package cluster_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/lab/cluster"
+	"github.com/radishmast/radishmast/internal/lab/fabric"
+)
+
+var daemon string
+
+func TestMain(m *testing.M) {
+	directory, remove, err := cluster.NewDirectory()
+	if err != nil {
+		log.Fatal(err)
+	}
+	daemon, err = cluster.BuildDaemon(directory)
+	if err != nil {
+		log.Fatal(err)
+	}
+	code := m.Run()
+	remove()
+	os.Exit(code)
+}
+
+// member is the caller of tests that need only one.
+var member = netip.MustParseAddr("10.1.0.1")
+
+// sampleSpec is a small cluster with both services.
+func sampleSpec(t *testing.T) cluster.Spec {
+	return cluster.Spec{
+		Binary:      daemon,
+		Directory:   t.TempDir(),
+		Seed:        1,
+		DataCentres: cluster.SampleCentres(),
+		Balancers:   3,
+		Services:    cluster.SampleServices(),
+		Backends:    append(cluster.SampleBackends("orders", 7, 2), cluster.SampleBackends("patterns", 3, 2)...),
+	}
+}
+
+func start(t *testing.T, spec cluster.Spec) *cluster.Cluster {
+	c, err := cluster.Start(spec)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	require.NoError(t, c.WaitReady(20*time.Second))
+	return c
+}
+
+// client returns an HTTP client whose connections are flows to a service.
+func client(c *cluster.Cluster, service string) *http.Client {
+	return &http.Client{
+		Timeout: 60 * time.Second,
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				return c.Dial(ctx, member, service)
+			},
+		},
+	}
+}
+
+func TestAnswersArriveWholeThroughLossAndReordering(t *testing.T) {
+	spec := sampleSpec(t)
+	spec.Faults = fabric.Faults{Drop: 0.01, Reorder: 0.01}
+	c := start(t, spec)
+
+	response, err := client(c, "patterns").Get("http://patterns/bytes/5000000")
+	require.NoError(t, err)
+	length, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, 5000000, length)
+
+	orders := client(c, "orders")
+	for i := range 50 {
+		response, err := orders.Get(fmt.Sprintf("http://orders/path-%d", i))
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Contains(t, string(body), fmt.Sprintf("of orders serves /path-%d\n", i))
+	}
+}
+
+func TestRefusalReachesCaller(t *testing.T) {
+	spec := sampleSpec(t)
+	spec.Backends = cluster.SampleBackends("orders", 2, 2)
+	c := start(t, spec)
+	for _, backend := range spec.Backends {
+		c.StopBackend(backend.Name)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := c.Dial(ctx, member, "orders")
+	require.ErrorContains(t, err, "connection was refused")
+}
--- /dev/null
+++ b/internal/lab/cluster/process.go
@@ -0,0 +1,67 @@
+package cluster
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// process is a running radishmastd.
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	log     *os.File
+}
+
+// startProcess runs the daemon with settings, logging to a file beside them.
+func startProcess(binary, role, directory, name string, settings any) (*process, error) {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode settings of %s: %w", name, err)
+	}
+	config := filepath.Join(directory, name+".json")
+	if err := os.WriteFile(config, data, 0o600); err != nil {
+		return nil, fmt.Errorf("write settings of %s: %w", name, err)
+	}
+	log, err := os.OpenFile(filepath.Join(directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("open log of %s: %w", name, err)
+	}
+	p := &process{command: exec.Command(binary, role, "--config", config), done: make(chan struct{}), log: log}
+	p.command.Stdout, p.command.Stderr = log, log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return nil, errors.Join(fmt.Errorf("start %s: %w", name, err), log.Close())
+	}
+	go p.wait()
+	return p, nil
+}
+
+func (p *process) wait() {
+	// How the process ended is in its log.
+	_ = p.command.Wait()
+	_ = p.log.Close()
+	close(p.done)
+}
+
+func (p *process) signal(signal syscall.Signal) error {
+	if err := p.command.Process.Signal(signal); err != nil {
+		return fmt.Errorf("signal process %d: %w", p.command.Process.Pid, err)
+	}
+	return nil
+}
+
+// waitFor waits for the process to end and reports whether it did in time.
+func (p *process) waitFor(timeout time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lab/cluster/sample.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"fmt"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// SampleCentres are the data centres of the sample clusters.
+func SampleCentres() []string { return []string{"north", "south", "west"} }
+
+// everywhere selects by one label in every data centre.
+func everywhere(key, value string) map[string]fleet.Selector {
+	selectors := make(map[string]fleet.Selector)
+	for _, dataCentre := range SampleCentres() {
+		selectors[dataCentre] = fleet.Selector{key: {value}}
+	}
+	return selectors
+}
+
+// SampleServices are an order service and a pattern library.
+func SampleServices() []fleet.Service {
+	return []fleet.Service{
+		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: everywhere("app", "orders")},
+		{Name: "patterns", Address: "10.9.0.2:80", Protocol: "tcp", Selectors: everywhere("app", "patterns")},
+	}
+}
+
+// SampleBackends returns backend servers spread over the data centres, with
+// speeds from 1 to 4 and a number of slots each.
+func SampleBackends(service string, count, slots int) []BackendSpec {
+	speeds := []float64{1, 2, 4, 1, 3, 2, 1}
+	specs := make([]BackendSpec, count)
+	for i := range specs {
+		centres := SampleCentres()
+		specs[i] = BackendSpec{
+			Name:       fmt.Sprintf("%s-%d", service, i+1),
+			DataCentre: centres[i%len(centres)],
+			Service:    service,
+			Labels:     map[string]string{"app": service},
+			Slots:      slots,
+			Speed:      speeds[i%len(speeds)],
+		}
+	}
+	return specs
+}
--- /dev/null
+++ b/internal/link/caller/conn.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/waiter"
+
+	"github.com/radishmast/radishmast/internal/wire/chunk"
+)
+
+// Conn is a flow with a caller. One goroutine may read while another writes.
+type Conn struct {
+	endpoint tcpip.Endpoint
+	queue    *waiter.Queue
+	readable chan struct{}
+	writable chan struct{}
+}
+
+const (
+	readEvents  = waiter.ReadableEvents | waiter.EventHUp | waiter.EventErr
+	writeEvents = waiter.WritableEvents | waiter.EventHUp | waiter.EventErr
+)
+
+func newConn(endpoint tcpip.Endpoint, queue *waiter.Queue) *Conn {
+	readEntry, readable := waiter.NewChannelEntry(readEvents)
+	writeEntry, writable := waiter.NewChannelEntry(writeEvents)
+	queue.EventRegister(&readEntry)
+	queue.EventRegister(&writeEntry)
+	return &Conn{endpoint: endpoint, queue: queue, readable: readable, writable: writable}
+}
+
+// Next waits for bytes and returns them in a borrowed chunk. No buffer is held
+// while it waits. It returns io.EOF when the caller has finished sending.
+func (c *Conn) Next() (*chunk.Chunk, error) {
+	for {
+		if c.endpoint.Readiness(readEvents) != 0 {
+			data, err := c.read()
+			if data != nil || err != nil {
+				return data, err
+			}
+		}
+		<-c.readable
+	}
+}
+
+func (c *Conn) read() (*chunk.Chunk, error) {
+	data := chunk.Get()
+	writer := tcpip.SliceWriter(data.Space())
+	result, err := c.endpoint.Read(&writer, tcpip.ReadOptions{})
+	if err == nil {
+		data.SetLength(result.Count)
+		c.endpoint.ModerateRecvBuf(result.Count)
+		return data, nil
+	}
+	data.Put()
+	switch err.(type) {
+	case *tcpip.ErrWouldBlock:
+		return nil, nil
+	case *tcpip.ErrClosedForReceive:
+		return nil, io.EOF
+	}
+	return nil, fmt.Errorf("read from caller: %s", err)
+}
+
+// Write sends bytes to the caller and waits while the send buffer is full.
+func (c *Conn) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		reader := bytes.NewReader(data[written:])
+		count, err := c.endpoint.Write(reader, tcpip.WriteOptions{})
+		written += int(count)
+		switch err.(type) {
+		case nil:
+		case *tcpip.ErrWouldBlock:
+			<-c.writable
+		default:
+			return written, fmt.Errorf("write to caller: %s", err)
+		}
+	}
+	return written, nil
+}
+
+// CloseWrite tells the caller that no more bytes follow.
+func (c *Conn) CloseWrite() {
+	// The only error is that the flow has ended already.
+	_ = c.endpoint.Shutdown(tcpip.ShutdownWrite)
+}
+
+// Close ends the flow after the bytes already written.
+func (c *Conn) Close() { c.endpoint.Close() }
+
+// Abort resets the flow at once.
+func (c *Conn) Abort() { c.endpoint.Abort() }
--- /dev/null
+++ b/internal/link/fabric/egress.go
@@ -0,0 +1,41 @@
+package fabric
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/radishmast/radishmast/internal/link/peer"
+)
+
+// Egress sends packets to callers through the fabric. It is safe for concurrent
+// use.
+type Egress struct {
+	mu      sync.Mutex
+	writer  *peer.Writer
+	to      netip.AddrPort
+	counter Counter
+}
+
+// NewEgress returns an egress that sends from a socket to the fabric's endpoint.
+func NewEgress(conn *net.UDPConn, to netip.AddrPort, counter Counter) *Egress {
+	return &Egress{writer: peer.NewWriter(conn), to: to, counter: counter}
+}
+
+// Send sends packets. Those that cannot be sent are lost and counted.
+func (e *Egress) Send(packets ...[]byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, packet := range packets {
+		buffer, err := e.writer.Next()
+		if err != nil {
+			e.counter.Add("drop_send_failed", 1)
+			continue
+		}
+		buffer.Write(packet)
+		e.writer.Queue(e.to)
+	}
+	if err := e.writer.Flush(); err != nil {
+		e.counter.Add("drop_send_failed", 1)
+	}
+}
--- /dev/null
+++ b/internal/link/fabric/forwarder.go
@@ -0,0 +1,149 @@
+// Package fabric speaks to the fabric: a caller's IP packet is the whole payload
+// of one UDP datagram (GUE variant 1, direct IP encapsulation).
+package fabric
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/balancer"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+	"github.com/radishmast/radishmast/internal/wire/ipv4"
+)
+
+// Counter counts events by name.
+type Counter interface {
+	Add(name string, delta int)
+}
+
+// ViewSource returns the view in force and whether it may be relied on.
+type ViewSource interface {
+	Load() *fleet.View
+	IsValid(now time.Time) bool
+}
+
+// Forwarder moves packets from the fabric to agents. Each traffic goroutine has
+// its own.
+type Forwarder struct {
+	core    *balancer.Balancer
+	views   ViewSource
+	codec   *datagram.Codec
+	reader  *peer.Reader
+	writer  *peer.Writer
+	counter Counter
+	header  datagram.Header
+}
+
+// Identity is the sender that datagrams name.
+type Identity struct {
+	ID          fleet.InstanceID
+	Incarnation uint64
+}
+
+// NewForwarder returns a forwarder that reads from one socket and writes to
+// another, which may be the same.
+func NewForwarder(identity Identity, core *balancer.Balancer, views ViewSource, codec *datagram.Codec, in, out *net.UDPConn, counter Counter) *Forwarder {
+	return &Forwarder{
+		core:    core,
+		views:   views,
+		codec:   codec,
+		reader:  peer.NewReader(in),
+		writer:  peer.NewWriter(out),
+		counter: counter,
+		header: datagram.Header{
+			Kind:            datagram.Packet,
+			From:            uint64(identity.ID),
+			FromIncarnation: identity.Incarnation,
+			Origin:          uint64(identity.ID),
+		},
+	}
+}
+
+// Step reads one batch and forwards it. It returns an error when the socket is
+// closed.
+func (f *Forwarder) Step() error {
+	count, err := f.reader.Read()
+	if err != nil {
+		return err
+	}
+	// What was read before or during a pause is dropped: the view may be old.
+	if !f.views.IsValid(time.Now()) {
+		f.counter.Add("drop_view_expired", count)
+		return nil
+	}
+	view := f.views.Load()
+	for i := range count {
+		f.forward(view, f.reader.Datagram(i))
+	}
+	f.counter.Add("packets_received", count)
+	if err := f.writer.Flush(); err != nil {
+		f.counter.Add("drop_send_failed", 1)
+	}
+	return nil
+}
+
+func (f *Forwarder) forward(view *fleet.View, data []byte) {
+	packet, err := ipv4.Parse(data)
+	if err != nil {
+		f.counter.Add(parseReason(err), 1)
+		return
+	}
+	decision := f.core.Forward(view, packet)
+	if decision.Drop != balancer.DropNone {
+		f.counter.Add("drop_"+string(decision.Drop), 1)
+		return
+	}
+	if err := f.queue(view, decision, packet.Bytes()); err != nil {
+		f.counter.Add("drop_send_failed", 1)
+	}
+}
+
+func (f *Forwarder) queue(view *fleet.View, decision balancer.Decision, packet []byte) error {
+	f.header.Flags = 0
+	if decision.Hinted {
+		f.header.Flags = datagram.Hinted
+	}
+	f.header.To = uint64(decision.Target.ID())
+	f.header.ToIncarnation = decision.Target.Incarnation()
+	f.header.Service = uint64(decision.Service.ID())
+	f.header.Revision = view.Revisions().Highest()
+	buffer, err := f.writer.Next()
+	if err != nil {
+		return err
+	}
+	if _, err := f.codec.AppendTo(buffer, &f.header, packet); err != nil {
+		return fmt.Errorf("encode packet for %s: %w", decision.Target.Name(), err)
+	}
+	f.writer.Queue(decision.Target.Data())
+	return nil
+}
+
+// parseReasons maps each parse error to its counter.
+var parseReasons = []struct {
+	err    error
+	reason string
+}{
+	{ipv4.ErrTruncated, "drop_truncated"},
+	{ipv4.ErrVersion, "drop_ip_version"},
+	{ipv4.ErrLength, "drop_length"},
+	{ipv4.ErrChecksum, "drop_checksum"},
+	{ipv4.ErrFragment, "drop_fragment"},
+	{ipv4.ErrProtocol, "drop_protocol"},
+}
+
+func parseReason(err error) string {
+	i := slices.IndexFunc(parseReasons, func(r struct {
+		err    error
+		reason string
+	}) bool {
+		return r.err == err
+	})
+	if i < 0 {
+		return "drop_malformed"
+	}
+	return parseReasons[i].reason
+}
--- /dev/null
+++ b/internal/link/operator/status.go
@@ -0,0 +1,72 @@
+// Package operator serves operators' questions to a daemon over HTTP and JSON.
+package operator
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// Status is what a daemon has in force.
+type Status struct {
+	Name        string          `json:"name"`
+	Role        string          `json:"role"`
+	DataCentre  string          `json:"dataCentre"`
+	Incarnation uint64          `json:"incarnation"`
+	Revisions   fleet.Revisions `json:"revisions"`
+	Valid       bool            `json:"valid"`
+	Nodes       int             `json:"nodes"`
+	Services    []Service       `json:"services"`
+}
+
+// Service is a service as the daemon routes it.
+type Service struct {
+	Name    string   `json:"name"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is a backend server as the daemon sees it.
+type Target struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"dataCentre"`
+	Weight     uint16 `json:"weight"`
+	Accepting  bool   `json:"accepting"`
+	Reachable  bool   `json:"reachable"`
+	Residual   bool   `json:"residual"`
+}
+
+// DescribeService returns the operators' description of a routed service.
+func DescribeService(service *fleet.RoutedService) Service {
+	described := Service{Name: service.Name(), Targets: []Target{}}
+	for i := range service.Targets() {
+		target := &service.Targets()[i]
+		described.Targets = append(described.Targets, Target{
+			Name:       target.Name(),
+			DataCentre: target.DataCentre(),
+			Weight:     uint16(target.Weight()),
+			Accepting:  target.IsAccepting(),
+			Reachable:  target.IsReachable(),
+			Residual:   target.IsResidual(),
+		})
+	}
+	slices.SortFunc(described.Targets, func(a, b Target) int { return cmp.Compare(a.Name, b.Name) })
+	return described
+}
+
+// Sorted returns the status with its services in order of name.
+func (s Status) Sorted() Status {
+	slices.SortFunc(s.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+// NewHandler serves the status as JSON.
+func NewHandler(status func() Status) http.Handler {
+	var answer endpoint.Endpoint = func(context.Context, any) (any, error) { return status(), nil }
+	return kithttp.NewServer(answer, kithttp.NopRequestDecoder, kithttp.EncodeJSONResponse)
+}
--- /dev/null
+++ b/internal/link/peer/socket.go
@@ -0,0 +1,165 @@
+// Package peer carries datagrams between the processes of the system over UDP,
+// in batches.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
+
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+const (
+	// batchSize is the number of datagrams read or written by one system call.
+	batchSize = 64
+	// socketBuffer is the size asked for in each direction, in bytes.
+	socketBuffer = 4 << 20
+)
+
+// Listen opens a UDP socket that may share its address with other sockets of
+// the process.
+func Listen(ctx context.Context, address netip.AddrPort) (*net.UDPConn, error) {
+	config := net.ListenConfig{Control: reusePort}
+	conn, err := config.ListenPacket(ctx, "udp4", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	udp := conn.(*net.UDPConn)
+	if err := udp.SetReadBuffer(socketBuffer); err != nil {
+		return nil, fmt.Errorf("set read buffer of %s: %w", address, err)
+	}
+	if err := udp.SetWriteBuffer(socketBuffer); err != nil {
+		return nil, fmt.Errorf("set write buffer of %s: %w", address, err)
+	}
+	return udp, nil
+}
+
+func reusePort(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	return errors.Join(err, failure)
+}
+
+// Reader reads datagrams in batches.
+type Reader struct {
+	conn     *ipv4.PacketConn
+	messages []ipv4.Message
+}
+
+// NewReader returns a reader of a socket.
+func NewReader(conn *net.UDPConn) *Reader {
+	messages := make([]ipv4.Message, batchSize)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, datagram.MaxSize+1)}
+	}
+	return &Reader{conn: ipv4.NewPacketConn(conn), messages: messages}
+}
+
+// Read waits for datagrams and returns how many there are.
+func (r *Reader) Read() (int, error) {
+	count, err := r.conn.ReadBatch(r.messages, 0)
+	if err != nil {
+		return 0, fmt.Errorf("read datagrams: %w", err)
+	}
+	return count, nil
+}
+
+// Datagram returns a datagram of the last batch. It is valid until the next Read.
+func (r *Reader) Datagram(i int) []byte {
+	return r.messages[i].Buffers[0][:r.messages[i].N]
+}
+
+// Source returns where a datagram of the last batch came from.
+func (r *Reader) Source(i int) netip.AddrPort {
+	udp, ok := r.messages[i].Addr.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return udp.AddrPort()
+}
+
+// Writer collects datagrams and writes them in batches. It is not safe for
+// concurrent use.
+type Writer struct {
+	conn      *ipv4.PacketConn
+	messages  []ipv4.Message
+	buffers   []bytes.Buffer
+	queued    int
+	addresses map[netip.AddrPort]*net.UDPAddr
+}
+
+// NewWriter returns a writer to a socket.
+func NewWriter(conn *net.UDPConn) *Writer {
+	messages := make([]ipv4.Message, batchSize)
+	for i := range messages {
+		messages[i].Buffers = make([][]byte, 1)
+	}
+	return &Writer{
+		conn:      ipv4.NewPacketConn(conn),
+		messages:  messages,
+		buffers:   make([]bytes.Buffer, batchSize),
+		addresses: make(map[netip.AddrPort]*net.UDPAddr),
+	}
+}
+
+// Next returns an empty buffer for the next datagram, flushing first if all are
+// taken. Queue sends its contents.
+func (w *Writer) Next() (*bytes.Buffer, error) {
+	if w.queued == batchSize {
+		if err := w.Flush(); err != nil {
+			return nil, err
+		}
+	}
+	buffer := &w.buffers[w.queued]
+	buffer.Reset()
+	return buffer, nil
+}
+
+// Queue adds the buffer last returned by Next to the batch.
+func (w *Writer) Queue(to netip.AddrPort) {
+	w.messages[w.queued].Buffers[0] = w.buffers[w.queued].Bytes()
+	w.messages[w.queued].Addr = w.address(to)
+	w.queued++
+}
+
+// maxAddresses bounds the address cache.
+const maxAddresses = 1 << 16
+
+func (w *Writer) address(to netip.AddrPort) *net.UDPAddr {
+	address := w.addresses[to]
+	if address != nil {
+		return address
+	}
+	if len(w.addresses) >= maxAddresses {
+		clear(w.addresses)
+	}
+	address = net.UDPAddrFromAddrPort(to)
+	w.addresses[to] = address
+	return address
+}
+
+// Flush writes the batch. A datagram that cannot be sent is lost, as on any
+// other part of the path, and the rest is still written.
+func (w *Writer) Flush() error {
+	var failure error
+	for start := 0; start < w.queued; {
+		count, err := w.conn.WriteBatch(w.messages[start:w.queued], 0)
+		if err != nil {
+			failure = fmt.Errorf("write datagram to %s: %w", w.messages[start].Addr, err)
+			count = 1
+		}
+		start += count
+	}
+	w.queued = 0
+	return failure
+}
--- /dev/null
+++ b/internal/wire/ipv4/format.go
@@ -0,0 +1,190 @@
+// Package ipv4 translates IPv4 packets with TCP or UDP payload, as carried by
+// the fabric, into flow packets.
+package ipv4
+
+import (
+	"errors"
+	"net/netip"
+
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Reasons for which a packet is refused.
+var (
+	ErrTruncated = errors.New("truncated packet")
+	ErrVersion   = errors.New("not an IPv4 packet")
+	ErrLength    = errors.New("length field does not fit the packet")
+	ErrChecksum  = errors.New("wrong header checksum")
+	ErrFragment  = errors.New("fragmented packet")
+	ErrProtocol  = errors.New("neither TCP nor UDP")
+)
+
+// MaxPacket is the largest packet accepted, in bytes.
+const MaxPacket = 1500
+
+// Parse checks an IPv4 packet that a caller sent and returns it as a flow
+// packet. The result refers to data.
+func Parse(data []byte) (flow.Packet, error) {
+	ip, err := parseIP(data)
+	if err != nil {
+		return flow.Packet{}, err
+	}
+	payload := ip.Payload()
+	switch ip.TransportProtocol() {
+	case header.TCPProtocolNumber:
+		return parseTCP(ip, payload)
+	case header.UDPProtocolNumber:
+		return parseUDP(ip, payload)
+	}
+	return flow.Packet{}, ErrProtocol
+}
+
+func parseIP(data []byte) (header.IPv4, error) {
+	if len(data) < header.IPv4MinimumSize {
+		return nil, ErrTruncated
+	}
+	ip := header.IPv4(data)
+	if header.IPVersion(data) != header.IPv4Version {
+		return nil, ErrVersion
+	}
+	if !ip.IsValid(len(data)) || int(ip.TotalLength()) != len(data) || len(data) > MaxPacket {
+		return nil, ErrLength
+	}
+	if !ip.IsChecksumValid() {
+		return nil, ErrChecksum
+	}
+	if ip.More() || ip.FragmentOffset() != 0 {
+		return nil, ErrFragment
+	}
+	return ip, nil
+}
+
+func parseTCP(ip header.IPv4, payload []byte) (flow.Packet, error) {
+	if len(payload) < header.TCPMinimumSize {
+		return flow.Packet{}, ErrTruncated
+	}
+	tcp := header.TCP(payload)
+	if int(tcp.DataOffset()) < header.TCPMinimumSize || int(tcp.DataOffset()) > len(payload) {
+		return flow.Packet{}, ErrLength
+	}
+	id := flowOf(ip, flow.TCP, tcp.SourcePort(), tcp.DestinationPort())
+	kind := kindOf(tcp.Flags())
+	return flow.NewPacket(id, kind, tcp.SequenceNumber(), tcp.AckNumber(), ip), nil
+}
+
+func parseUDP(ip header.IPv4, payload []byte) (flow.Packet, error) {
+	if len(payload) < header.UDPMinimumSize {
+		return flow.Packet{}, ErrTruncated
+	}
+	udp := header.UDP(payload)
+	if int(udp.Length()) != len(payload) {
+		return flow.Packet{}, ErrLength
+	}
+	id := flowOf(ip, flow.UDP, udp.SourcePort(), udp.DestinationPort())
+	return flow.NewPacket(id, flow.Connectionless, 0, 0, ip), nil
+}
+
+func kindOf(flags header.TCPFlags) flow.Kind {
+	switch {
+	case flags.Contains(header.TCPFlagRst):
+		return flow.Closing
+	case flags&(header.TCPFlagSyn|header.TCPFlagAck) == header.TCPFlagSyn:
+		return flow.Opening
+	}
+	return flow.Established
+}
+
+func flowOf(ip header.IPv4, protocol flow.Protocol, callerPort, servicePort uint16) flow.ID {
+	service := netip.AddrPortFrom(netip.AddrFrom4(ip.DestinationAddress().As4()), servicePort)
+	caller := netip.AddrPortFrom(netip.AddrFrom4(ip.SourceAddress().As4()), callerPort)
+	return flow.NewID(flow.NewAddress(protocol, service), caller)
+}
+
+// Answer is what the agent's own stack sends towards the caller, reduced to
+// what the decision core needs.
+type Answer struct {
+	// Flow is the flow the packet answers.
+	Flow flow.ID
+	// Token is the value the caller must acknowledge to complete the handshake.
+	Token uint32
+	// Opens reports whether the packet is the answer to an opening packet.
+	Opens bool
+}
+
+// ParseAnswer reads a packet that goes from a service address to a caller. It
+// reports false for anything but TCP.
+func ParseAnswer(data []byte) (Answer, bool) {
+	ip := header.IPv4(data)
+	if !ip.IsValid(len(data)) || ip.TransportProtocol() != header.TCPProtocolNumber {
+		return Answer{}, false
+	}
+	tcp := header.TCP(ip.Payload())
+	if len(tcp) < header.TCPMinimumSize {
+		return Answer{}, false
+	}
+	const synAck = header.TCPFlagSyn | header.TCPFlagAck
+	if tcp.Flags()&(synAck|header.TCPFlagRst) != synAck {
+		return Answer{}, false
+	}
+	service := netip.AddrPortFrom(netip.AddrFrom4(ip.SourceAddress().As4()), tcp.SourcePort())
+	caller := netip.AddrPortFrom(netip.AddrFrom4(ip.DestinationAddress().As4()), tcp.DestinationPort())
+	id := flow.NewID(flow.NewAddress(flow.TCP, service), caller)
+	return Answer{Flow: id, Token: tcp.SequenceNumber() + 1, Opens: true}, true
+}
+
+// Reset returns the TCP reset that answers a packet of a flow nobody owns, or
+// nil if the packet's protocol has no reset.
+func Reset(packet flow.Packet) []byte {
+	ip := header.IPv4(packet.Bytes())
+	if packet.Flow().Protocol() != flow.TCP || packet.Kind() == flow.Closing {
+		return nil
+	}
+	in := header.TCP(ip.Payload())
+	fields := &header.TCPFields{
+		SrcPort:    in.DestinationPort(),
+		DstPort:    in.SourcePort(),
+		DataOffset: header.TCPMinimumSize,
+		Flags:      header.TCPFlagRst,
+	}
+	if in.Flags().Contains(header.TCPFlagAck) {
+		fields.SeqNum = in.AckNumber()
+	} else {
+		fields.Flags |= header.TCPFlagAck
+		fields.AckNum = in.SequenceNumber() + segmentLength(in)
+	}
+	return encodeTCP(ip.DestinationAddress(), ip.SourceAddress(), fields)
+}
+
+// segmentLength counts the sequence numbers a segment occupies.
+func segmentLength(tcp header.TCP) uint32 {
+	length := uint32(len(tcp.Payload()))
+	if tcp.Flags().Contains(header.TCPFlagSyn) {
+		length++
+	}
+	if tcp.Flags().Contains(header.TCPFlagFin) {
+		length++
+	}
+	return length
+}
+
+func encodeTCP(source, destination tcpip.Address, fields *header.TCPFields) []byte {
+	const length = header.IPv4MinimumSize + header.TCPMinimumSize
+	data := make([]byte, length)
+	ip := header.IPv4(data)
+	ip.Encode(&header.IPv4Fields{
+		TotalLength: length,
+		TTL:         64,
+		Protocol:    uint8(header.TCPProtocolNumber),
+		SrcAddr:     source,
+		DstAddr:     destination,
+	})
+	ip.SetChecksum(^ip.CalculateChecksum())
+	tcp := header.TCP(data[header.IPv4MinimumSize:])
+	tcp.Encode(fields)
+	pseudo := header.PseudoHeaderChecksum(header.TCPProtocolNumber, source, destination, header.TCPMinimumSize)
+	tcp.SetChecksum(^tcp.CalculateChecksum(pseudo))
+	return data
+}
