--- /dev/null
+++ b/cmd/radishmast-carrier/main.go
@@ -0,0 +1,28 @@
+// Command radishmast-carrier runs the daemons where backend servers end their
+// flows themselves and the system only carries packets.
+package main
+
+import (
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
+	"github.com/radishmast/radishmast/internal/cmd/daemon"
+	"github.com/radishmast/radishmast/internal/cmd/version"
+	"github.com/radishmast/radishmast/platform"
+)
+
+const program = "radishmast-carrier"
+
+func main() {
+	os.Exit(cmdutil.Execute(newRoot))
+}
+
+func newRoot(f *cmdutil.Factory) *ffcli.Command {
+	return cmdutil.NewGroup(program, "The daemons of radishmast that carry packets.", f.Streams,
+		daemon.NewCmdBalancerWith(f, program, platform.BalancerParts),
+		daemon.NewCmdCarrier(f, program, platform.CarrierParts),
+		version.NewCmdVersion(f, program),
+	)
+}
--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
 	"github.com/radishmast/radishmast/internal/daemon/agent"
 	"github.com/radishmast/radishmast/internal/daemon/balancer"
+	"github.com/radishmast/radishmast/internal/daemon/carrier"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 )
 
@@ -28,41 +29,72 @@
 // role is what differs between the daemon commands: how the settings are read,
 // and what is run with them.
 type role[S any] struct {
-	name string
-	help string
-	read func([]byte) (S, error)
-	run  func(context.Context, S, log.Interface) error
+	program string
+	name    string
+	help    string
+	read    func([]byte) (S, error)
+	run     func(context.Context, S, log.Interface) error
 }
 
 // NewCmdBalancer returns the command that runs an entry instance.
 func NewCmdBalancer(f *cmdutil.Factory) *ffcli.Command {
 	return newCmd(f, role[*settings.Balancer]{
-		name: "balancer",
-		help: "Run an entry instance that forwards callers' packets to agents.",
-		read: settings.ReadBalancer,
-		run:  balancer.Run,
+		program: "radishmastd",
+		name:    "balancer",
+		help:    "Run an entry instance that forwards callers' packets to agents.",
+		read:    settings.ReadBalancer,
+		run:     balancer.Run,
 	})
 }
 
 // NewCmdAgent returns the command that runs the process beside a backend server.
 func NewCmdAgent(f *cmdutil.Factory) *ffcli.Command {
 	return newCmd(f, role[*settings.Agent]{
-		name: "agent",
-		help: "Run the process beside a backend server that owns its flows.",
-		read: settings.ReadAgent,
-		run:  agent.Run,
+		program: "radishmastd",
+		name:    "agent",
+		help:    "Run the process beside a backend server that owns its flows.",
+		read:    settings.ReadAgent,
+		run:     agent.Run,
+	})
+}
+
+// NewCmdBalancerWith returns the command that runs an entry instance of another
+// kind of installation.
+func NewCmdBalancerWith(f *cmdutil.Factory, program string, parts func(*settings.Balancer) balancer.Parts) *ffcli.Command {
+	return newCmd(f, role[*settings.Balancer]{
+		program: program,
+		name:    "balancer",
+		help:    "Run an entry instance that forwards callers' packets to agents.",
+		read:    settings.ReadBalancer,
+		run: func(ctx context.Context, s *settings.Balancer, logger log.Interface) error {
+			return balancer.RunWith(ctx, s, parts(s), logger)
+		},
+	})
+}
+
+// NewCmdCarrier returns the command that runs the process beside a backend server
+// that ends its flows itself.
+func NewCmdCarrier(f *cmdutil.Factory, program string, parts func(*settings.Carrier) carrier.Parts) *ffcli.Command {
+	return newCmd(f, role[*settings.Carrier]{
+		program: program,
+		name:    "agent",
+		help:    "Run the process that carries packets to and from a backend server.",
+		read:    settings.ReadCarrier,
+		run: func(ctx context.Context, s *settings.Carrier, logger log.Interface) error {
+			return carrier.Run(ctx, s, parts(s), logger)
+		},
 	})
 }
 
 func newCmd[S any](f *cmdutil.Factory, r role[S]) *ffcli.Command {
 	opts := &Options{Streams: f.Streams}
-	flags := cmdutil.NewFlagSet("radishmastd "+r.name, f.Streams)
+	flags := cmdutil.NewFlagSet(r.program+" "+r.name, f.Streams)
 	opts.register(flags)
 	return &ffcli.Command{
 		Name:       r.name,
-		ShortUsage: fmt.Sprintf("radishmastd %s --config FILE [--check]", r.name),
+		ShortUsage: fmt.Sprintf("%s %s --config FILE [--check]", r.program, r.name),
 		ShortHelp:  r.help,
-		LongHelp:   fmt.Sprintf("Example:\n  radishmastd %s --config /etc/radishmast/%s.json --check", r.name, r.name),
+		LongHelp:   fmt.Sprintf("Example:\n  %s %s --config /etc/radishmast/%s.json --check", r.program, r.name, r.name),
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -72,5 +72,8 @@
 	HandOverAbsent      Reason = "handover_not_selected"
 	HandOverConnections Reason = "handover_connections"
 	HandOverDraining    Reason = "handover_draining"
+	HandOverLeaving     Reason = "handover_leaving"
+	HandOverOther       Reason = "handover_other_service"
+	RetryBounced        Reason = "retry_bounced"
 	HandOverRemembers   Reason = "handover_remembered"
 )
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -55,6 +55,8 @@
 	expires  time.Time
 	opening  []byte
 	visited  []fleet.InstanceID
+	// askedAt is when the request that awaits an answer was delivered, if one does.
+	askedAt time.Time
 }
 
 // Arrival is a packet with what its sender says about it.
@@ -76,6 +78,12 @@
 	// MaxHanded bounds the hand-overs it remembers.
 	MaxHanded int
 	Placement Placement
+	// Carried tells that the backend server ends the flows itself. The agent then
+	// learns from its answers which flows it holds.
+	Carried bool
+	// Labels are the labels of the agent's own backend server. They count where
+	// flows are carried.
+	Labels map[string]string
 }
 
 // Agent decides about packets.
@@ -136,6 +144,9 @@
 	if service == nil || service.Address() != arrival.Packet.Flow().Service() {
 		return a.dropped(DropUnknownService)
 	}
+	if a.config.Carried {
+		return a.carry(now, service, arrival)
+	}
 	if !service.IsPresent(a.config.DataCentre) {
 		return a.receiveOut(service, arrival)
 	}
@@ -224,10 +235,12 @@
 
 // receiveOpening decides who serves a new flow, and remembers it.
 func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
-	verdict := a.place(now, service, arrival)
+	return a.settle(now, service, arrival, a.place(now, service, arrival))
+}
+
+// settle turns a verdict about an opening packet into an action.
+func (a *Agent) settle(now time.Time, service *fleet.RoutedService, arrival *Arrival, verdict verdict) Action {
 	switch v := verdict.(type) {
-	case take:
-		return a.take(now, service, arrival)
 	case handOver:
 		a.rememberHandOver(now, service.ID(), arrival.Packet.Flow(), v.target.ID())
 		action := a.passedOn(v.target, v.reason)
@@ -237,7 +250,7 @@
 		a.reset.Reason = v.reason
 		return &a.reset
 	}
-	return a.dropped(DropNoTarget)
+	return a.take(now, service, arrival)
 }
 
 func (a *Agent) take(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
@@ -247,7 +260,7 @@
 	a.owned++
 	a.attempts++
 	a.budget.deposit()
-	a.flows[arrival.Packet.Flow()] = &entry{
+	known := &entry{
 		attempt:  a.attempts,
 		service:  service.ID(),
 		state:    statePending,
@@ -256,6 +269,8 @@
 		opening:  slices.Clone(arrival.Packet.Bytes()),
 		visited:  slices.Clone(arrival.Visited),
 	}
+	a.flows[arrival.Packet.Flow()] = known
+	a.reserveSlot(now, known)
 	a.delivered(arrival)
 	a.deliver.Opens = true
 	return &a.deliver
--- /dev/null
+++ b/internal/core/agent/carried.go
@@ -0,0 +1,216 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Lifetimes of carried flows.
+const (
+	carriedLifetime = 60 * time.Second
+	endedLifetime   = 5 * time.Second
+	// answerTimeout bounds how long a request without an answer counts as running.
+	answerTimeout = 5 * time.Second
+)
+
+// carry decides about a packet of a flow that the backend server ends itself. A
+// packet of a flow that the agent does not know is offered to the backend server,
+// which returns what it does not hold: see Bounced.
+func (a *Agent) carry(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	known := a.flows[arrival.Packet.Flow()]
+	if arrival.Packet.Kind() == flow.Opening {
+		return a.carryOpening(now, service, known, arrival)
+	}
+	if known == nil {
+		return a.offered()
+	}
+	switch known.state {
+	case stateHanded:
+		return a.carryHanded(now, service, known, arrival)
+	case statePending:
+		return a.search(now, service, arrival)
+	case stateHalfOpen:
+		if arrival.Packet.Confirms() != known.token {
+			return a.search(now, service, arrival)
+		}
+		known.state = stateOpen
+		known.opening, known.visited = nil, nil
+	}
+	known.expires = now.Add(carriedLifetime)
+	if arrival.Packet.Payload() > 0 && known.state == stateOpen {
+		a.reserveSlot(now, known)
+	}
+	return a.delivered(arrival)
+}
+
+// offered delivers a packet without knowing that the flow is here.
+func (a *Agent) offered() Action {
+	a.deliver = Deliver{}
+	return &a.deliver
+}
+
+// carryHanded follows a hand-over. If its receiver cannot be asked, the backend
+// server beside this agent may still hold the flow from before a restart.
+func (a *Agent) carryHanded(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
+	target := service.Target(known.owner)
+	for _, visited := range arrival.Visited {
+		if visited == known.owner {
+			target = nil
+		}
+	}
+	if target == nil || !target.IsReachable() {
+		return a.offered()
+	}
+	known.expires = now.Add(handedLifetime)
+	return a.passedOn(target, HandOverRemembers)
+}
+
+func (a *Agent) carryOpening(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
+	switch {
+	case known == nil:
+		return a.receiveOpening(now, service, arrival)
+	case known.state == stateHanded:
+		return a.receiveHanded(now, service, known, arrival)
+	case known.sequence == arrival.Packet.Sequence():
+		return a.delivered(arrival)
+	}
+	a.forget(now, arrival.Packet.Flow(), known)
+	return a.receiveOpening(now, service, arrival)
+}
+
+// unfitCarried returns why this agent must not deliver an opening packet. What the
+// backend server is comes from the agent's own settings, since a list may still
+// name the one that had its address before.
+func (a *Agent) unfitCarried(service *fleet.RoutedService, arrival *Arrival) Reason {
+	node := a.view.Node(a.config.Self)
+	switch {
+	case a.draining:
+		return HandOverDraining
+	case !service.Selects(a.config.DataCentre, a.config.Labels):
+		return HandOverOther
+	case node == nil && arrival.Revision <= a.view.Revisions().Highest():
+		return HandOverAbsent
+	case node != nil && !service.Selects(a.config.DataCentre, a.publishedLabels()):
+		return HandOverAbsent
+	case node != nil && !a.view.IsAccepting(a.config.Self):
+		return HandOverLeaving
+	case a.owned >= a.config.MaxFlows:
+		return HandOverConnections
+	}
+	return ""
+}
+
+func (a *Agent) publishedLabels() map[string]string {
+	if backend := a.view.Backend(a.config.Self); backend != nil {
+		return backend.Labels
+	}
+	return nil
+}
+
+// Bounced decides about a packet that the backend server has returned, since it
+// does not take the new flow or does not hold the flow.
+func (a *Agent) Bounced(now time.Time, arrival *Arrival) Action {
+	service := a.view.Service(arrival.Service)
+	if service == nil {
+		return a.dropped(DropUnknownService)
+	}
+	known := a.flows[arrival.Packet.Flow()]
+	if arrival.Packet.Kind() != flow.Opening {
+		if known != nil && known.state != stateHanded {
+			a.forget(now, arrival.Packet.Flow(), known)
+		}
+		return a.search(now, service, arrival)
+	}
+	if known != nil {
+		a.forget(now, arrival.Packet.Flow(), known)
+	}
+	return a.settle(now, service, arrival, a.placeElsewhere(now, service, arrival, RetryBounced))
+}
+
+// Sent records a packet that the backend server has sent to a caller.
+func (a *Agent) Sent(now time.Time, answer flow.Answer) {
+	known := a.flows[answer.Flow]
+	if known == nil || known.state == stateHanded {
+		known = a.adopt(answer.Flow, known)
+	}
+	if known == nil {
+		return
+	}
+	known.expires = now.Add(carriedLifetime)
+	switch {
+	case answer.Opens && (known.state == statePending || known.state == stateHalfOpen):
+		known.state = stateHalfOpen
+		known.token = answer.Token
+	case answer.Ends:
+		a.releaseSlot(now, known)
+		known.expires = now.Add(endedLifetime)
+	case answer.Payload > 0:
+		a.answered(now, known)
+	}
+}
+
+// adopt records a flow that the backend server holds from before this process
+// started.
+func (a *Agent) adopt(id flow.ID, handed *entry) *entry {
+	service := a.view.ServiceAt(id.Service())
+	if service == nil || a.owned >= a.config.MaxFlows {
+		return nil
+	}
+	if handed != nil {
+		a.remove(id, handed)
+	}
+	a.owned++
+	a.attempts++
+	known := &entry{attempt: a.attempts, service: service.ID(), state: stateOpen}
+	a.flows[id] = known
+	return known
+}
+
+// reserveSlot counts a request as running on the backend server. A new flow counts
+// as one, since most send a request at once.
+func (a *Agent) reserveSlot(now time.Time, known *entry) {
+	if !a.config.Carried || !known.askedAt.IsZero() {
+		return
+	}
+	known.askedAt = now
+	a.load.start(now)
+}
+
+func (a *Agent) answered(now time.Time, known *entry) {
+	if known.askedAt.IsZero() {
+		return
+	}
+	a.load.finish(now, now.Sub(known.askedAt))
+	known.askedAt = time.Time{}
+}
+
+func (a *Agent) releaseSlot(now time.Time, known *entry) {
+	if known.askedAt.IsZero() {
+		return
+	}
+	a.load.cancel(now)
+	known.askedAt = time.Time{}
+}
+
+// forget removes a flow and what it holds.
+func (a *Agent) forget(now time.Time, id flow.ID, known *entry) {
+	a.releaseSlot(now, known)
+	a.remove(id, known)
+}
+
+// SweepCarried forgets the flows that have ended or fallen silent.
+func (a *Agent) SweepCarried(now time.Time) {
+	for id, known := range a.flows {
+		if !known.askedAt.IsZero() && now.Sub(known.askedAt) > answerTimeout {
+			a.releaseSlot(now, known)
+		}
+		if !known.expires.After(now) {
+			a.forget(now, id, known)
+		}
+	}
+}
+
+// SetLabels replaces the labels of the agent's own backend server.
+func (a *Agent) SetLabels(labels map[string]string) { a.config.Labels = labels }
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -63,6 +63,9 @@
 
 // unfit returns why this agent must not take new flows of the service.
 func (a *Agent) unfit(service *fleet.RoutedService, arrival *Arrival) Reason {
+	if a.config.Carried {
+		return a.unfitCarried(service, arrival)
+	}
 	switch {
 	case a.draining:
 		return HandOverDraining
@@ -81,11 +84,8 @@
 	if sibling := a.roomiest(now, service, visited); sibling != nil {
 		return handOver{sibling, reason}
 	}
-	for i := range service.Targets() {
-		target := &service.Targets()[i]
-		if isOpen(target, visited) {
-			return handOver{target, reason}
-		}
+	if target := service.NextAccepting(arrival.Packet.Flow().Hash(), visited); target != nil {
+		return handOver{target, reason}
 	}
 	if reason == HandOverConnections {
 		return refuse{RefuseConnections}
--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -55,7 +55,7 @@
 	services, backends, instances := state.Documents()
 	switch d := document.(type) {
 	case *fleet.ServicesDocument:
-		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName)}
+		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName), Draining: d.Draining}
 	case *fleet.BackendsDocument:
 		return &Change{From: backends.Revision, To: d.Revision, Backends: diff(backends.Backends, d.Backends, backendName)}
 	case *fleet.InstancesDocument:
@@ -82,9 +82,9 @@
 	case c.Services != nil:
 		base, err := c.base(services.Revision)
 		if err != nil || !base {
-			return &fleet.ServicesDocument{Revision: c.To, Services: c.Services.Upserts}, err
+			return &fleet.ServicesDocument{Revision: c.To, Services: c.Services.Upserts, Draining: c.Draining}, err
 		}
-		return &fleet.ServicesDocument{Revision: c.To, Services: patch(services.Services, c.Services, serviceName)}, nil
+		return &fleet.ServicesDocument{Revision: c.To, Services: patch(services.Services, c.Services, serviceName), Draining: c.Draining}, nil
 	case c.Backends != nil:
 		base, err := c.base(backends.Revision)
 		if err != nil || !base {
@@ -124,7 +124,7 @@
 		changes = append(changes, &Change{To: backends.Revision, Backends: &Delta[fleet.Backend]{Upserts: backends.Backends}})
 	}
 	if services.Revision > have.Services {
-		changes = append(changes, &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}})
+		changes = append(changes, &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Draining: services.Draining})
 	}
 	return changes
 }
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -35,10 +35,12 @@
 // Change brings one document from a revision to another. A change from revision
 // zero holds the whole document.
 type Change struct {
-	_         struct{} `cbor:",toarray"`
-	From      uint64
-	To        uint64
-	Services  *Delta[fleet.Service]
+	_        struct{} `cbor:",toarray"`
+	From     uint64
+	To       uint64
+	Services *Delta[fleet.Service]
+	// Draining lists the draining data centres, whole, beside Services.
+	Draining  []string
 	Backends  *Delta[fleet.Backend]
 	Instances *Delta[fleet.Instance]
 }
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -78,6 +79,9 @@
 	Address   string              `json:"address"`
 	Protocol  string              `json:"protocol"`
 	Selectors map[string]Selector `json:"selectors"`
+	// ColdRate is the number of new flows a second that one of its backend servers
+	// bears in cold start, or zero if that is not known.
+	ColdRate float64 `json:"coldRate,omitempty"`
 }
 
 // Backend is a published backend server with its labels.
@@ -85,6 +89,13 @@
 	Name       string            `json:"name"`
 	DataCentre string            `json:"dataCentre"`
 	Labels     map[string]string `json:"labels"`
+	// Boot names the start of the backend server, if the platform tells.
+	Boot string `json:"boot,omitempty"`
+	// Slots is the number of requests it runs at once, if the platform tells.
+	Slots int `json:"slots,omitempty"`
+	// Warming is how much longer its cold start lasted when it last reported. It
+	// is not a deadline because the clocks of instances differ.
+	Warming time.Duration `json:"warming,omitempty"`
 }
 
 // Role is what an instance runs.
@@ -120,6 +131,9 @@
 type ServicesDocument struct {
 	Revision uint64    `json:"revision"`
 	Services []Service `json:"services"`
+	// Draining lists the data centres that get no new flows. Open flows stay there,
+	// unlike in a data centre without a selector.
+	Draining []string `json:"draining,omitempty"`
 }
 
 // BackendsDocument is the document "backends".
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -108,8 +108,13 @@
 		services:  make(map[flow.Address]*RoutedService, len(s.services.Services)),
 		byID:      make(map[ServiceID]*RoutedService, len(s.services.Services)),
 		nodes:     s.nodes(),
+		backends:  s.backendsByID(),
+		draining:  make(map[string]bool, len(s.services.Draining)),
 		settledAt: settledAt,
 	}
+	for _, dataCentre := range s.services.Draining {
+		view.draining[dataCentre] = true
+	}
 	servers := s.servers(view.nodes)
 	residual := s.residualOwners(view.nodes)
 	for i := range s.services.Services {
@@ -120,6 +125,15 @@
 	return view
 }
 
+func (s *State) backendsByID() map[InstanceID]*Backend {
+	backends := make(map[InstanceID]*Backend, len(s.backends.Backends))
+	for i := range s.backends.Backends {
+		backend := &s.backends.Backends[i]
+		backends[InstanceIDOf(backend.Name)] = backend
+	}
+	return backends
+}
+
 // server is a backend server together with the node of its agent.
 type server struct {
 	backend *Backend
@@ -230,13 +244,13 @@
 func (s *State) route(service *Service, servers map[string]*serverIndex, residual map[ServiceID][]*Node, now time.Time) *RoutedService {
 	address, _ := service.address()
 	routed := &RoutedService{
-		id:      ServiceIDOf(service.Name),
-		name:    service.Name,
-		address: address,
-		present: make(map[string]bool, len(service.Selectors)),
+		id:        ServiceIDOf(service.Name),
+		name:      service.Name,
+		address:   address,
+		selectors: service.Selectors,
+		coldRate:  service.ColdRate,
 	}
 	for dataCentre, selector := range service.Selectors {
-		routed.present[dataCentre] = true
 		for _, candidate := range servers[dataCentre].matching(selector) {
 			routed.targets = append(routed.targets, s.target(candidate.node, now))
 		}
@@ -250,7 +264,7 @@
 func (s *State) residualTargets(routed *RoutedService, owners []*Node, now time.Time) []Target {
 	var targets []Target
 	for _, node := range owners {
-		if routed.Target(node.id) != nil || !routed.present[node.dataCentre] {
+		if routed.Target(node.id) != nil || !routed.IsPresent(node.dataCentre) {
 			continue
 		}
 		target := s.target(node, now)
@@ -276,7 +290,7 @@
 		data:        node.data,
 		incarnation: record.Incarnation,
 		weight:      weight,
-		accepting:   !node.leaving && !suspected && record.State != PeerLeaving,
+		accepting:   !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre) && !suspected && record.State != PeerLeaving,
 		reachable:   !s.peers.unreachable[node.id],
 	}
 }
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -58,8 +58,9 @@
 	// targets holds the selected targets by ID, then the residual ones.
 	targets  []Target
 	selected int
-	// present holds the data centres that have a selector.
-	present map[string]bool
+	// selectors holds a selector for each data centre that is in the service.
+	selectors map[string]Selector
+	coldRate  float64
 }
 
 // ID returns the service's identifier.
@@ -85,7 +86,21 @@
 }
 
 // IsPresent reports whether the data centre has a selector for the service.
-func (s *RoutedService) IsPresent(dataCentre string) bool { return s.present[dataCentre] }
+func (s *RoutedService) IsPresent(dataCentre string) bool {
+	_, present := s.selectors[dataCentre]
+	return present
+}
+
+// Selects reports whether a backend server with these labels may serve the service
+// in a data centre.
+func (s *RoutedService) Selects(dataCentre string, labels map[string]string) bool {
+	selector, present := s.selectors[dataCentre]
+	return present && selector.Matches(labels)
+}
+
+// ColdRate returns the number of new flows a second that a backend server bears in
+// cold start, or zero if that is not known.
+func (s *RoutedService) ColdRate() float64 { return s.coldRate }
 
 // Node is a peer process: where it listens and what it runs.
 type Node struct {
@@ -126,6 +141,8 @@
 	services  map[flow.Address]*RoutedService
 	byID      map[ServiceID]*RoutedService
 	nodes     map[InstanceID]*Node
+	backends  map[InstanceID]*Backend
+	draining  map[string]bool
 	settledAt time.Time
 }
 
@@ -157,6 +174,16 @@
 // Node returns a node of the fleet, or nil.
 func (v *View) Node(id InstanceID) *Node { return v.nodes[id] }
 
+// IsAccepting reports whether an instance is listed and may be given new flows, as
+// far as the documents tell.
+func (v *View) IsAccepting(id InstanceID) bool {
+	node := v.nodes[id]
+	return node != nil && !node.leaving && !v.draining[node.dataCentre]
+}
+
+// Backend returns the published backend server of an instance, or nil.
+func (v *View) Backend(id InstanceID) *Backend { return v.backends[id] }
+
 // Nodes returns all nodes by ID.
 func (v *View) Nodes() map[InstanceID]*Node { return v.nodes }
 
@@ -194,6 +221,14 @@
 	return nil
 }
 
+// NextAccepting returns the first candidate of a new flow that is reachable and not
+// in visited, or nil.
+func (s *RoutedService) NextAccepting(hash uint64, visited []InstanceID) *Target {
+	return s.best(hash, func(target *Target) bool {
+		return target.accepting && target.reachable && !slices.Contains(visited, target.id)
+	})
+}
+
 func (s *RoutedService) best(hash uint64, eligible func(*Target) bool) *Target {
 	var best *Target
 	highest := math.Inf(-1)
--- a/internal/core/flow/flow.go
+++ b/internal/core/flow/flow.go
@@ -96,6 +96,7 @@
 	kind     Kind
 	sequence uint32
 	confirms uint32
+	payload  int
 	bytes    []byte
 }
 
@@ -107,6 +108,16 @@
 	return Packet{flow: id, kind: kind, sequence: sequence, confirms: confirms, bytes: bytes}
 }
 
+// WithPayload returns the packet with the number of bytes of the flow it carries.
+func (p Packet) WithPayload(payload int) Packet {
+	p.payload = payload
+	return p
+}
+
+// Payload returns the number of bytes of the flow that the packet carries, if
+// its format tells.
+func (p Packet) Payload() int { return p.payload }
+
 // Flow returns the flow the packet belongs to.
 func (p Packet) Flow() ID { return p.flow }
 
@@ -116,7 +127,8 @@
 // Sequence returns the caller's sequence token.
 func (p Packet) Sequence() uint32 { return p.sequence }
 
-// Confirms returns the handshake token the packet acknowledges.
+// Confirms returns the handshake token the packet acknowledges. On an opening
+// packet it is the number of copies sent before, in formats that count them.
 func (p Packet) Confirms() uint32 { return p.confirms }
 
 // Bytes returns the packet as received, without encapsulation.
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -141,7 +141,7 @@
 func (a *Agent) carryOut(retry *core.Retry) {
 	switch action := retry.Action.(type) {
 	case *core.Reset:
-		if packet, err := ipv4.Parse(retry.Opening); err == nil {
+		if packet, err := (ipv4.Format{}).Parse(retry.Opening); err == nil {
 			a.reset(packet, action.Reason)
 		}
 	case *core.PassOn:
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -64,7 +64,7 @@
 		t.agent.counters.Add("drop_view_expired", 1)
 		return
 	}
-	packet, err := ipv4.Parse(body)
+	packet, err := ipv4.Format{}.Parse(body)
 	if err != nil {
 		t.agent.counters.Add("drop_malformed", 1)
 		return
@@ -157,7 +157,7 @@
 // reset answers the caller with a reset.
 func (a *Agent) reset(packet flow.Packet, reason core.Reason) {
 	a.counters.Add(string(reason), 1)
-	if answer := ipv4.Reset(packet); answer != nil {
+	if answer := (ipv4.Format{}).Reset(packet); answer != nil {
 		a.egress.Send(answer)
 	}
 }
@@ -165,7 +165,7 @@
 // noteAnswers tells the core about the handshakes that the stack answers.
 func (a *Agent) noteAnswers(packets [][]byte) {
 	for _, packet := range packets {
-		answer, opens := ipv4.ParseAnswer(packet)
+		answer, opens := ipv4.Format{}.ParseAnswer(packet)
 		if !opens {
 			continue
 		}
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -12,27 +12,40 @@
 
 	core "github.com/radishmast/radishmast/internal/core/balancer"
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/daemon/metrics"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	"github.com/radishmast/radishmast/internal/link/fabric"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
+	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
 // leaveTime is how long a leaving balancer goes on forwarding, so that the
 // fabric and its peers notice before it stops.
-const leaveTime = 2 * time.Second
+const leaveTime = 4 * time.Second
 
 // hintBytes is the size of a hint's body: the hash of the flow.
 const hintBytes = 8
 
-// Run serves until ctx is done, then leaves without losing packets on the way.
+// Parts are what differs between the installations that a balancer can run in.
+type Parts struct {
+	Node   node.Parts
+	Format flow.Format
+}
+
+// Run serves packets of the Internet Protocol.
 func Run(ctx context.Context, s *settings.Balancer, logger log.Interface) error {
+	return RunWith(ctx, s, Parts{Node: node.ReadsDocuments(), Format: ipv4.Format{}}, logger)
+}
+
+// RunWith serves until ctx is done, then leaves without losing packets on the way.
+func RunWith(ctx context.Context, s *settings.Balancer, parts Parts, logger log.Interface) error {
 	counters := metrics.New()
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	n, err := node.New(serving, &s.Common, fleet.RoleBalancer, counters, logger)
+	n, err := node.New(serving, &s.Common, fleet.RoleBalancer, parts.Node, counters, logger)
 	if err != nil {
 		return fmt.Errorf("start balancer %s: %w", s.Name, err)
 	}
@@ -40,10 +53,15 @@
 	if err := n.Start(serving, group); err != nil {
 		return fmt.Errorf("start balancer %s: %w", s.Name, err)
 	}
-	if err := start(serving, group, s, n, counters); err != nil {
+	if err := start(serving, group, s, parts.Format, n, counters); err != nil {
 		return fmt.Errorf("start balancer %s: %w", s.Name, err)
 	}
 	logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("fabric", s.Fabric).Info("started")
+	if s.Ready != "" {
+		if err := n.ServeReady(serving, group, s.Ready); err != nil {
+			return fmt.Errorf("start balancer %s: %w", s.Name, err)
+		}
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -59,11 +77,12 @@
 }
 
 func leave(n *node.Node) {
+	n.Leave()
 	n.Describe(fleet.PeerLeaving, 0, nil)
 	time.Sleep(leaveTime)
 }
 
-func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, n *node.Node, counters *metrics.Counters) error {
+func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, format flow.Format, n *node.Node, counters *metrics.Counters) error {
 	balancer := core.New(core.NewHints(s.Hints))
 	for range s.Readers {
 		in, err := peer.Listen(ctx, settings.Endpoint(s.Fabric))
@@ -74,8 +93,8 @@
 		if err != nil {
 			return err
 		}
-		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation()}
-		forwarder := fabric.NewForwarder(identity, balancer, n, codec, in, n.NewWriter(), counters)
+		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation(), Data: n.Data()}
+		forwarder := fabric.NewForwarder(identity, balancer, format, n, codec, in, n.NewWriter(), counters)
 		group.Go(func() error { return node.Repeat(ctx, in, forwarder.Step) })
 	}
 	receiver, err := n.NewReceiver()
--- /dev/null
+++ b/internal/daemon/carrier/carrier.go
@@ -0,0 +1,244 @@
+// Package carrier runs an agent beside a backend server that ends the flows
+// itself: the agent carries packets unchanged between callers and the backend
+// server, and decides which of them to deliver.
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/metrics"
+	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+const (
+	// handedPerFlow is how many hand-overs are remembered for each flow owned.
+	handedPerFlow  = 2
+	initialSlots   = 2
+	sweepInterval  = time.Second
+	reportInterval = 500 * time.Millisecond
+	// leaveTime is how long a leaving agent goes on carrying packets, so that flows
+	// of a single request can end.
+	leaveTime = 3 * time.Second
+)
+
+// Format reads the packets of callers and backend servers.
+type Format interface {
+	flow.Format
+	// Tag stores a number in a packet that the backend server returns unchanged if
+	// it does not take the packet.
+	Tag(data []byte, tag uint32)
+	// Returned reads the tag of a packet that the backend server has returned and
+	// restores the packet. It reports false for any other packet.
+	Returned(data []byte) (tag uint32, returned bool)
+}
+
+// Parts are what differs between the installations that an agent can run in.
+type Parts struct {
+	Node   node.Parts
+	Format Format
+}
+
+// Carrier is a running agent.
+type Carrier struct {
+	settings *settings.Carrier
+	node     *node.Node
+	counters *metrics.Counters
+	logger   log.Interface
+	format   Format
+	outbound *net.UDPConn
+
+	// mu guards the decision core, which every traffic goroutine asks.
+	mu      sync.Mutex
+	core    *core.Agent
+	load    *core.Load
+	offered *offered
+}
+
+// Run serves until ctx is done, then leaves.
+func Run(ctx context.Context, s *settings.Carrier, parts Parts, logger log.Interface) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	c, err := newCarrier(serving, s, parts, logger)
+	if err != nil {
+		return fmt.Errorf("start agent %s: %w", s.Name, err)
+	}
+	group, serving := errgroup.WithContext(serving)
+	if err := c.start(serving, group); err != nil {
+		return fmt.Errorf("start agent %s: %w", s.Name, err)
+	}
+	c.logger.WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			c.leave()
+			stop()
+		case <-serving.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	c.logger.Info("stopped")
+	return err
+}
+
+func newCarrier(ctx context.Context, s *settings.Carrier, parts Parts, logger log.Interface) (*Carrier, error) {
+	counters := metrics.New()
+	n, err := node.New(ctx, &s.Common, fleet.RoleAgent, parts.Node, counters, logger)
+	if err != nil {
+		return nil, err
+	}
+	outbound, err := peer.Listen(ctx, settings.Endpoint(s.Outbound))
+	if err != nil {
+		return nil, err
+	}
+	load := core.NewLoad(time.Now(), initialSlots)
+	c := &Carrier{
+		settings: s,
+		node:     n,
+		counters: counters,
+		logger:   logger.WithField("instance", s.Name),
+		format:   parts.Format,
+		outbound: outbound,
+		load:     load,
+		offered:  newOffered(),
+	}
+	c.core = core.New(core.Config{
+		Self:       n.ID(),
+		DataCentre: s.DataCentre,
+		MaxFlows:   s.Connections,
+		MaxHanded:  s.Connections * handedPerFlow,
+		Placement:  core.HandOverWhenFull{},
+		Carried:    true,
+		Labels:     s.Labels,
+	}, n.Load(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
+	n.OnPublish(c.applyView)
+	return c, nil
+}
+
+func (c *Carrier) start(ctx context.Context, group *errgroup.Group) error {
+	if err := c.node.Start(ctx, group); err != nil {
+		return err
+	}
+	if c.settings.Ready != "" {
+		if err := c.node.ServeReady(ctx, group, c.settings.Ready); err != nil {
+			return err
+		}
+	}
+	receiver, err := c.node.NewReceiver()
+	if err != nil {
+		return err
+	}
+	inward, err := newTraffic(c)
+	if err != nil {
+		return err
+	}
+	outward, err := newTraffic(c)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		return node.Repeat(ctx, c.node.Socket(), func() error {
+			defer inward.flush()
+			return receiver.Step(inward.handle)
+		})
+	})
+	reader := peer.NewReader(c.outbound)
+	group.Go(func() error {
+		return node.Repeat(ctx, c.outbound, func() error {
+			defer outward.flush()
+			return outward.step(reader)
+		})
+	})
+	group.Go(func() error { return c.maintain(ctx) })
+	return nil
+}
+
+// maintain sweeps the flow table and reports load until ctx is done.
+func (c *Carrier) maintain(ctx context.Context) error {
+	sender, err := c.node.NewSender()
+	if err != nil {
+		return err
+	}
+	sweep, report := time.NewTicker(sweepInterval), time.NewTicker(reportInterval)
+	defer sweep.Stop()
+	defer report.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sweep.C:
+			c.mu.Lock()
+			c.core.SweepCarried(time.Now())
+			c.mu.Unlock()
+			c.describe()
+		case <-report.C:
+			c.report(sender)
+		}
+	}
+}
+
+// report tells the load to every sibling.
+func (c *Carrier) report(sender *node.Sender) {
+	c.mu.Lock()
+	report := c.core.Report(time.Now())
+	siblings := c.core.Siblings()
+	c.mu.Unlock()
+	body, err := cbor.Marshal(&report)
+	if err != nil {
+		c.logger.WithError(fmt.Errorf("encode load report: %w", err)).Error("report")
+		return
+	}
+	for _, sibling := range siblings {
+		header := c.node.Header(datagram.Load, sibling.ID(), sibling.Incarnation())
+		sender.QueueControl(&header, body, sibling.Data())
+	}
+	sender.Flush()
+}
+
+// describe tells peers of the agent's state and of the services whose flows it
+// keeps although it is not selected for them.
+func (c *Carrier) describe() {
+	c.mu.Lock()
+	residual := c.core.ResidualServices()
+	draining := c.core.IsDraining()
+	weight := c.core.LearnWeight(time.Now())
+	c.mu.Unlock()
+	state := fleet.PeerAlive
+	if draining {
+		state = fleet.PeerLeaving
+	}
+	c.node.Describe(state, weight, residual)
+}
+
+// applyView puts a view in force. Flows that are open stay where they are.
+func (c *Carrier) applyView(view *fleet.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.ApplyView(view)
+}
+
+// leave takes no new flows and goes on carrying packets for a while.
+func (c *Carrier) leave() {
+	c.mu.Lock()
+	c.core.Drain()
+	c.mu.Unlock()
+	c.node.Leave()
+	c.describe()
+	c.logger.Info("leaving")
+	time.Sleep(leaveTime)
+}
--- /dev/null
+++ b/internal/daemon/carrier/traffic.go
@@ -0,0 +1,244 @@
+package carrier
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/peer"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// traffic carries out decisions about the packets of one goroutine.
+type traffic struct {
+	carrier *Carrier
+	sender  *node.Sender
+	callers *peer.Writer
+	backend *peer.Writer
+	app     netip.AddrPort
+	arrival core.Arrival
+	out     datagram.Header
+	visited []uint64
+}
+
+func newTraffic(c *Carrier) (*traffic, error) {
+	sender, err := c.node.NewSender()
+	if err != nil {
+		return nil, err
+	}
+	return &traffic{
+		carrier: c,
+		sender:  sender,
+		callers: peer.NewWriter(c.node.Socket(), peer.NewPaths()),
+		backend: peer.NewWriter(c.outbound, peer.NewPaths()),
+		app:     settings.Endpoint(c.settings.Backend),
+	}, nil
+}
+
+// handle processes one datagram from a balancer or another agent.
+func (t *traffic) handle(header *datagram.Header, body []byte) {
+	switch header.Kind {
+	case datagram.Packet:
+		t.handlePacket(header, body)
+	case datagram.Load:
+		t.handleLoad(header, body)
+	default:
+		t.carrier.counters.Add("drop_unexpected_kind", 1)
+	}
+}
+
+func (t *traffic) handleLoad(header *datagram.Header, body []byte) {
+	var report core.Report
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		t.carrier.counters.Add("drop_undecodable", 1)
+		return
+	}
+	t.carrier.mu.Lock()
+	defer t.carrier.mu.Unlock()
+	t.carrier.core.Heard(time.Now(), fleet.InstanceID(header.From), report)
+}
+
+func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
+	now := time.Now()
+	if !t.carrier.node.IsValid(now) {
+		t.carrier.counters.Add("drop_view_expired", 1)
+		return
+	}
+	if !t.parse(header, body) {
+		return
+	}
+	t.decide(now, header, t.carrier.core.Receive)
+}
+
+// parse reads a packet and how it came. It reports false for a malformed one.
+func (t *traffic) parse(header *datagram.Header, body []byte) bool {
+	packet, err := t.carrier.format.Parse(body)
+	if err != nil {
+		t.carrier.counters.Add("drop_malformed", 1)
+		return false
+	}
+	t.arrival.Packet = packet
+	t.arrival.Service = fleet.ServiceID(header.Service)
+	t.arrival.Revision = header.Revision
+	t.arrival.Placed = header.Flags&datagram.Placed != 0
+	t.arrival.Visited = t.arrival.Visited[:0]
+	for _, id := range header.Visited {
+		t.arrival.Visited = append(t.arrival.Visited, fleet.InstanceID(id))
+	}
+	return true
+}
+
+func (t *traffic) decide(now time.Time, header *datagram.Header, ask func(time.Time, *core.Arrival) core.Action) {
+	t.carrier.mu.Lock()
+	action := ask(now, &t.arrival)
+	switch a := action.(type) {
+	case *core.Deliver:
+		hint := a.Hint
+		tag := t.carrier.offered.put(header)
+		t.carrier.mu.Unlock()
+		t.deliver(tag)
+		if hint {
+			t.sendHint(header)
+		}
+	case *core.PassOn:
+		passOn := *a
+		t.carrier.mu.Unlock()
+		t.passOn(header, &passOn)
+	case *core.Reset:
+		reason := a.Reason
+		t.carrier.mu.Unlock()
+		t.reset(reason)
+	case *core.Drop:
+		reason := a.Reason
+		t.carrier.mu.Unlock()
+		t.carrier.counters.Add(string(reason), 1)
+	}
+}
+
+func (t *traffic) deliver(tag uint32) {
+	t.carrier.format.Tag(t.arrival.Packet.Bytes(), tag)
+	t.queue(t.backend, t.arrival.Packet.Bytes(), t.app)
+}
+
+// queue adds a packet to a batch. One that cannot be sent is lost and counted.
+func (t *traffic) queue(writer *peer.Writer, packet []byte, to netip.AddrPort) {
+	buffer, err := writer.Next()
+	if err != nil {
+		t.carrier.counters.Add("drop_send_failed", 1)
+		return
+	}
+	buffer.Write(packet)
+	writer.Queue(to)
+}
+
+func (t *traffic) passOn(in *datagram.Header, action *core.PassOn) {
+	t.visited = append(t.visited[:0], in.Visited...)
+	if self := uint64(t.carrier.node.ID()); !slices.Contains(t.visited, self) {
+		t.visited = append(t.visited, self)
+	}
+	t.out = t.carrier.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
+	t.out.Service = in.Service
+	t.out.Revision = max(t.out.Revision, in.Revision)
+	t.out.Origin, t.out.Reply = in.Origin, in.Reply
+	t.out.Visited = t.visited
+	if action.Placed {
+		t.out.Flags = datagram.Placed
+	}
+	t.carrier.counters.Add("packets_passed_on", 1)
+	if action.Reason != "" {
+		t.carrier.counters.Add(string(action.Reason), 1)
+	}
+	t.sender.Queue(&t.out, t.arrival.Packet.Bytes(), action.Target.Data())
+}
+
+// sendHint tells the balancer that first received the packet who owns the flow.
+func (t *traffic) sendHint(in *datagram.Header) {
+	to, known := datagram.UnpackEndpoint(in.Reply)
+	if !known {
+		return
+	}
+	var body [8]byte
+	binary.BigEndian.PutUint64(body[:], t.arrival.Packet.Flow().Hash())
+	t.out = t.carrier.node.Header(datagram.Hint, fleet.InstanceID(in.Origin), 0)
+	t.sender.Queue(&t.out, body[:], to)
+	t.carrier.counters.Add("hints_sent", 1)
+}
+
+// reset answers the caller with a reset.
+func (t *traffic) reset(reason core.Reason) {
+	t.carrier.counters.Add(string(reason), 1)
+	if answer := t.carrier.format.Reset(t.arrival.Packet); answer != nil {
+		t.queue(t.callers, answer, t.callerEndpoint(t.arrival.Packet.Flow()))
+	}
+}
+
+// callerEndpoint returns where the fabric takes packets for a caller: at the
+// caller's address and the fabric's own port.
+func (t *traffic) callerEndpoint(id flow.ID) netip.AddrPort {
+	return netip.AddrPortFrom(id.Caller().Addr(), t.carrier.node.Data().Port())
+}
+
+// step handles one batch of packets from the backend server.
+func (t *traffic) step(reader *peer.Reader) error {
+	count, err := reader.Read()
+	if err != nil {
+		return fmt.Errorf("read from backend server %s: %w", t.app, err)
+	}
+	now := time.Now()
+	for i := range count {
+		if reader.Source(i).Addr() != t.app.Addr() {
+			t.carrier.counters.Add("drop_foreign_source", 1)
+			continue
+		}
+		t.handleOutbound(now, reader.Datagram(i))
+	}
+	return nil
+}
+
+func (t *traffic) handleOutbound(now time.Time, data []byte) {
+	if tag, returned := t.carrier.format.Returned(data); returned {
+		t.handleReturned(now, tag, data)
+		return
+	}
+	answer, valid := t.carrier.format.ParseAnswer(data)
+	if !valid {
+		t.carrier.counters.Add("drop_malformed", 1)
+		return
+	}
+	t.carrier.mu.Lock()
+	t.carrier.core.Sent(now, answer)
+	t.carrier.mu.Unlock()
+	t.queue(t.callers, data, t.callerEndpoint(answer.Flow))
+}
+
+func (t *traffic) handleReturned(now time.Time, tag uint32, data []byte) {
+	t.carrier.counters.Add("packets_returned", 1)
+	t.carrier.mu.Lock()
+	header, known := t.carrier.offered.take(tag)
+	t.carrier.mu.Unlock()
+	if !known {
+		t.carrier.counters.Add("drop_returned_late", 1)
+		return
+	}
+	if t.parse(&header, data) {
+		t.decide(now, &header, t.carrier.core.Bounced)
+	}
+}
+
+func (t *traffic) flush() {
+	t.sender.Flush()
+	for _, writer := range []*peer.Writer{t.callers, t.backend} {
+		if err := writer.Flush(); err != nil {
+			t.carrier.counters.Add("drop_send_failed", 1)
+		}
+	}
+}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,6 @@
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	link "github.com/radishmast/radishmast/internal/link/control"
 	"github.com/radishmast/radishmast/internal/link/peer"
-	"github.com/radishmast/radishmast/internal/link/platform"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
@@ -50,13 +50,15 @@
 	control     netip.AddrPort
 	socket      *net.UDPConn
 	paths       *peer.Paths
-	platform    *platform.Client
+	source      Source
+	anyStart    bool
 	http        *http.Client
 	counters    *metrics.Counters
 	logger      log.Interface
 
 	view       atomic.Pointer[fleet.View]
 	validUntil atomic.Int64
+	leaving    atomic.Bool
 	inputs     chan func(now time.Time) []control.Output
 	controller *control.Controller
 	onPublish  func(*fleet.View)
@@ -67,18 +69,38 @@
 	nextLink control.LinkID
 }
 
+// Parts are what differs between the installations that a node can run in.
+type Parts struct {
+	// Source returns the reader of published documents.
+	Source func(common *settings.Common, transport http.RoundTripper, counters *metrics.Counters, logger log.Interface) (Source, error)
+	// AnyStart accepts datagrams that were meant for an earlier start of this
+	// process. Flows outlive a process that only carries their packets.
+	AnyStart bool
+}
+
+// ReadsDocuments returns the parts of an installation whose platform publishes
+// whole documents.
+func ReadsDocuments() Parts {
+	return Parts{Source: func(common *settings.Common, transport http.RoundTripper, counters *metrics.Counters, logger log.Interface) (Source, error) {
+		return NewDocumentReader(common.Platform, transport, counters, logger)
+	}}
+}
+
 // New returns a node with an open datagram socket.
-func New(ctx context.Context, common *settings.Common, role fleet.Role, counters *metrics.Counters, logger log.Interface) (*Node, error) {
+func New(ctx context.Context, common *settings.Common, role fleet.Role, parts Parts, counters *metrics.Counters, logger log.Interface) (*Node, error) {
 	debug.SetGCPercent(gcPercent)
 	socket, err := peer.Listen(ctx, settings.Endpoint(common.Data))
 	if err != nil {
 		return nil, err
 	}
 	httpClient := newHTTPClient(settings.Endpoint(common.Control).Addr())
-	client, err := platform.New(common.Platform, httpClient.Transport)
+	source, err := parts.Source(common, httpClient.Transport, counters, logger)
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
 	}
+	logger.WithField("instance", common.Name).WithField("data_centre", common.DataCentre).
+		WithField("data_centres", strings.Join(common.DataCentres, ",")).
+		WithField("peers", strings.Join(common.Peers, ",")).Info("starting")
 	now := time.Now()
 	n := &Node{
 		name:        common.Name,
@@ -90,7 +112,8 @@
 		control:     settings.Endpoint(common.Control),
 		socket:      socket,
 		paths:       peer.NewPaths(),
-		platform:    client,
+		source:      source,
+		anyStart:    parts.AnyStart,
 		http:        httpClient,
 		counters:    counters,
 		logger:      logger.WithField("instance", common.Name),
@@ -141,6 +164,9 @@
 // Socket returns the datagram socket shared with other processes.
 func (n *Node) Socket() *net.UDPConn { return n.socket }
 
+// Data returns the endpoint of the datagram socket.
+func (n *Node) Data() netip.AddrPort { return n.endpoint }
+
 // NewWriter returns a writer of datagrams to other processes.
 func (n *Node) NewWriter() *peer.Writer { return peer.NewWriter(n.socket, n.paths) }
 
--- a/internal/daemon/node/platform.go
+++ b/internal/daemon/node/platform.go
@@ -4,11 +4,15 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
+	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/radishmast/radishmast/internal/core/control"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/daemon/metrics"
 	"github.com/radishmast/radishmast/internal/link/platform"
 )
 
@@ -24,40 +28,63 @@
 	maxBackoff     = 15 * time.Second
 )
 
+// DocumentReader reads whole documents from the platform, each by its own waiting
+// read. It implements Source.
+type DocumentReader struct {
+	client   *platform.Client
+	counters *metrics.Counters
+	logger   log.Interface
+}
+
+// NewDocumentReader returns a reader of the platform at a base URL.
+func NewDocumentReader(base string, transport http.RoundTripper, counters *metrics.Counters, logger log.Interface) (*DocumentReader, error) {
+	client, err := platform.New(base, transport)
+	if err != nil {
+		return nil, err
+	}
+	return &DocumentReader{client: client, counters: counters, logger: logger}, nil
+}
+
+// Run keeps every document up to date until ctx is done.
+func (r *DocumentReader) Run(ctx context.Context, sink Sink) {
+	var group sync.WaitGroup
+	for _, name := range platform.Names() {
+		group.Go(func() { r.readPlatform(ctx, sink, name) })
+	}
+	group.Wait()
+}
+
 // readPlatform keeps one document up to date until ctx is done.
-func (n *Node) readPlatform(ctx context.Context, name platform.Name) {
+func (r *DocumentReader) readPlatform(ctx context.Context, sink Sink, name platform.Name) {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = minBackoff
 	delays.MaxInterval = maxBackoff
 	for ctx.Err() == nil {
-		n.counters.Add("platform_reads", 1)
-		wait := n.watchWait()
-		document, err := n.platform.Read(ctx, name, n.revision(name), wait)
+		r.counters.Add("platform_reads", 1)
+		size := sink.FleetSize()
+		wait := chooseWait(size)
+		document, err := r.client.Read(ctx, name, revision(sink.Revisions(), name), wait)
 		switch {
 		case err == nil:
 			delays.Reset()
-			n.inputs <- func(now time.Time) []control.Output { return n.controller.Document(now, document) }
+			sink.Apply(document)
 		case errors.Is(err, platform.ErrUnchanged):
 			delays.Reset()
-			n.inputs <- func(time.Time) []control.Output {
-				n.controller.Confirm()
-				return nil
-			}
+			sink.Confirm()
 		case ctx.Err() == nil:
-			n.counters.Add("retry_platform_read", 1)
-			n.logger.WithError(err).Warn("platform")
+			r.counters.Add("retry_platform_read", 1)
+			r.logger.WithError(err).Warn("platform")
 			// Retries of the whole fleet share the budget of the polls.
-			sleep(ctx, max(delays.NextBackOff(), n.pollDelay(0)))
+			sleep(ctx, max(delays.NextBackOff(), pollDelay(size, 0)))
 			continue
 		}
-		sleep(ctx, n.pollDelay(wait))
+		sleep(ctx, pollDelay(size, wait))
 	}
 }
 
-// watchWait returns how long a read waits for a change, or zero if this process
+// chooseWait returns how long a read waits for a change, or zero if this process
 // is not one of the watchers.
-func (n *Node) watchWait() time.Duration {
-	size := len(n.Load().Nodes())
+func chooseWait(size int) time.Duration {
 	if size <= watchers || rand.IntN(size) < watchers {
 		return watchWait
 	}
@@ -65,17 +92,15 @@
 }
 
 // pollDelay spreads the reads of the processes that do not watch.
-func (n *Node) pollDelay(wait time.Duration) time.Duration {
+func pollDelay(size int, wait time.Duration) time.Duration {
 	if wait > 0 {
 		return time.Duration(rand.Int64N(int64(10 * time.Millisecond)))
 	}
-	size := len(n.Load().Nodes()) * len(platform.Names())
-	mean := time.Duration(size) * time.Second / pollsPerSecond
+	mean := time.Duration(size*len(platform.Names())) * time.Second / pollsPerSecond
 	return mean/2 + time.Duration(rand.Int64N(int64(mean)+1))
 }
 
-func (n *Node) revision(name platform.Name) uint64 {
-	revisions := n.Load().Revisions()
+func revision(revisions fleet.Revisions, name platform.Name) uint64 {
 	switch name {
 	case platform.Services:
 		return revisions.Services
--- /dev/null
+++ b/internal/daemon/node/ready.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// ReadyPath is the path of the readiness endpoint.
+const ReadyPath = "/ready"
+
+// Leave makes the node say that it is not ready any more.
+func (n *Node) Leave() { n.leaving.Store(true) }
+
+// IsReady reports whether the node has a picture to route by and is not leaving.
+func (n *Node) IsReady(now time.Time) bool {
+	return !n.leaving.Load() && n.IsValid(now) && n.Revisions().Services > 0 && n.Revisions().Backends > 0
+}
+
+// ServeReady answers the fabric's readiness probes in a group until ctx is done.
+func (n *Node) ServeReady(ctx context.Context, group *errgroup.Group, endpoint string) error {
+	config := net.ListenConfig{}
+	listener, err := config.Listen(ctx, "tcp4", endpoint)
+	if err != nil {
+		return fmt.Errorf("listen for readiness probes on %s: %w", endpoint, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.IsReady(time.Now()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve readiness endpoint %s: %w", endpoint, err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return shutDown(server)
+	})
+	return nil
+}
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -13,7 +13,6 @@
 
 	link "github.com/radishmast/radishmast/internal/link/control"
 	"github.com/radishmast/radishmast/internal/link/operator"
-	"github.com/radishmast/radishmast/internal/link/platform"
 )
 
 const (
@@ -46,12 +45,10 @@
 		n.closeAll()
 		return shutDown(server)
 	})
-	for _, name := range platform.Names() {
-		group.Go(func() error {
-			n.readPlatform(ctx, name)
-			return nil
-		})
-	}
+	group.Go(func() error {
+		n.source.Run(ctx, n)
+		return nil
+	})
 	return nil
 }
 
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -46,6 +46,15 @@
 	Platform   string   `json:"platform"`
 	Keys       []string `json:"keys"`
 	Peers      []string `json:"peers"`
+	// DataCentres lists all data centres, where the platform does not publish
+	// selectors by data centre.
+	DataCentres []string `json:"dataCentres"`
+	// AgentControl is the port of the agents' control endpoints, where the platform
+	// does not list it.
+	AgentControl uint16 `json:"agentControl"`
+	// Ready is the endpoint that tells the fabric whether to send packets here. It
+	// is optional.
+	Ready string `json:"ready"`
 }
 
 // Balancer are the settings of an entry instance.
@@ -67,6 +76,38 @@
 	Placement   string `json:"placement"`
 }
 
+// Carrier are the settings of an agent that carries packets between callers and a
+// backend server that ends the flows itself.
+type Carrier struct {
+	Common
+	// Outbound is the endpoint to which the backend server sends its packets.
+	Outbound string `json:"outbound"`
+	// Backend is the endpoint at which the backend server takes packets.
+	Backend     string            `json:"backend"`
+	Labels      map[string]string `json:"labels"`
+	Connections int               `json:"connections"`
+	Placement   string            `json:"placement"`
+}
+
+// ReadCarrier reads and checks the settings of a carrying agent.
+func ReadCarrier(data []byte) (*Carrier, error) {
+	s := &Carrier{Connections: defaultConnections, Placement: "handover"}
+	if err := decode(data, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (s *Carrier) check() error {
+	return errors.Join(
+		s.Common.check(),
+		checkEndpoint("outbound", s.Outbound),
+		checkEndpoint("backend", s.Backend),
+		checkCount("connections", s.Connections, maxConnections),
+		checkOneOf("placement", s.Placement, "uniform", "hash", "handover", "choices"),
+	)
+}
+
 // ReadBalancer reads and checks the settings of a balancer.
 func ReadBalancer(data []byte) (*Balancer, error) {
 	s := &Balancer{Hints: defaultHints, Readers: defaultReaders}
@@ -152,6 +193,7 @@
 		checkEndpoint("data", s.Data),
 		checkEndpoint("control", s.Control),
 		checkURL("platform", s.Platform),
+		checkOptionalEndpoint("ready", s.Ready),
 		s.checkKeys(),
 		s.checkPeers(),
 	)
@@ -193,6 +235,13 @@
 	return nil
 }
 
+func checkOptionalEndpoint(field, value string) error {
+	if value == "" {
+		return nil
+	}
+	return checkEndpoint(field, value)
+}
+
 func checkURL(field, value string) error {
 	parsed, err := url.Parse(value)
 	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -3,16 +3,17 @@
 package fabric
 
 import (
+	"errors"
 	"fmt"
 	"net"
-	"slices"
+	"net/netip"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/balancer"
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
-	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
 // Counter counts events by name.
@@ -30,6 +31,7 @@
 // its own.
 type Forwarder struct {
 	core    *balancer.Balancer
+	format  flow.Format
 	views   ViewSource
 	codec   *datagram.Codec
 	reader  *peer.Reader
@@ -47,13 +49,16 @@
 type Identity struct {
 	ID          fleet.InstanceID
 	Incarnation uint64
+	// Data is where the sender takes datagrams.
+	Data netip.AddrPort
 }
 
 // NewForwarder returns a forwarder that reads from a socket of the fabric and
 // writes to agents.
-func NewForwarder(identity Identity, core *balancer.Balancer, views ViewSource, codec *datagram.Codec, in *net.UDPConn, writer *peer.Writer, counter Counter) *Forwarder {
+func NewForwarder(identity Identity, core *balancer.Balancer, format flow.Format, views ViewSource, codec *datagram.Codec, in *net.UDPConn, writer *peer.Writer, counter Counter) *Forwarder {
 	return &Forwarder{
 		core:    core,
+		format:  format,
 		views:   views,
 		codec:   codec,
 		reader:  peer.NewReader(in),
@@ -66,6 +71,7 @@
 			From:            uint64(identity.ID),
 			FromIncarnation: identity.Incarnation,
 			Origin:          uint64(identity.ID),
+			Reply:           datagram.PackEndpoint(identity.Data),
 		},
 	}
 }
@@ -94,9 +100,9 @@
 }
 
 func (f *Forwarder) forward(view *fleet.View, data []byte) {
-	packet, err := ipv4.Parse(data)
+	packet, err := f.format.Parse(data)
 	if err != nil {
-		f.counter.Add(parseReason(err), 1)
+		f.counter.Add(malformedReason(err), 1)
 		return
 	}
 	decision := f.core.Forward(view, packet)
@@ -147,28 +153,11 @@
 	return prefix, nil
 }
 
-// parseReasons maps each parse error to its counter.
-var parseReasons = []struct {
-	err    error
-	reason string
-}{
-	{ipv4.ErrTruncated, "drop_truncated"},
-	{ipv4.ErrVersion, "drop_ip_version"},
-	{ipv4.ErrLength, "drop_length"},
-	{ipv4.ErrChecksum, "drop_checksum"},
-	{ipv4.ErrFragment, "drop_fragment"},
-	{ipv4.ErrProtocol, "drop_protocol"},
-}
-
-func parseReason(err error) string {
-	i := slices.IndexFunc(parseReasons, func(r struct {
-		err    error
-		reason string
-	}) bool {
-		return r.err == err
-	})
-	if i < 0 {
-		return "drop_malformed"
+// malformedReason returns the counter of a packet that could not be parsed.
+func malformedReason(err error) string {
+	var malformed flow.MalformedError
+	if errors.As(err, &malformed) {
+		return "drop_" + string(malformed)
 	}
-	return parseReasons[i].reason
+	return "drop_malformed"
 }
--- a/internal/link/fabric/forwarder_test.go
+++ b/internal/link/fabric/forwarder_test.go
@@ -17,6 +17,7 @@
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
+	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
 // fixedView is a view that stays valid.
@@ -86,7 +87,7 @@
 	view := newView(t, endpoint(out))
 	codec, err := datagram.NewCodec()
 	require.NoError(t, err)
-	f := NewForwarder(Identity{ID: 5, Incarnation: 9}, balancer.New(balancer.NewHints(16)), fixedView{view}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{})
+	f := NewForwarder(Identity{ID: 5, Incarnation: 9}, balancer.New(balancer.NewHints(16)), ipv4.Format{}, fixedView{view}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{})
 	packet := segment(4000, 100)
 	_, err = out.WriteToUDPAddrPort(packet, endpoint(in))
 	require.NoError(t, err)
@@ -163,7 +164,7 @@
 		codec, err := datagram.NewCodec(keys...)
 		require.NoError(b, err)
 		core := balancer.New(balancer.NewHints(1 << 18))
-		return NewForwarder(Identity{ID: 5, Incarnation: 9}, core, fixedView{newView(b, endpoint(out))}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{}).Step
+		return NewForwarder(Identity{ID: 5, Incarnation: 9}, core, ipv4.Format{}, fixedView{newView(b, endpoint(out))}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{}).Step
 	})
 }
 
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -5,8 +5,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"net/netip"
 
 	"github.com/dchest/siphash"
 	"github.com/fxamacker/cbor/v2"
@@ -65,7 +67,25 @@
 	Service         uint64
 	Revision        uint64
 	Origin          uint64
-	Visited         []uint64
+	// Reply is the endpoint of the origin, packed by PackEndpoint.
+	Reply   uint64
+	Visited []uint64
+}
+
+// PackEndpoint encodes an IPv4 endpoint in a header field.
+func PackEndpoint(endpoint netip.AddrPort) uint64 {
+	if !endpoint.Addr().Is4() {
+		return 0
+	}
+	ip := endpoint.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(ip[:]))<<16 | uint64(endpoint.Port())
+}
+
+// UnpackEndpoint decodes an endpoint. It reports false if there is none.
+func UnpackEndpoint(packed uint64) (netip.AddrPort, bool) {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], uint32(packed>>16))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), uint16(packed)), packed != 0
 }
 
 // Reasons for which a datagram is refused.
--- a/internal/wire/ipv4/format.go
+++ b/internal/wire/ipv4/format.go
@@ -3,7 +3,6 @@
 package ipv4
 
 import (
-	"errors"
 	"net/netip"
 
 	"gvisor.dev/gvisor/pkg/tcpip"
@@ -13,21 +12,24 @@
 )
 
 // Reasons for which a packet is refused.
-var (
-	ErrTruncated = errors.New("truncated packet")
-	ErrVersion   = errors.New("not an IPv4 packet")
-	ErrLength    = errors.New("length field does not fit the packet")
-	ErrChecksum  = errors.New("wrong header checksum")
-	ErrFragment  = errors.New("fragmented packet")
-	ErrProtocol  = errors.New("neither TCP nor UDP")
+const (
+	ErrTruncated = flow.MalformedError("truncated")
+	ErrVersion   = flow.MalformedError("ip_version")
+	ErrLength    = flow.MalformedError("length")
+	ErrChecksum  = flow.MalformedError("checksum")
+	ErrFragment  = flow.MalformedError("fragment")
+	ErrProtocol  = flow.MalformedError("protocol")
 )
 
+// Format reads and writes IPv4 packets. It implements flow.Format.
+type Format struct{}
+
 // MaxPacket is the largest packet accepted, in bytes.
 const MaxPacket = 1500
 
 // Parse checks an IPv4 packet that a caller sent and returns it as a flow
 // packet. The result refers to data.
-func Parse(data []byte) (flow.Packet, error) {
+func (Format) Parse(data []byte) (flow.Packet, error) {
 	ip, err := parseIP(data)
 	if err != nil {
 		return flow.Packet{}, err
@@ -103,41 +105,30 @@
 	return flow.NewID(flow.NewAddress(protocol, service), caller)
 }
 
-// Answer is what the agent's own stack sends towards the caller, reduced to
-// what the decision core needs.
-type Answer struct {
-	// Flow is the flow the packet answers.
-	Flow flow.ID
-	// Token is the value the caller must acknowledge to complete the handshake.
-	Token uint32
-	// Opens reports whether the packet is the answer to an opening packet.
-	Opens bool
-}
-
 // ParseAnswer reads a packet that goes from a service address to a caller. It
 // reports false for anything but TCP.
-func ParseAnswer(data []byte) (Answer, bool) {
+func (Format) ParseAnswer(data []byte) (flow.Answer, bool) {
 	ip := header.IPv4(data)
 	if !ip.IsValid(len(data)) || ip.TransportProtocol() != header.TCPProtocolNumber {
-		return Answer{}, false
+		return flow.Answer{}, false
 	}
 	tcp := header.TCP(ip.Payload())
 	if len(tcp) < header.TCPMinimumSize {
-		return Answer{}, false
+		return flow.Answer{}, false
 	}
 	const synAck = header.TCPFlagSyn | header.TCPFlagAck
 	if tcp.Flags()&(synAck|header.TCPFlagRst) != synAck {
-		return Answer{}, false
+		return flow.Answer{}, false
 	}
 	service := netip.AddrPortFrom(netip.AddrFrom4(ip.SourceAddress().As4()), tcp.SourcePort())
 	caller := netip.AddrPortFrom(netip.AddrFrom4(ip.DestinationAddress().As4()), tcp.DestinationPort())
 	id := flow.NewID(flow.NewAddress(flow.TCP, service), caller)
-	return Answer{Flow: id, Token: tcp.SequenceNumber() + 1, Opens: true}, true
+	return flow.Answer{Flow: id, Token: tcp.SequenceNumber() + 1, Opens: true}, true
 }
 
 // Reset returns the TCP reset that answers a packet of a flow nobody owns, or
 // nil if the packet's protocol has no reset.
-func Reset(packet flow.Packet) []byte {
+func (Format) Reset(packet flow.Packet) []byte {
 	ip := header.IPv4(packet.Bytes())
 	if packet.Flow().Protocol() != flow.TCP || packet.Kind() == flow.Closing {
 		return nil
--- a/internal/wire/ipv4/format_test.go
+++ b/internal/wire/ipv4/format_test.go
@@ -33,7 +33,7 @@
 		syn: flow.Opening, ack: flow.Established, fin | ack: flow.Established,
 		rst: flow.Closing, rst | ack: flow.Closing, syn | ack: flow.Established,
 	} {
-		packet, err := Parse(segment(flags, ""))
+		packet, err := Format{}.Parse(segment(flags, ""))
 		require.NoError(t, err)
 		require.Equal(t, kind, packet.Kind(), "flags %s", flags)
 		require.Equal(t, netip.MustParseAddrPort("10.1.0.1:4000"), packet.Flow().Caller())
@@ -65,7 +65,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			_, err := Parse(test.data)
+			_, err := Format{}.Parse(test.data)
 			require.Equal(t, test.want, err)
 		})
 	}
@@ -85,9 +85,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			packet, err := Parse(segment(test.flags, test.payload))
+			packet, err := Format{}.Parse(segment(test.flags, test.payload))
 			require.NoError(t, err)
-			answer := header.IPv4(Reset(packet))
+			answer := header.IPv4(Format{}.Reset(packet))
 			tcp := header.TCP(answer.Payload())
 			require.Equal(t, test.wants, tcp.Flags())
 			require.Equal(t, test.sequence, tcp.SequenceNumber())
@@ -96,9 +96,9 @@
 			require.True(t, tcp.IsChecksumValid(answer.SourceAddress(), answer.DestinationAddress(), 0, 0))
 		})
 	}
-	aborting, err := Parse(segment(header.TCPFlagRst, ""))
+	aborting, err := Format{}.Parse(segment(header.TCPFlagRst, ""))
 	require.NoError(t, err)
-	require.Nil(t, Reset(aborting), "a reset is never answered")
+	require.Nil(t, Format{}.Reset(aborting), "a reset is never answered")
 }
 
 func FuzzParse(f *testing.F) {
@@ -106,13 +106,13 @@
 	f.Add(segment(header.TCPFlagAck, "data"))
 	f.Add([]byte{0x45})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		packet, err := Parse(data)
+		packet, err := Format{}.Parse(data)
 		if err != nil {
 			return
 		}
-		if answer := Reset(packet); answer != nil {
+		if answer := (Format{}).Reset(packet); answer != nil {
 			require.True(t, header.IPv4(answer).IsValid(len(answer)))
 		}
-		ParseAnswer(data)
+		Format{}.ParseAnswer(data)
 	})
 }
