Let two processes read the platform for all and spread how old the picture is

Ruled out: a slow spread between processes (all of them read for themselves then).

Change: a watch waits one second; the first agents of two data centres read for all, each summary carries the age of the picture, and a process whose picture is older than 1.6 s reads as well, the next in rank first. Time is read from a clock that counts suspensions and does not jump.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -72,6 +72,7 @@
 	lastTick    time.Time
 	confirmBy   time.Time
 	unconfirmed bool
+	fresh       freshness
 }
 
 // New returns a controller without documents.
@@ -87,6 +88,7 @@
 		lastTick:    now,
 		confirmBy:   now.Add(confirmTimeout),
 		unconfirmed: true,
+		fresh:       freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(firstReadDelay))))},
 	}
 	c.state.Peers().Merge(c.own)
 	c.view = c.state.View(now)
@@ -126,7 +128,7 @@
 	c.flushRecords()
 	if !now.Before(c.summaryAt) {
 		c.summaryAt = now.Add(summaryInterval)
-		c.broadcast(c.summary(), 0)
+		c.broadcast(c.summary(now), 0)
 	}
 	c.probe(now)
 	c.publish(now)
@@ -153,13 +155,16 @@
 // Document applies a document read from the platform.
 func (c *Controller) Document(now time.Time, document fleet.Document) []Output {
 	c.apply(now, document, 0)
-	c.unconfirmed = false
+	c.confirm(now, now, 0)
 	c.publish(now)
 	return c.take()
 }
 
 // Confirm records that the platform answered that nothing has changed.
-func (c *Controller) Confirm() { c.unconfirmed = false }
+func (c *Controller) Confirm(now time.Time) []Output {
+	c.confirm(now, now, 0)
+	return c.take()
+}
 
 func (c *Controller) apply(now time.Time, document fleet.Document, source LinkID) {
 	change := changeBetween(c.state, document)
@@ -201,6 +206,7 @@
 	}
 	c.viewDue, c.rerouted = false, false
 	c.prober.setPeers(c.peersToProbe())
+	c.rankReaders()
 	c.emit(Publish{View: c.view})
 }
 
@@ -213,7 +219,7 @@
 	l.silentAt = now.Add(linkTimeout)
 	switch {
 	case message.Summary != nil:
-		c.receiveSummary(id, l, message.Summary)
+		c.receiveSummary(now, id, l, message.Summary)
 	case message.Digests != nil:
 		c.receiveDigests(id, message.Digests)
 	case message.Change != nil:
@@ -226,7 +232,7 @@
 	return c.take()
 }
 
-func (c *Controller) receiveSummary(id LinkID, l *link, summary *Summary) {
+func (c *Controller) receiveSummary(now time.Time, id LinkID, l *link, summary *Summary) {
 	l.peer = summary.ID
 	mine := c.state.Revisions()
 	for _, change := range missing(c.state, summary.Revisions) {
@@ -236,9 +242,12 @@
 		summary.Revisions.Backends > mine.Backends ||
 		summary.Revisions.Instances > mine.Instances
 	if behind {
-		c.emit(Send{Link: id, Message: c.summary()})
+		c.emit(Send{Link: id, Message: c.summary(now)})
 	} else {
 		c.unconfirmed = false
+		if summary.Age >= 0 {
+			c.confirm(now, now.Add(-summary.Age), id)
+		}
 	}
 	c.compareTables(id, l, summary.Peers)
 }
@@ -284,7 +293,7 @@
 	if errors.As(err, &gap) {
 		if change.To > gap.Have {
 			c.emit(Report{Event: EventChangeGap, Err: err})
-			c.emit(Send{Link: id, Message: c.summary()})
+			c.emit(Send{Link: id, Message: c.summary(now)})
 		}
 		return
 	}
@@ -295,11 +304,16 @@
 	c.apply(now, document, id)
 }
 
-func (c *Controller) summary() *Message {
+func (c *Controller) summary(now time.Time) *Message {
+	age, known := c.Age(now)
+	if !known {
+		age = -1
+	}
 	return &Message{Summary: &Summary{
 		ID:          c.config.Self,
 		Incarnation: c.config.Incarnation,
 		Revisions:   c.state.Revisions(),
+		Age:         age,
 		Peers:       c.tableDigest(),
 	}}
 }
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -14,7 +14,7 @@
 		silentAt: now.Add(linkTimeout),
 		rotateAt: c.rotation(now),
 	}
-	c.emit(Send{Link: id, Message: c.summary()})
+	c.emit(Send{Link: id, Message: c.summary(now)})
 	return c.take()
 }
 
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/radishmast/radishmast/internal/core/fleet"
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
 
 // Message is what processes exchange on a control link. Exactly one part is set.
 type Message struct {
@@ -17,6 +21,9 @@
 	ID          fleet.InstanceID
 	Incarnation uint64
 	Revisions   fleet.Revisions
+	// Age is how long ago the sender's picture was compared with the platform, or
+	// negative if it never was.
+	Age time.Duration
 	// Peers is the digest of the sender's peer table.
 	Peers uint64
 }
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -104,6 +104,9 @@
 	return changed
 }
 
+// IsUnreachable reports whether the peer does not answer this process.
+func (p *Peers) IsUnreachable(id InstanceID) bool { return p.unreachable[id] }
+
 // Forget drops peers that the keep function rejects.
 func (p *Peers) Forget(keep func(InstanceID) bool) {
 	for id := range p.records {
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	"github.com/radishmast/radishmast/internal/link/backend"
 	"github.com/radishmast/radishmast/internal/link/caller"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/link/fabric"
 )
 
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open egress socket: %w", err)
 	}
-	load := core.NewLoad(time.Now(), s.Slots)
+	load := core.NewLoad(clock.Now(), s.Slots)
 	a := &Agent{
 		settings:    s,
 		node:        n,
@@ -183,12 +184,12 @@
 		case <-ctx.Done():
 			return nil
 		case <-sweep.C:
-			a.sweep(time.Now())
+			a.sweep(clock.Now())
 			a.describe()
 		case <-report.C:
 			reporter.send()
 		case <-expiry.C:
-			a.expire(time.Now())
+			a.expire(clock.Now())
 			reporter.sendDue()
 		case <-a.loadChanged:
 			reporter.sendDue()
@@ -245,7 +246,7 @@
 	a.mu.Lock()
 	residual := a.core.ResidualServices()
 	draining := a.core.IsDraining()
-	weight := a.core.LearnWeight(time.Now())
+	weight := a.core.LearnWeight(clock.Now())
 	a.mu.Unlock()
 	state := fleet.PeerAlive
 	if draining {
@@ -332,7 +333,7 @@
 	defer cancel()
 	poll := time.NewTicker(drainPoll)
 	defer poll.Stop()
-	earliest := time.Now().Add(leaveTime)
+	earliest := clock.Now().Add(leaveTime)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -340,7 +341,7 @@
 			a.mu.Lock()
 			idle := a.core.IsIdle()
 			a.mu.Unlock()
-			if idle && time.Now().After(earliest) {
+			if idle && clock.Now().After(earliest) {
 				return
 			}
 		}
--- a/internal/daemon/agent/gate.go
+++ b/internal/daemon/agent/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/link/clock"
 )
 
 // expiryInterval is how often waits are checked for their end.
@@ -59,7 +60,7 @@
 		a.mu.Unlock()
 		return core.Admitted{}
 	}
-	ticket, admitted := a.gate.admission.Ask(time.Now(), member, patience)
+	ticket, admitted := a.gate.admission.Ask(clock.Now(), member, patience)
 	if admitted {
 		a.mu.Unlock()
 		return core.Admitted{HasSlot: true}
@@ -139,7 +140,7 @@
 		r.notePromptness(true)
 	}
 	if state == requestReserved {
-		r.run(time.Now())
+		r.run(clock.Now())
 	}
 	r.mu.Unlock()
 	if state != requestNone && state != requestExpected {
@@ -148,7 +149,7 @@
 	r.agent.admit(r.member, core.Unlimited)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.run(time.Now())
+	r.run(clock.Now())
 }
 
 func (r *request) notePromptness(prompt bool) {
@@ -179,7 +180,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state == requestRunning {
-		now := time.Now()
+		now := clock.Now()
 		r.agent.mu.Lock()
 		delete(r.agent.gate.holders, r)
 		r.agent.gate.admission.Answered(now, r.member, now.Sub(r.startedAt))
@@ -221,7 +222,7 @@
 	defer r.agent.mu.Unlock()
 	delete(r.agent.gate.holders, r)
 	if r.state == requestReserved || r.state == requestRunning {
-		now := time.Now()
+		now := clock.Now()
 		r.agent.gate.admission.Cancelled(now, r.member)
 		r.agent.gate.wake(now)
 	}
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
@@ -29,7 +29,7 @@
 // send reports to every sibling.
 func (r *reporter) send() {
 	r.agent.mu.Lock()
-	report := r.agent.core.Report(time.Now())
+	report := r.agent.core.Report(clock.Now())
 	siblings := r.agent.core.Siblings()
 	r.agent.mu.Unlock()
 	r.sendTo(report, siblings)
@@ -38,7 +38,7 @@
 // sendDue reports at once to a sibling that has requests waiting if this agent has
 // room, and to all siblings if requests have begun to wait here.
 func (r *reporter) sendDue() {
-	now := time.Now()
+	now := clock.Now()
 	r.agent.mu.Lock()
 	var siblings []*fleet.Target
 	if sibling := r.agent.core.Offer(now); sibling != nil {
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -7,13 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/link/backend"
 	"github.com/radishmast/radishmast/internal/link/caller"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/chunk"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 	"github.com/radishmast/radishmast/internal/wire/ipv4"
@@ -60,7 +60,7 @@
 	s := &splice{agent: a, id: id, attempt: pending.Attempt}
 	s.request.agent, s.request.member = a, id.Caller().Addr()
 	if limited {
-		s.request.open(time.Now(), hasSlot)
+		s.request.open(clock.Now(), hasSlot)
 	}
 	if !a.connect(s, request) {
 		s.request.ended()
@@ -125,7 +125,7 @@
 // failed hands a flow on that could not be opened here, or refuses it.
 func (a *Agent) failed(id flow.ID, attempt core.Attempt, retryReason, refuseReason core.Reason) {
 	a.mu.Lock()
-	retry := a.core.Failed(time.Now(), id, attempt, retryReason, refuseReason)
+	retry := a.core.Failed(clock.Now(), id, attempt, retryReason, refuseReason)
 	a.mu.Unlock()
 	a.carryOut(&retry)
 }
@@ -133,7 +133,7 @@
 // surrendered hands a flow to the sibling that has offered room for it.
 func (a *Agent) surrendered(id flow.ID, attempt core.Attempt, to fleet.InstanceID) {
 	a.mu.Lock()
-	retry := a.core.Surrendered(time.Now(), id, attempt, to)
+	retry := a.core.Surrendered(clock.Now(), id, attempt, to)
 	a.mu.Unlock()
 	a.carryOut(&retry)
 }
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -11,6 +11,7 @@
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
@@ -53,13 +54,13 @@
 	t.agent.mu.Lock()
 	defer t.agent.mu.Unlock()
 	sibling := fleet.InstanceID(header.From)
-	for _, ticket := range t.agent.core.Heard(time.Now(), sibling, report) {
+	for _, ticket := range t.agent.core.Heard(clock.Now(), sibling, report) {
 		t.agent.gate.tell(ticket, core.Surrendered{To: sibling})
 	}
 }
 
 func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
-	now := time.Now()
+	now := clock.Now()
 	if !t.agent.node.IsValid(now) {
 		t.agent.counters.Add("drop_view_expired", 1)
 		return
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -21,6 +21,7 @@
 	"github.com/radishmast/radishmast/internal/daemon/metrics"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -106,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	load := core.NewLoad(time.Now(), initialSlots)
+	load := core.NewLoad(clock.Now(), initialSlots)
 	c := &Carrier{
 		settings: s,
 		node:     n,
@@ -183,7 +184,7 @@
 			return nil
 		case <-sweep.C:
 			c.mu.Lock()
-			c.core.SweepCarried(time.Now())
+			c.core.SweepCarried(clock.Now())
 			c.mu.Unlock()
 			c.describe()
 		case <-report.C:
@@ -195,7 +196,7 @@
 // report tells the load to every sibling.
 func (c *Carrier) report(sender *node.Sender) {
 	c.mu.Lock()
-	report := c.core.Report(time.Now())
+	report := c.core.Report(clock.Now())
 	siblings := c.core.Siblings()
 	c.mu.Unlock()
 	body, err := cbor.Marshal(&report)
@@ -216,7 +217,7 @@
 	c.mu.Lock()
 	residual := c.core.ResidualServices()
 	draining := c.core.IsDraining()
-	weight := c.core.LearnWeight(time.Now())
+	weight := c.core.LearnWeight(clock.Now())
 	c.mu.Unlock()
 	state := fleet.PeerAlive
 	if draining {
--- a/internal/daemon/carrier/traffic.go
+++ b/internal/daemon/carrier/traffic.go
@@ -14,6 +14,7 @@
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -64,11 +65,11 @@
 	}
 	t.carrier.mu.Lock()
 	defer t.carrier.mu.Unlock()
-	t.carrier.core.Heard(time.Now(), fleet.InstanceID(header.From), report)
+	t.carrier.core.Heard(clock.Now(), fleet.InstanceID(header.From), report)
 }
 
 func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
-	now := time.Now()
+	now := clock.Now()
 	if !t.carrier.node.IsValid(now) {
 		t.carrier.counters.Add("drop_view_expired", 1)
 		return
@@ -193,7 +194,7 @@
 	if err != nil {
 		return fmt.Errorf("read from backend server %s: %w", t.app, err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	for i := range count {
 		if reader.Source(i).Addr() != t.app.Addr() {
 			t.carrier.counters.Add("drop_foreign_source", 1)
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/daemon/metrics"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	link "github.com/radishmast/radishmast/internal/link/control"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
@@ -59,6 +60,8 @@
 	view       atomic.Pointer[fleet.View]
 	validUntil atomic.Int64
 	leaving    atomic.Bool
+	mustRead   atomic.Bool
+	dutyBegins chan struct{}
 	inputs     chan func(now time.Time) []control.Output
 	controller *control.Controller
 	onPublish  func(*fleet.View)
@@ -101,11 +104,11 @@
 	logger.WithField("instance", common.Name).WithField("data_centre", common.DataCentre).
 		WithField("data_centres", strings.Join(common.DataCentres, ",")).
 		WithField("peers", strings.Join(common.Peers, ",")).Info("starting")
-	now := time.Now()
+	now := clock.Now()
 	n := &Node{
 		name:        common.Name,
 		id:          fleet.InstanceIDOf(common.Name),
-		incarnation: uint64(now.UnixNano()),
+		incarnation: uint64(time.Now().UnixNano()),
 		role:        role,
 		dataCentre:  common.DataCentre,
 		endpoint:    settings.Endpoint(common.Data),
@@ -117,6 +120,7 @@
 		http:        httpClient,
 		counters:    counters,
 		logger:      logger.WithField("instance", common.Name),
+		dutyBegins:  make(chan struct{}, 1),
 		inputs:      make(chan func(time.Time) []control.Output, 1024),
 		links:       make(map[control.LinkID]*link.Link),
 		onPublish:   func(*fleet.View) {},
@@ -216,11 +220,12 @@
 		case <-ctx.Done():
 			return nil
 		case input := <-n.inputs:
-			n.carryOut(ctx, input(time.Now()))
+			n.carryOut(ctx, input(clock.Now()))
 		case <-ticker.C:
-			now := time.Now()
+			now := clock.Now()
 			n.carryOut(ctx, n.controller.Tick(now))
 			n.extendValidity(now)
+			n.updateDuty(now)
 		}
 	}
 }
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/radishmast/radishmast/internal/link/clock"
 )
 
 // ReadyPath is the path of the readiness endpoint.
@@ -31,7 +33,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !n.IsReady(time.Now()) {
+		if !n.IsReady(clock.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/radishmast/radishmast/internal/link/clock"
 	link "github.com/radishmast/radishmast/internal/link/control"
 	"github.com/radishmast/radishmast/internal/link/operator"
 )
@@ -80,7 +81,7 @@
 		DataCentre:  n.dataCentre,
 		Incarnation: n.incarnation,
 		Revisions:   view.Revisions(),
-		Valid:       n.IsValid(time.Now()),
+		Valid:       n.IsValid(clock.Now()),
 		Nodes:       len(view.Nodes()),
 	}
 	for _, service := range view.Services() {
--- a/internal/daemon/node/source.go
+++ b/internal/daemon/node/source.go
@@ -20,6 +20,9 @@
 	Apply(document fleet.Document)
 	// Confirm records that nothing has changed.
 	Confirm()
+	// AwaitDuty waits until this process should read the platform itself, since its
+	// peers do not. It returns false when ctx is done.
+	AwaitDuty(ctx context.Context) bool
 	// Revisions returns the revisions in force.
 	Revisions() fleet.Revisions
 	// FleetSize returns the number of listed instances.
@@ -33,9 +36,31 @@
 
 // Confirm records that the platform answered that nothing has changed.
 func (n *Node) Confirm() {
-	n.inputs <- func(time.Time) []control.Output {
-		n.controller.Confirm()
-		return nil
+	n.inputs <- func(now time.Time) []control.Output { return n.controller.Confirm(now) }
+}
+
+// AwaitDuty waits until this process should read the platform. It returns false
+// when ctx is done.
+func (n *Node) AwaitDuty(ctx context.Context) bool {
+	for !n.mustRead.Load() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-n.dutyBegins:
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// updateDuty runs on the control goroutine.
+func (n *Node) updateDuty(now time.Time) {
+	must := n.controller.MustRead(now)
+	if n.mustRead.Swap(must) || !must {
+		return
+	}
+	select {
+	case n.dutyBegins <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/radishmast/radishmast/internal/core/balancer"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -84,7 +85,7 @@
 		return err
 	}
 	// What was read before or during a pause is dropped: the view may be old.
-	if !f.views.IsValid(time.Now()) {
+	if !f.views.IsValid(clock.Now()) {
 		f.counter.Add("drop_view_expired", count)
 		return nil
 	}
