Reload settings on a hangup signal or a changed file

Ruled out: a failed socket. Change: a watcher reads the file again on the signal and every 500 ms, keeps the earlier settings if the new ones are not valid, and an agent takes its labels over.

--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -33,7 +33,7 @@
 	name    string
 	help    string
 	read    func([]byte) (S, error)
-	run     func(context.Context, S, log.Interface) error
+	run     func(context.Context, S, *settings.Watcher[S], log.Interface) error
 }
 
 // NewCmdBalancer returns the command that runs an entry instance.
@@ -43,7 +43,10 @@
 		name:    "balancer",
 		help:    "Run an entry instance that forwards callers' packets to agents.",
 		read:    settings.ReadBalancer,
-		run:     balancer.Run,
+		run: func(ctx context.Context, s *settings.Balancer, watcher *settings.Watcher[*settings.Balancer], logger log.Interface) error {
+			go watcher.Run(ctx, ignoreChange)
+			return balancer.Run(ctx, s, logger)
+		},
 	})
 }
 
@@ -54,7 +57,10 @@
 		name:    "agent",
 		help:    "Run the process beside a backend server that owns its flows.",
 		read:    settings.ReadAgent,
-		run:     agent.Run,
+		run: func(ctx context.Context, s *settings.Agent, watcher *settings.Watcher[*settings.Agent], logger log.Interface) error {
+			go watcher.Run(ctx, ignoreChange)
+			return agent.Run(ctx, s, logger)
+		},
 	})
 }
 
@@ -66,7 +72,8 @@
 		name:    "balancer",
 		help:    "Run an entry instance that forwards callers' packets to agents.",
 		read:    settings.ReadBalancer,
-		run: func(ctx context.Context, s *settings.Balancer, logger log.Interface) error {
+		run: func(ctx context.Context, s *settings.Balancer, watcher *settings.Watcher[*settings.Balancer], logger log.Interface) error {
+			go watcher.Run(ctx, ignoreChange)
 			return balancer.RunWith(ctx, s, parts(s), logger)
 		},
 	})
@@ -80,8 +87,8 @@
 		name:    "agent",
 		help:    "Run the process that carries packets to and from a backend server.",
 		read:    settings.ReadCarrier,
-		run: func(ctx context.Context, s *settings.Carrier, logger log.Interface) error {
-			return carrier.Run(ctx, s, parts(s), logger)
+		run: func(ctx context.Context, s *settings.Carrier, watcher *settings.Watcher[*settings.Carrier], logger log.Interface) error {
+			return carrier.Run(ctx, s, watcher, parts(s), logger)
 		},
 	})
 }
@@ -127,9 +134,13 @@
 		_, _ = fmt.Fprintf(opts.Streams.Out, "%s: settings are valid\n", opts.Config)
 		return nil
 	}
-	return r.run(ctx, s, newLogger(opts))
+	logger := newLogger(opts)
+	return r.run(ctx, s, settings.NewWatcher(opts.Config, data, r.read, logger), logger)
 }
 
+// ignoreChange leaves changed settings to the next start.
+func ignoreChange[S any](S) {}
+
 func newLogger(opts *Options) log.Interface {
 	level := log.InfoLevel
 	if opts.Verbose {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -71,7 +71,7 @@
 }
 
 // Run serves until ctx is done, then leaves.
-func Run(ctx context.Context, s *settings.Carrier, parts Parts, logger log.Interface) error {
+func Run(ctx context.Context, s *settings.Carrier, watcher *settings.Watcher[*settings.Carrier], parts Parts, logger log.Interface) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	c, err := newCarrier(serving, s, parts, logger)
@@ -82,6 +82,7 @@
 	if err := c.start(serving, group); err != nil {
 		return fmt.Errorf("start agent %s: %w", s.Name, err)
 	}
+	go watcher.Run(serving, c.applySettings)
 	c.logger.WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
 	group.Go(func() error {
 		select {
@@ -233,6 +234,14 @@
 	c.core.ApplyView(view)
 }
 
+// applySettings puts changed labels in force. Everything else stays until the next
+// start.
+func (c *Carrier) applySettings(s *settings.Carrier) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SetLabels(s.Labels)
+}
+
 // leave takes no new flows and goes on carrying packets for a while.
 func (c *Carrier) leave() {
 	c.mu.Lock()
