Reset a flow nobody owns as soon as a current picture proves it

Cause: after a loss of power the backend servers have forgotten their flows, and callers waited out their time budgets until the view had been settled for 3 s, which each suspicion moved on. Ruled out: slow starts (processes forward 0.2 s after they are started). Change: where flows are carried every backend server speaks for itself, so a search of all candidates ends in a reset if the picture is at most 2.5 s old. Agents that left the list stay candidates for a flow's lifetime while they answer.

--- a/internal/cmd/cmdutil/source.go
+++ b/internal/cmd/cmdutil/source.go
@@ -80,7 +80,7 @@
 func (d *Documents) View(now time.Time) (*fleet.View, error) {
 	state := fleet.NewState()
 	for _, document := range []fleet.Document{&d.Services, &d.Backends, &d.Instances} {
-		if _, err := state.Apply(document); err != nil {
+		if _, err := state.Apply(now, document); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -112,6 +112,9 @@
 	siblings  map[fleet.InstanceID]siblingReport
 	budget    retryBudget
 
+	// confirmedAt is when the view was last compared with the platform.
+	confirmedAt time.Time
+
 	// Actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
 	passOn  PassOn
@@ -324,7 +327,7 @@
 		return a.dropped(DropUnreachable)
 	case arrival.Revision > a.view.Revisions().Highest():
 		return a.dropped(DropStaleView)
-	case now.Before(a.view.SettledAt()):
+	case !a.isConclusive(now):
 		return a.dropped(DropUnsettled)
 	}
 	a.reset.Reason = ResetUnowned
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -40,7 +40,7 @@
 		})
 	}
 	for _, document := range []fleet.Document{services, backends, instances} {
-		_, err := state.Apply(document)
+		_, err := state.Apply(epoch, document)
 		require.NoError(t, err)
 	}
 	return state
@@ -179,7 +179,7 @@
 	a := New(config, state.View(epoch), NewLoad(epoch, slots), nil)
 	require.IsType(t, &Deliver{}, a.Receive(settled, arrival(4000, flow.Opening, 0)))
 	apply := func(document fleet.Document) []Owned {
-		_, err := state.Apply(document)
+		_, err := state.Apply(epoch, document)
 		require.NoError(t, err)
 		return a.ApplyView(state.View(epoch))
 	}
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -212,5 +212,22 @@
 	}
 }
 
+// maxResetAge is how old the picture may be when a search that found no owner ends in
+// a reset.
+const maxResetAge = 2500 * time.Millisecond
+
+// isConclusive reports whether a search of all candidates proves that nobody owns a
+// flow. Where flows are carried, agents that are no longer listed are candidates too
+// and each backend server speaks for itself, so that a current picture is enough.
+func (a *Agent) isConclusive(now time.Time) bool {
+	if a.config.Carried {
+		return now.Sub(a.confirmedAt) <= maxResetAge
+	}
+	return !now.Before(a.view.SettledAt())
+}
+
+// NoteConfirmed records when the view was last compared with the platform.
+func (a *Agent) NoteConfirmed(at time.Time) { a.confirmedAt = at }
+
 // SetLabels replaces the labels of the agent's own backend server.
 func (a *Agent) SetLabels(labels map[string]string) { a.config.Labels = labels }
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -168,7 +168,7 @@
 
 func (c *Controller) apply(now time.Time, document fleet.Document, source LinkID) {
 	change := changeBetween(c.state, document)
-	applied, err := c.state.Apply(document)
+	applied, err := c.state.Apply(now, document)
 	switch {
 	case err != nil:
 		c.emit(Report{Event: EventDocumentRefused, Err: err})
--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -21,7 +21,7 @@
 	rankDelay = 40 * time.Millisecond
 	maxDelay  = 600 * time.Millisecond
 	// firstReadDelay spreads the first reads of a fleet that starts at once.
-	firstReadDelay = 150 * time.Millisecond
+	firstReadDelay = 30 * time.Millisecond
 	// minAdvance is the least progress of the picture's age that is passed on at once.
 	minAdvance = 500 * time.Millisecond
 )
--- a/internal/core/fleet/capacity_test.go
+++ b/internal/core/fleet/capacity_test.go
@@ -32,7 +32,7 @@
 		state.Peers().Merge(PeerRecord{ID: InstanceIDOf(name), Incarnation: 1, Weight: DefaultWeight})
 	}
 	for _, document := range []Document{services, backends, instances} {
-		if _, err := state.Apply(document); err != nil {
+		if _, err := state.Apply(epoch, document); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -29,7 +29,7 @@
 		})
 	}
 	for _, document := range []Document{services, backends, instances} {
-		applied, err := state.Apply(document)
+		applied, err := state.Apply(epoch, document)
 		require.NoError(t, err)
 		require.True(t, applied)
 	}
@@ -101,7 +101,7 @@
 		var highest uint64
 		for range rapid.IntRange(1, 30).Draw(t, "deliveries") {
 			revision := rapid.Uint64Range(1, 10).Draw(t, "revision")
-			applied, err := state.Apply(&BackendsDocument{Revision: revision})
+			applied, err := state.Apply(epoch, &BackendsDocument{Revision: revision})
 			require.NoError(t, err)
 			require.Equal(t, revision > highest, applied)
 			highest = max(highest, revision)
@@ -112,7 +112,7 @@
 
 func TestInvalidDocumentIsRefusedWhole(t *testing.T) {
 	state := newState(t, 2)
-	_, err := state.Apply(&BackendsDocument{Revision: 9, Backends: []Backend{
+	_, err := state.Apply(epoch, &BackendsDocument{Revision: 9, Backends: []Backend{
 		{Name: "good", DataCentre: "north"}, {Name: "good", DataCentre: "north"},
 	}})
 	require.EqualError(t, err, `apply document: document "backends": entry 1 (good): name appears twice`)
@@ -156,7 +156,7 @@
 	state.Peers().Merge(PeerRecord{ID: gone, Incarnation: 1, State: PeerSuspect})
 	state.Peers().Merge(PeerRecord{ID: leaving, Incarnation: 1, State: PeerLeaving})
 	state.Peers().Merge(PeerRecord{ID: residual, Incarnation: 1, Residual: []ServiceID{ServiceIDOf("orders")}})
-	_, err := state.Apply(&BackendsDocument{Revision: 9, Backends: []Backend{
+	_, err := state.Apply(epoch, &BackendsDocument{Revision: 9, Backends: []Backend{
 		{Name: "b0", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
 		{Name: "b1", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
 		{Name: "b2", DataCentre: "north", Labels: map[string]string{"app": "other"}},
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -19,11 +19,24 @@
 	backends  BackendsDocument
 	instances InstancesDocument
 	peers     *Peers
+	// departed holds the agents that are no longer listed but may still own flows.
+	departed map[InstanceID]departure
+}
+
+// departedLifetime is how long an agent that is not listed any more is still asked
+// for flows. A list may lose an agent that lives.
+const departedLifetime = 60 * time.Second
+
+// departure is an agent that is no longer listed.
+type departure struct {
+	instance Instance
+	backend  Backend
+	until    time.Time
 }
 
 // NewState returns a state without documents.
 func NewState() *State {
-	return &State{peers: NewPeers()}
+	return &State{peers: NewPeers(), departed: make(map[InstanceID]departure)}
 }
 
 // Peers returns the peer table.
@@ -51,7 +64,7 @@
 
 // Apply puts a document in force if its revision is newer. It reports whether
 // it did. An invalid document is refused whole.
-func (s *State) Apply(document Document) (bool, error) {
+func (s *State) Apply(now time.Time, document Document) (bool, error) {
 	if !s.isNewer(document) {
 		return false, nil
 	}
@@ -62,10 +75,14 @@
 	case *ServicesDocument:
 		s.services = *d
 	case *BackendsDocument:
+		named := make(map[InstanceID]bool, len(d.Backends))
+		for i := range d.Backends {
+			named[InstanceIDOf(d.Backends[i].Name)] = true
+		}
+		s.noteDepartures(now, func(id InstanceID) bool { return named[id] })
 		s.backends = *d
 	case *InstancesDocument:
-		s.instances = *d
-		s.forgetRemovedPeers()
+		s.applyInstances(now, d)
 	}
 	return true, nil
 }
@@ -87,12 +104,40 @@
 	return &s.services, &s.backends, &s.instances
 }
 
-func (s *State) forgetRemovedPeers() {
-	listed := make(map[InstanceID]bool, len(s.instances.Instances))
+func (s *State) applyInstances(now time.Time, next *InstancesDocument) {
+	listed := make(map[InstanceID]bool, len(next.Instances))
+	for i := range next.Instances {
+		listed[InstanceIDOf(next.Instances[i].Name)] = true
+	}
+	s.noteDepartures(now, func(id InstanceID) bool { return listed[id] })
+	for id := range listed {
+		delete(s.departed, id)
+	}
+	s.instances = *next
+	s.peers.Forget(func(id InstanceID) bool {
+		_, departed := s.departed[id]
+		return listed[id] || departed
+	})
+}
+
+// noteDepartures keeps the agents that a next document no longer names.
+func (s *State) noteDepartures(now time.Time, isNamed func(InstanceID) bool) {
+	for id, d := range s.departed {
+		if now.After(d.until) {
+			delete(s.departed, id)
+		}
+	}
+	backends := s.backendsByID()
 	for i := range s.instances.Instances {
-		listed[InstanceIDOf(s.instances.Instances[i].Name)] = true
+		instance := s.instances.Instances[i]
+		id := InstanceIDOf(instance.Name)
+		backend := backends[id]
+		if instance.Role != RoleAgent || backend == nil || isNamed(id) {
+			continue
+		}
+		instance.State = StateLeaving
+		s.departed[id] = departure{instance, *backend, now.Add(departedLifetime)}
 	}
-	s.peers.Forget(func(id InstanceID) bool { return listed[id] })
 }
 
 // View computes the routing view after a change of where packets may go.
@@ -117,8 +162,9 @@
 	}
 	servers := s.servers(view.nodes)
 	residual := s.residualOwners(view.nodes)
+	departed := s.departedNodes(now)
 	for i := range s.services.Services {
-		routed := s.route(&s.services.Services[i], servers, residual, now)
+		routed := s.route(&s.services.Services[i], servers, residual, departed, now)
 		view.services[routed.address] = routed
 		view.byID[routed.id] = routed
 	}
@@ -143,23 +189,26 @@
 func (s *State) nodes() map[InstanceID]*Node {
 	nodes := make(map[InstanceID]*Node, len(s.instances.Instances))
 	for i := range s.instances.Instances {
-		instance := &s.instances.Instances[i]
-		data, _ := netip.ParseAddrPort(instance.Data)
-		control, _ := netip.ParseAddrPort(instance.Control)
-		id := InstanceIDOf(instance.Name)
-		nodes[id] = &Node{
-			id:         id,
-			name:       instance.Name,
-			role:       instance.Role,
-			dataCentre: instance.DataCentre,
-			data:       data,
-			control:    control,
-			leaving:    instance.State == StateLeaving,
-		}
+		node := nodeOf(&s.instances.Instances[i])
+		nodes[node.id] = node
 	}
 	return nodes
 }
 
+func nodeOf(instance *Instance) *Node {
+	data, _ := netip.ParseAddrPort(instance.Data)
+	control, _ := netip.ParseAddrPort(instance.Control)
+	return &Node{
+		id:         InstanceIDOf(instance.Name),
+		name:       instance.Name,
+		role:       instance.Role,
+		dataCentre: instance.DataCentre,
+		data:       data,
+		control:    control,
+		leaving:    instance.State == StateLeaving,
+	}
+}
+
 // label is a label with its value.
 type label struct{ key, value string }
 
@@ -241,7 +290,7 @@
 	return owners
 }
 
-func (s *State) route(service *Service, servers map[string]*serverIndex, residual map[ServiceID][]*Node, now time.Time) *RoutedService {
+func (s *State) route(service *Service, servers map[string]*serverIndex, residual map[ServiceID][]*Node, departed []server, now time.Time) *RoutedService {
 	address, _ := service.address()
 	routed := &RoutedService{
 		id:        ServiceIDOf(service.Name),
@@ -257,10 +306,28 @@
 	}
 	slices.SortFunc(routed.targets, compareTargets)
 	routed.selected = len(routed.targets)
-	routed.targets = append(routed.targets, s.residualTargets(routed, residual[routed.id], now)...)
+	owners := residual[routed.id]
+	for _, gone := range departed {
+		if routed.Selects(gone.backend.DataCentre, gone.backend.Labels) {
+			owners = append(owners[:len(owners):len(owners)], gone.node)
+		}
+	}
+	routed.targets = append(routed.targets, s.residualTargets(routed, owners, now)...)
 	return routed
 }
 
+// departedNodes returns the agents that are not listed any more but still answer.
+func (s *State) departedNodes(now time.Time) []server {
+	var nodes []server
+	for id, d := range s.departed {
+		if now.After(d.until) || s.peers.unreachable[id] {
+			continue
+		}
+		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
+	}
+	return nodes
+}
+
 func (s *State) residualTargets(routed *RoutedService, owners []*Node, now time.Time) []Target {
 	var targets []Target
 	for _, node := range owners {
--- a/internal/daemon/carrier/traffic.go
+++ b/internal/daemon/carrier/traffic.go
@@ -100,6 +100,7 @@
 
 func (t *traffic) decide(now time.Time, header *datagram.Header, ask func(time.Time, *core.Arrival) core.Action) {
 	t.carrier.mu.Lock()
+	t.carrier.core.NoteConfirmed(t.carrier.node.ConfirmedAt())
 	action := ask(now, &t.arrival)
 	switch a := action.(type) {
 	case *core.Deliver:
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -59,13 +59,16 @@
 
 	view       atomic.Pointer[fleet.View]
 	validUntil atomic.Int64
-	leaving    atomic.Bool
-	mustRead   atomic.Bool
-	dutyBegins chan struct{}
-	inputs     chan func(now time.Time) []control.Output
-	controller *control.Controller
-	onPublish  func(*fleet.View)
-	sendProbe  func(control.Probe)
+	// confirmedAt is when the view was last compared with the platform, in
+	// nanoseconds of Unix time.
+	confirmedAt atomic.Int64
+	leaving     atomic.Bool
+	mustRead    atomic.Bool
+	dutyBegins  chan struct{}
+	inputs      chan func(now time.Time) []control.Output
+	controller  *control.Controller
+	onPublish   func(*fleet.View)
+	sendProbe   func(control.Probe)
 
 	mu       sync.Mutex
 	links    map[control.LinkID]*link.Link
@@ -182,6 +185,9 @@
 	return now.UnixNano() < n.validUntil.Load()
 }
 
+// ConfirmedAt returns when the view was last compared with the platform.
+func (n *Node) ConfirmedAt() time.Time { return time.Unix(0, n.confirmedAt.Load()) }
+
 // NewCodec returns a datagram codec with the fleet's keys.
 func (n *Node) NewCodec() (*datagram.Codec, error) {
 	codec, err := datagram.NewCodec(n.keys...)
@@ -220,7 +226,9 @@
 		case <-ctx.Done():
 			return nil
 		case input := <-n.inputs:
-			n.carryOut(ctx, input(clock.Now()))
+			now := clock.Now()
+			n.carryOut(ctx, input(now))
+			n.extendValidity(now)
 		case <-ticker.C:
 			now := clock.Now()
 			n.carryOut(ctx, n.controller.Tick(now))
@@ -234,6 +242,9 @@
 	if n.controller.IsConfirmed(now) {
 		n.validUntil.Store(now.Add(validity).UnixNano())
 	}
+	if age, known := n.controller.Age(now); known {
+		n.confirmedAt.Store(now.Add(-age).UnixNano())
+	}
 }
 
 func (n *Node) carryOut(ctx context.Context, outputs []control.Output) {
--- a/internal/link/fabric/forwarder_test.go
+++ b/internal/link/fabric/forwarder_test.go
@@ -48,7 +48,7 @@
 		})
 	}
 	for _, document := range []fleet.Document{services, backends, instances} {
-		applied, err := state.Apply(document)
+		applied, err := state.Apply(time.Now(), document)
 		require.NoError(tb, err)
 		require.True(tb, applied)
 	}
