Notice silence by copies of opening packets, and tell callers when an owner is lost

Cause: during a zone cut 16 and 17 % of the requests failed in the first four seconds: opening packets and their copies went to a server that could not be reached until three probes at 0.5 s had failed, and requests on flows of lost servers waited out their time budget. Change: each copy of an opening packet goes to a candidate of its own, and the target before is probed at once; probes time out after 150 ms. A peer that does not refute a suspicion within 300 ms counts as lost, and flows it owned are reset where every request may be repeated; others wait, since their answer may still come.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -55,7 +55,8 @@
 	DropTableFull      Reason = "drop_table_full"
 	DropNoTarget       Reason = "drop_no_target"
 
-	ResetUnowned Reason = "reset_unowned"
+	ResetUnowned   Reason = "reset_unowned"
+	ResetOwnerLost Reason = "reset_owner_lost"
 
 	RefuseNotAccepting Reason = "refuse_not_accepting"
 	RefuseConnections  Reason = "refuse_connections"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -323,6 +323,9 @@
 		return a.passedOn(walk.Next, "")
 	case arrival.Packet.Kind() == flow.Closing:
 		return a.dropped(DropClosing)
+	case walk.Skipped && a.config.Carried && !walk.Leaving && service.IsIdempotent():
+		a.reset.Reason = ResetOwnerLost
+		return &a.reset
 	case walk.Skipped:
 		return a.dropped(DropUnreachable)
 	case arrival.Revision > a.view.Revisions().Highest():
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -26,6 +26,7 @@
 	if known == nil {
 		return a.offered()
 	}
+	opened := false
 	switch known.state {
 	case stateHanded:
 		return a.carryHanded(now, service, known, arrival)
@@ -37,12 +38,15 @@
 		}
 		known.state = stateOpen
 		known.opening, known.visited = nil, nil
+		opened = true
 	}
 	known.expires = now.Add(carriedLifetime)
 	if arrival.Packet.Payload() > 0 && known.state == stateOpen {
 		a.reserveSlot(now, known)
 	}
-	return a.delivered(arrival)
+	a.delivered(arrival)
+	a.deliver.Hint = a.deliver.Hint || opened
+	return &a.deliver
 }
 
 // offered delivers a packet without knowing that the flow is here.
--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -16,6 +16,7 @@
 	DropUnknownService Drop = "unknown_service"
 	DropNoTarget       Drop = "no_target"
 	DropUnreachable    Drop = "unreachable"
+	DropOwnerLost      Drop = "owner_lost"
 )
 
 // Decision says where a packet goes.
@@ -26,43 +27,80 @@
 	Target *fleet.Target
 	// Drop is the reason for dropping the packet, or DropNone.
 	Drop Drop
+	// Reset tells the caller that the flow is not served.
+	Reset bool
+	// Suspect is the target that has not answered an earlier copy of the packet, or
+	// nil.
+	Suspect *fleet.Target
+}
+
+// Config holds the constants of one balancer.
+type Config struct {
+	// CountsCopies tells that opening packets count their copies, so that each copy
+	// can go to a target of its own.
+	CountsCopies bool
+	// Resets tells callers at once what cannot be served.
+	Resets bool
 }
 
 // Balancer chooses targets. It is safe for concurrent use.
 type Balancer struct {
-	hints *Hints
+	config Config
+	hints  *Hints
 }
 
 // New returns a balancer that uses a table of hints.
-func New(hints *Hints) *Balancer {
-	return &Balancer{hints: hints}
+func New(config Config, hints *Hints) *Balancer {
+	return &Balancer{config: config, hints: hints}
 }
 
 // Forward chooses the target for a caller's packet.
 func (b *Balancer) Forward(view *fleet.View, packet flow.Packet) Decision {
 	service := view.ServiceAt(packet.Flow().Service())
 	if service == nil {
-		return Decision{Drop: DropUnknownService}
+		return Decision{Drop: DropUnknownService, Reset: b.config.Resets && packet.Kind() == flow.Opening}
 	}
 	hash := packet.Flow().Hash()
-	if target := b.hinted(service, hash); target != nil && packet.Kind() != flow.Opening {
-		return Decision{Service: service, Target: target}
+	if packet.Kind() == flow.Opening {
+		return b.open(service, packet, hash)
+	}
+	hint, _ := b.hints.Get(hash)
+	owner := service.Target(hint.Owner)
+	switch {
+	case owner == nil:
+	case owner.IsReachable():
+		return Decision{Service: service, Target: owner}
+	case hint.Told && owner.IsLost() && b.mayReset(service, packet):
+		return Decision{Service: service, Drop: DropOwnerLost, Reset: true}
 	}
-	return b.choose(service, packet.Kind(), hash)
+	return b.continueFlow(service, hash)
 }
 
-// choose sends opening packets to the primary and later packets to the first
-// candidate that answers, which passes on what it does not own.
-func (b *Balancer) choose(service *fleet.RoutedService, kind flow.Kind, hash uint64) Decision {
-	decision := Decision{Service: service}
-	if kind == flow.Opening {
-		decision.Target = service.Primary(hash)
-	} else {
-		decision.Target = service.Home(hash)
+// open sends an opening packet to the primary and a copy of it elsewhere, since the
+// target before has not answered in time.
+func (b *Balancer) open(service *fleet.RoutedService, packet flow.Packet, hash uint64) Decision {
+	b.hints.Forget(hash)
+	decision := Decision{Service: service, Target: service.Primary(hash)}
+	if decision.Target == nil {
+		decision.Drop = DropNoTarget
+		decision.Reset = b.config.Resets
+		return decision
+	}
+	if copies := packet.Confirms(); b.config.CountsCopies && copies > 0 {
+		decision.Suspect = service.NthAccepting(hash, copies-1)
+		decision.Target = service.NthAccepting(hash, copies)
+		b.hints.Put(hash, Hint{Owner: decision.Target.ID()})
 	}
+	return decision
+}
+
+// continueFlow sends a packet to the first candidate that answers, which passes on
+// what it does not own.
+func (b *Balancer) continueFlow(service *fleet.RoutedService, hash uint64) Decision {
+	decision := Decision{Service: service, Target: service.Home(hash)}
 	switch {
 	case decision.Target != nil:
-	case len(service.Targets()) == 0 || kind == flow.Opening:
+	case len(service.Targets()) == 0:
 		decision.Drop = DropNoTarget
 	default:
 		decision.Drop = DropUnreachable
@@ -70,19 +108,13 @@
 	return decision
 }
 
-func (b *Balancer) hinted(service *fleet.RoutedService, hash uint64) *fleet.Target {
-	owner, known := b.hints.Get(hash)
-	if !known {
-		return nil
-	}
-	target := service.Target(owner)
-	if target == nil || !target.IsReachable() {
-		return nil
-	}
-	return target
+// mayReset reports whether a flow whose owner is lost is better reset. A request that
+// must not be repeated may have run, and its answer may still come.
+func (b *Balancer) mayReset(service *fleet.RoutedService, packet flow.Packet) bool {
+	return b.config.Resets && service.IsIdempotent() && packet.Kind() != flow.Closing
 }
 
 // Learn remembers the owner of a flow, as told by the owner.
 func (b *Balancer) Learn(hash uint64, owner fleet.InstanceID) {
-	b.hints.Put(hash, owner)
+	b.hints.Put(hash, Hint{Owner: owner, Told: true})
 }
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -11,7 +11,7 @@
 const (
 	probesPerTick   = 2
 	probeInterval   = 500 * time.Millisecond
-	probeTimeout    = 300 * time.Millisecond
+	probeTimeout    = 150 * time.Millisecond
 	maxMisses       = 3
 	vouchLifetime   = 10 * time.Second
 	suspectInterval = 5 * time.Second
@@ -153,6 +153,18 @@
 	c.merge(now, record)
 }
 
+// Suspect probes a peer at once, since traffic to it goes unanswered.
+func (c *Controller) Suspect(now time.Time, id fleet.InstanceID) []Output {
+	state, node := c.prober.states[id], c.view.Node(id)
+	if state == nil || node == nil || state.waiting || state.misses >= maxMisses {
+		return nil
+	}
+	state.begin(now)
+	record, _ := c.state.Peers().Record(id)
+	c.emit(Probe{Node: node, Incarnation: record.Incarnation})
+	return c.take()
+}
+
 // Answered records that a peer answered a probe.
 func (c *Controller) Answered(now time.Time, id fleet.InstanceID, incarnation uint64) []Output {
 	state := c.prober.states[id]
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -82,6 +82,8 @@
 	// ColdRate is the number of new flows a second that one of its backend servers
 	// bears in cold start, or zero if that is not known.
 	ColdRate float64 `json:"coldRate,omitempty"`
+	// Idempotent tells that callers may repeat any request of the service.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // Backend is a published backend server with its labels.
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -19,6 +19,8 @@
 	PeerSuspect
 	// PeerLeaving means that the peer takes no new flows.
 	PeerLeaving
+	// PeerSilent means that the backend server beside the peer does not answer.
+	PeerSilent
 )
 
 // PeerRecord is what one process says of itself, or others suspect of it. The
@@ -52,6 +54,8 @@
 	reached map[InstanceID]time.Time
 	// unreachable holds the peers that do not answer this process.
 	unreachable map[InstanceID]bool
+	// suspectedAt holds since when a peer is suspected without refuting it.
+	suspectedAt map[InstanceID]time.Time
 }
 
 // NewPeers returns an empty table.
@@ -60,16 +64,22 @@
 		records:     make(map[InstanceID]PeerRecord),
 		reached:     make(map[InstanceID]time.Time),
 		unreachable: make(map[InstanceID]bool),
+		suspectedAt: make(map[InstanceID]time.Time),
 	}
 }
 
 // Merge applies a record and reports whether it changed the table.
-func (p *Peers) Merge(record PeerRecord) bool {
+func (p *Peers) Merge(now time.Time, record PeerRecord) bool {
 	old, known := p.records[record.ID]
 	if known && !record.supersedes(old) {
 		return false
 	}
 	p.records[record.ID] = record
+	if record.State != PeerSuspect {
+		delete(p.suspectedAt, record.ID)
+	} else if old.State != PeerSuspect {
+		p.suspectedAt[record.ID] = now
+	}
 	return true
 }
 
@@ -114,10 +124,21 @@
 			delete(p.records, id)
 			delete(p.reached, id)
 			delete(p.unreachable, id)
+			delete(p.suspectedAt, id)
 		}
 	}
 }
 
+// RefuteTime is how long a peer that lives may take to refute a suspicion.
+const RefuteTime = 300 * time.Millisecond
+
+// isLost reports whether a peer does not answer this process and has not refuted the
+// suspicion by way of others.
+func (p *Peers) isLost(id InstanceID, now time.Time) bool {
+	since, suspected := p.suspectedAt[id]
+	return p.unreachable[id] && suspected && now.Sub(since) >= RefuteTime
+}
+
 // suspected reports whether new flows should pass the peer over.
 func (p *Peers) suspected(id InstanceID, now time.Time) bool {
 	if p.unreachable[id] {
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -298,6 +298,7 @@
 		address:   address,
 		selectors: service.Selectors,
 		coldRate:  service.ColdRate,
+		repeats:   service.Idempotent,
 	}
 	for dataCentre, selector := range service.Selectors {
 		for _, candidate := range servers[dataCentre].matching(selector) {
@@ -357,8 +358,9 @@
 		data:        node.data,
 		incarnation: record.Incarnation,
 		weight:      weight,
-		accepting:   !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre) && !suspected && record.State != PeerLeaving,
+		accepting:   !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre) && !suspected && record.State != PeerLeaving && record.State != PeerSilent,
 		reachable:   !s.peers.unreachable[node.id],
+		lost:        s.peers.isLost(node.id, now),
 	}
 }
 
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -19,6 +19,7 @@
 	weight      Weight
 	accepting   bool
 	reachable   bool
+	lost        bool
 	residual    bool
 }
 
@@ -46,6 +47,10 @@
 // IsReachable reports whether this process gets answers from the agent.
 func (t *Target) IsReachable() bool { return t.reachable }
 
+// IsLost reports whether the agent stopped answering without having announced that
+// it leaves.
+func (t *Target) IsLost() bool { return t.lost }
+
 // IsResidual reports whether the target is no longer selected and only keeps
 // the flows it already owns.
 func (t *Target) IsResidual() bool { return t.residual }
@@ -61,6 +66,7 @@
 	// selectors holds a selector for each data centre that is in the service.
 	selectors map[string]Selector
 	coldRate  float64
+	repeats   bool
 }
 
 // ID returns the service's identifier.
@@ -98,6 +104,9 @@
 	return present && selector.Matches(labels)
 }
 
+// IsIdempotent reports whether callers may repeat any request of the service.
+func (s *RoutedService) IsIdempotent() bool { return s.repeats }
+
 // ColdRate returns the number of new flows a second that a backend server bears in
 // cold start, or zero if that is not known.
 func (s *RoutedService) ColdRate() float64 { return s.coldRate }
@@ -244,6 +253,29 @@
 	return best
 }
 
+// NthAccepting returns the target that a copy of an opening packet goes to: the first
+// accepting candidate, the second for the first copy, and so on. It returns nil if
+// no target is accepting.
+func (s *RoutedService) NthAccepting(hash uint64, copies uint32) *Target {
+	var visited [maxCopies]InstanceID
+	primary := s.Primary(hash)
+	target := primary
+	for n := range min(copies, maxCopies) {
+		if target == nil {
+			return primary
+		}
+		visited[n] = target.id
+		target = s.NextAccepting(hash, visited[:n+1])
+	}
+	if target == nil {
+		return primary
+	}
+	return target
+}
+
+// maxCopies is how many copies of an opening packet go to targets of their own.
+const maxCopies = 4
+
 // Walk is the next step of the search for the owner of a flow.
 type Walk struct {
 	// Next is the next candidate to ask, or nil if none is left.
@@ -251,6 +283,9 @@
 	// Skipped reports whether a candidate was passed over because it does not
 	// answer. The search is then not conclusive.
 	Skipped bool
+	// Leaving reports whether a candidate that was passed over has announced that it
+	// leaves. It may be back soon.
+	Leaving bool
 }
 
 // NextCandidate returns the first reachable candidate that is not in visited:
@@ -263,6 +298,7 @@
 		}
 		if !target.reachable {
 			walk.Skipped = true
+			walk.Leaving = walk.Leaving || !target.lost
 			return false
 		}
 		return true
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -33,6 +33,7 @@
 type Parts struct {
 	Node   node.Parts
 	Format flow.Format
+	Core   core.Config
 }
 
 // Run serves packets of the Internet Protocol.
@@ -53,7 +54,7 @@
 	if err := n.Start(serving, group); err != nil {
 		return fmt.Errorf("start balancer %s: %w", s.Name, err)
 	}
-	if err := start(serving, group, s, parts.Format, n, counters); err != nil {
+	if err := start(serving, group, s, parts, n, counters); err != nil {
 		return fmt.Errorf("start balancer %s: %w", s.Name, err)
 	}
 	logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("fabric", s.Fabric).Info("started")
@@ -82,8 +83,8 @@
 	time.Sleep(leaveTime)
 }
 
-func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, format flow.Format, n *node.Node, counters *metrics.Counters) error {
-	balancer := core.New(core.NewHints(s.Hints))
+func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, parts Parts, n *node.Node, counters *metrics.Counters) error {
+	balancer := core.New(parts.Core, core.NewHints(s.Hints))
 	for range s.Readers {
 		in, err := peer.Listen(ctx, settings.Endpoint(s.Fabric))
 		if err != nil {
@@ -94,7 +95,7 @@
 			return err
 		}
 		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation(), Data: n.Data()}
-		forwarder := fabric.NewForwarder(identity, balancer, format, n, codec, in, n.NewWriter(), counters)
+		forwarder := fabric.NewForwarder(identity, balancer, parts.Format, n, n.Suspect, codec, in, n.NewWriter(), counters)
 		group.Go(func() error { return node.Repeat(ctx, in, forwarder.Step) })
 	}
 	receiver, err := n.NewReceiver()
--- a/internal/daemon/node/probes.go
+++ b/internal/daemon/node/probes.go
@@ -210,3 +210,8 @@
 	}
 	return "drop_undecodable"
 }
+
+// Suspect has a peer probed at once, since traffic to it goes unanswered.
+func (n *Node) Suspect(id fleet.InstanceID) {
+	n.Do(func(now time.Time) []control.Output { return n.controller.Suspect(now, id) })
+}
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -22,6 +22,9 @@
 	Add(name string, delta int)
 }
 
+// Suspect is told of an agent that has not answered an opening packet in time.
+type Suspect func(id fleet.InstanceID)
+
 // ViewSource returns the view in force and whether it may be relied on.
 type ViewSource interface {
 	Load() *fleet.View
@@ -34,10 +37,14 @@
 	core    *balancer.Balancer
 	format  flow.Format
 	views   ViewSource
+	suspect Suspect
+	// back writes to callers.
+	back    *peer.Writer
 	codec   *datagram.Codec
 	reader  *peer.Reader
 	writer  *peer.Writer
 	counter Counter
+	port    uint16
 	header  datagram.Header
 
 	// prefixes holds the encoded headers of prefixView by target. A target belongs
@@ -56,15 +63,18 @@
 
 // NewForwarder returns a forwarder that reads from a socket of the fabric and
 // writes to agents.
-func NewForwarder(identity Identity, core *balancer.Balancer, format flow.Format, views ViewSource, codec *datagram.Codec, in *net.UDPConn, writer *peer.Writer, counter Counter) *Forwarder {
+func NewForwarder(identity Identity, core *balancer.Balancer, format flow.Format, views ViewSource, suspect Suspect, codec *datagram.Codec, in *net.UDPConn, writer *peer.Writer, counter Counter) *Forwarder {
 	return &Forwarder{
 		core:    core,
 		format:  format,
 		views:   views,
+		suspect: suspect,
+		back:    peer.NewWriter(in, peer.NewPaths()),
 		codec:   codec,
 		reader:  peer.NewReader(in),
 		writer:  writer,
 		counter: counter,
+		port:    in.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 
 		prefixes: make(map[*fleet.Target]datagram.Prefix),
 		header: datagram.Header{
@@ -94,8 +104,10 @@
 		f.forward(view, f.reader.Datagram(i))
 	}
 	f.counter.Add("packets_received", count)
-	if err := f.writer.Flush(); err != nil {
-		f.counter.Add("drop_send_failed", 1)
+	for _, writer := range []*peer.Writer{f.writer, f.back} {
+		if err := writer.Flush(); err != nil {
+			f.counter.Add("drop_send_failed", 1)
+		}
 	}
 	return nil
 }
@@ -107,6 +119,13 @@
 		return
 	}
 	decision := f.core.Forward(view, packet)
+	if decision.Suspect != nil {
+		f.counter.Add("opening_copies", 1)
+		f.suspect(decision.Suspect.ID())
+	}
+	if decision.Reset {
+		f.reset(packet)
+	}
 	if decision.Drop != balancer.DropNone {
 		f.counter.Add("drop_"+string(decision.Drop), 1)
 		return
@@ -116,6 +135,23 @@
 	}
 }
 
+// reset tells the caller that its packet is not served. The fabric takes packets for
+// callers at their addresses and its own port.
+func (f *Forwarder) reset(packet flow.Packet) {
+	answer := f.format.Reset(packet)
+	if answer == nil {
+		return
+	}
+	buffer, err := f.back.Next()
+	if err != nil {
+		f.counter.Add("drop_send_failed", 1)
+		return
+	}
+	buffer.Write(answer)
+	f.back.Queue(netip.AddrPortFrom(packet.Flow().Caller().Addr(), f.port))
+	f.counter.Add("resets_sent", 1)
+}
+
 func (f *Forwarder) queue(view *fleet.View, decision balancer.Decision, packet []byte) error {
 	prefix, err := f.prefix(view, decision)
 	if err != nil {
--- a/internal/link/fabric/forwarder_test.go
+++ b/internal/link/fabric/forwarder_test.go
@@ -87,7 +87,7 @@
 	view := newView(t, endpoint(out))
 	codec, err := datagram.NewCodec()
 	require.NoError(t, err)
-	f := NewForwarder(Identity{ID: 5, Incarnation: 9}, balancer.New(balancer.NewHints(16)), ipv4.Format{}, fixedView{view}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{})
+	f := NewForwarder(Identity{ID: 5, Incarnation: 9}, balancer.New(balancer.Config{}, balancer.NewHints(16)), ipv4.Format{}, fixedView{view}, func(fleet.InstanceID) {}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{})
 	packet := segment(4000, 100)
 	_, err = out.WriteToUDPAddrPort(packet, endpoint(in))
 	require.NoError(t, err)
@@ -163,8 +163,8 @@
 	bench(b, func(in, out *net.UDPConn) func() error {
 		codec, err := datagram.NewCodec(keys...)
 		require.NoError(b, err)
-		core := balancer.New(balancer.NewHints(1 << 18))
-		return NewForwarder(Identity{ID: 5, Incarnation: 9}, core, ipv4.Format{}, fixedView{newView(b, endpoint(out))}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{}).Step
+		core := balancer.New(balancer.Config{}, balancer.NewHints(1<<18))
+		return NewForwarder(Identity{ID: 5, Incarnation: 9}, core, ipv4.Format{}, fixedView{newView(b, endpoint(out))}, func(fleet.InstanceID) {}, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{}).Step
 	})
 }
 
