Share targets between services and fetch large changes once

Change: services with the same selectors share their targets, one selector may stand for any data centre, a change of more than 16 entries is announced and fetched from one peer, the last change is sent instead of the whole document where it fits, and a process whose own tick is late gives its peers more time. Probes every 250 ms, timeout 100 ms, suspicions spread at once, 150 ms to refute.

--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -55,6 +55,20 @@
 	return &Load{slots: float64(slots), limit: coldLimit, growth: initialGrowth, changedAt: now, sampledAt: now}
 }
 
+// NewWarmLoad returns the load of a backend server that queues requests itself and
+// whose cold start others tell of.
+func NewWarmLoad(now time.Time, slots int) *Load {
+	load := NewLoad(now, slots)
+	load.limit = load.slots
+	return load
+}
+
+// SetSlots sets the number of slots of a warm backend server.
+func (l *Load) SetSlots(slots int) {
+	l.slots = float64(slots)
+	l.limit = l.slots
+}
+
 // HasRoom reports whether one more request fits the limit.
 func (l *Load) HasRoom() bool { return float64(l.running)+1 <= l.limit }
 
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -130,7 +130,7 @@
 func siblingsIn(view *fleet.View, self fleet.InstanceID) []*fleet.Target {
 	seen := make(map[fleet.InstanceID]bool)
 	var siblings []*fleet.Target
-	for _, service := range view.Services() {
+	for _, service := range view.Distinct() {
 		if service.Target(self) == nil {
 			continue
 		}
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -19,14 +19,17 @@
 // Intervals of the control protocol.
 const (
 	// TickInterval is how often Tick is to be called.
-	TickInterval = 100 * time.Millisecond
-
-	summaryInterval  = time.Second
-	linkTimeout      = 2500 * time.Millisecond
-	linkRotation     = 60 * time.Second
-	dialInterval     = 500 * time.Millisecond
-	weightViewDelay  = time.Second
-	pauseThreshold   = time.Second
+	TickInterval = 50 * time.Millisecond
+
+	summaryInterval = time.Second
+	linkTimeout     = 2500 * time.Millisecond
+	linkRotation    = 60 * time.Second
+	dialInterval    = 500 * time.Millisecond
+	weightViewDelay = time.Second
+	pauseThreshold  = time.Second
+	// lateTick is the delay between two ticks from which this process, and not its
+	// peers, may be what is slow.
+	lateTick         = 2 * TickInterval
 	confirmTimeout   = 2 * time.Second
 	wantedLinks      = 3
 	maxRecordsInSend = 512
@@ -75,6 +78,10 @@
 	confirmBy   time.Time
 	unconfirmed bool
 	fresh       freshness
+	recent      recentChanges
+	// fetchingUntil is until when an answer of a peer that was asked for documents is
+	// awaited.
+	fetchingUntil time.Time
 }
 
 // New returns a controller without documents.
@@ -155,6 +162,9 @@
 		c.prober.restart()
 		c.emit(Report{Event: EventResumed})
 	}
+	if now.Sub(c.lastTick) > lateTick {
+		c.prober.postpone(now)
+	}
 	c.lastTick = now
 }
 
@@ -173,20 +183,36 @@
 }
 
 func (c *Controller) apply(now time.Time, document fleet.Document, source LinkID) {
+	if !c.state.IsNewer(document) {
+		c.emit(Report{Event: EventDocumentOlder})
+		return
+	}
 	change := changeBetween(c.state, document)
-	applied, err := c.state.Apply(now, document)
+	_, err := c.state.Apply(now, document)
 	switch {
 	case err != nil:
 		c.emit(Report{Event: EventDocumentRefused, Err: err})
-	case !applied:
-		c.emit(Report{Event: EventDocumentOlder})
 	default:
 		c.emit(Report{Event: EventDocumentApplied})
-		c.broadcast(&Message{Change: change}, source)
+		c.recent.keep(change)
+		c.spread(now, change, source)
 		c.reroute(now)
 	}
 }
 
+// maxPushed is the number of entries up to which a change is sent to every peer
+// unasked. Peers learn of a larger one and fetch it once, since most of them hear of
+// it from several sides.
+const maxPushed = 16
+
+func (c *Controller) spread(now time.Time, change *Change, source LinkID) {
+	if change.size() <= maxPushed {
+		c.broadcast(&Message{Change: change}, source)
+		return
+	}
+	c.broadcast(c.summary(now), source)
+}
+
 // reroute asks for a new view at once, since it changes where packets may go.
 func (c *Controller) reroute(now time.Time) {
 	c.rerouted = true
@@ -234,6 +260,7 @@
 	for _, record := range message.Records {
 		c.merge(now, record)
 	}
+	c.flushRecords()
 	c.publish(now)
 	return c.take()
 }
@@ -241,14 +268,16 @@
 func (c *Controller) receiveSummary(now time.Time, id LinkID, l *link, summary *Summary) {
 	l.peer = summary.ID
 	mine := c.state.Revisions()
-	for _, change := range missing(c.state, summary.Revisions) {
-		c.emit(Send{Link: id, Message: &Message{Change: change}})
+	if summary.Wants {
+		for _, change := range c.recent.missing(c.state, summary.Revisions) {
+			c.emit(Send{Link: id, Message: &Message{Change: change}})
+		}
 	}
 	behind := summary.Revisions.Services > mine.Services ||
 		summary.Revisions.Backends > mine.Backends ||
 		summary.Revisions.Instances > mine.Instances
 	if behind {
-		c.emit(Send{Link: id, Message: c.summary(now)})
+		c.fetch(now, id)
 	} else {
 		c.unconfirmed = false
 		if summary.Age >= 0 {
@@ -258,6 +287,21 @@
 	c.compareTables(id, l, summary.Peers)
 }
 
+// fetchTimeout is how long a peer may take to send documents before another one is
+// asked.
+const fetchTimeout = 250 * time.Millisecond
+
+// fetch asks a peer for newer documents, unless another one has just been asked.
+func (c *Controller) fetch(now time.Time, id LinkID) {
+	if now.Before(c.fetchingUntil) {
+		return
+	}
+	c.fetchingUntil = now.Add(fetchTimeout)
+	message := c.summary(now)
+	message.Summary.Wants = true
+	c.emit(Send{Link: id, Message: message})
+}
+
 // compareTables starts a comparison by parts when the tables differed in two
 // summaries running, since a change on its way makes them differ for a moment.
 func (c *Controller) compareTables(id LinkID, l *link, digest uint64) {
@@ -299,7 +343,8 @@
 	if errors.As(err, &gap) {
 		if change.To > gap.Have {
 			c.emit(Report{Event: EventChangeGap, Err: err})
-			c.emit(Send{Link: id, Message: c.summary(now)})
+			c.fetchingUntil = time.Time{}
+			c.fetch(now, id)
 		}
 		return
 	}
--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -113,18 +113,60 @@
 	return true, nil
 }
 
-// missing returns whole documents for a peer that has older revisions.
-func missing(state *fleet.State, have fleet.Revisions) []*Change {
+// size returns the number of entries that the change names.
+func (c *Change) size() int {
+	switch {
+	case c.Services != nil:
+		return len(c.Services.Upserts) + len(c.Services.Removed)
+	case c.Backends != nil:
+		return len(c.Backends.Upserts) + len(c.Backends.Removed)
+	case c.Instances != nil:
+		return len(c.Instances.Upserts) + len(c.Instances.Removed)
+	}
+	return 0
+}
+
+// recentChanges holds the last change of each document.
+type recentChanges struct {
+	services  *Change
+	backends  *Change
+	instances *Change
+}
+
+func (r *recentChanges) keep(change *Change) {
+	switch {
+	case change.Services != nil:
+		r.services = change
+	case change.Backends != nil:
+		r.backends = change
+	case change.Instances != nil:
+		r.instances = change
+	}
+}
+
+// missing returns what a peer with older revisions lacks: the last change if it is
+// only that, and whole documents otherwise.
+func (r *recentChanges) missing(state *fleet.State, have fleet.Revisions) []*Change {
 	services, backends, instances := state.Documents()
 	var changes []*Change
 	if instances.Revision > have.Instances {
-		changes = append(changes, &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}})
+		whole := &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}}
+		changes = append(changes, shortest(r.instances, have.Instances, whole))
 	}
 	if backends.Revision > have.Backends {
-		changes = append(changes, &Change{To: backends.Revision, Backends: &Delta[fleet.Backend]{Upserts: backends.Backends}})
+		whole := &Change{To: backends.Revision, Backends: &Delta[fleet.Backend]{Upserts: backends.Backends}}
+		changes = append(changes, shortest(r.backends, have.Backends, whole))
 	}
 	if services.Revision > have.Services {
-		changes = append(changes, &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Draining: services.Draining})
+		whole := &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Draining: services.Draining}
+		changes = append(changes, shortest(r.services, have.Services, whole))
 	}
 	return changes
 }
+
+func shortest(last *Change, have uint64, whole *Change) *Change {
+	if last != nil && last.From == have && last.To == whole.To {
+		return last
+	}
+	return whole
+}
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -24,6 +24,8 @@
 	// Age is how long ago the sender's picture was compared with the platform, or
 	// negative if it never was.
 	Age time.Duration
+	// Wants asks the receiver for the documents in which the sender is behind.
+	Wants bool
 	// Peers is the digest of the sender's peer table.
 	Peers uint64
 }
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -10,8 +10,8 @@
 // peers are probed less often by each process, but by more processes.
 const (
 	probesPerTick   = 2
-	probeInterval   = 500 * time.Millisecond
-	probeTimeout    = 150 * time.Millisecond
+	probeInterval   = 250 * time.Millisecond
+	probeTimeout    = 100 * time.Millisecond
 	maxMisses       = 3
 	vouchLifetime   = 10 * time.Second
 	suspectInterval = 5 * time.Second
@@ -69,6 +69,15 @@
 	}
 }
 
+// postpone gives peers more time to answer, after a delay of this process's own.
+func (p *prober) postpone(now time.Time) {
+	for _, state := range p.states {
+		if state.waiting {
+			state.timeoutAt = now.Add(probeTimeout)
+		}
+	}
+}
+
 // due returns the peers to probe now.
 func (p *prober) due(now time.Time) []fleet.InstanceID {
 	var due []fleet.InstanceID
@@ -96,7 +105,7 @@
 // targets for a balancer, siblings and balancers of its data centre for an agent.
 func (c *Controller) peersToProbe() []fleet.InstanceID {
 	wanted := make(map[fleet.InstanceID]bool)
-	for _, service := range c.view.Services() {
+	for _, service := range c.view.Distinct() {
 		targets := service.Targets()
 		if c.config.Role == fleet.RoleAgent && service.Target(c.config.Self) == nil {
 			continue
@@ -151,6 +160,7 @@
 	record.State = fleet.PeerSuspect
 	c.emit(Report{Event: EventPeerSuspected, Peer: c.nodeName(id)})
 	c.merge(now, record)
+	c.flushRecords()
 }
 
 // Suspect probes a peer at once, since traffic to it goes unanswered.
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,8 +73,26 @@
 	return ""
 }
 
+// selectorsKey returns a text that is the same for equal selectors only.
+func selectorsKey(selectors map[string]Selector) string {
+	var key strings.Builder
+	for _, dataCentre := range slices.Sorted(maps.Keys(selectors)) {
+		fmt.Fprintf(&key, "%q{", dataCentre)
+		selector := selectors[dataCentre]
+		for _, label := range slices.Sorted(maps.Keys(selector)) {
+			fmt.Fprintf(&key, "%q:%q,", label, selector[label])
+		}
+		key.WriteString("}")
+	}
+	return key.String()
+}
+
+// AnyDataCentre is the key of a selector for every data centre without one of its
+// own.
+const AnyDataCentre = "*"
+
 // Service is a published service. Selectors is keyed by data centre; a data
-// centre without an entry is out of the service.
+// centre without an entry is out of the service, unless there is one for any.
 type Service struct {
 	Name      string              `json:"name"`
 	Address   string              `json:"address"`
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -130,7 +130,7 @@
 }
 
 // RefuteTime is how long a peer that lives may take to refute a suspicion.
-const RefuteTime = 300 * time.Millisecond
+const RefuteTime = 150 * time.Millisecond
 
 // isLost reports whether a peer does not answer this process and has not refuted the
 // suspicion by way of others.
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -18,7 +18,9 @@
 	services  ServicesDocument
 	backends  BackendsDocument
 	instances InstancesDocument
-	peers     *Peers
+	// poolKeys holds a key for the selectors of each service, in the same order.
+	poolKeys []string
+	peers    *Peers
 	// departed holds the agents that are no longer listed but may still own flows.
 	departed map[InstanceID]departure
 }
@@ -65,7 +67,7 @@
 // Apply puts a document in force if its revision is newer. It reports whether
 // it did. An invalid document is refused whole.
 func (s *State) Apply(now time.Time, document Document) (bool, error) {
-	if !s.isNewer(document) {
+	if !s.IsNewer(document) {
 		return false, nil
 	}
 	if err := document.Validate(); err != nil {
@@ -74,6 +76,10 @@
 	switch d := document.(type) {
 	case *ServicesDocument:
 		s.services = *d
+		s.poolKeys = make([]string, len(d.Services))
+		for i := range d.Services {
+			s.poolKeys[i] = selectorsKey(d.Services[i].Selectors)
+		}
 	case *BackendsDocument:
 		named := make(map[InstanceID]bool, len(d.Backends))
 		for i := range d.Backends {
@@ -87,7 +93,8 @@
 	return true, nil
 }
 
-func (s *State) isNewer(document Document) bool {
+// IsNewer reports whether a document is newer than the one in force.
+func (s *State) IsNewer(document Document) bool {
 	switch d := document.(type) {
 	case *ServicesDocument:
 		return d.Revision > s.services.Revision
@@ -162,11 +169,17 @@
 	}
 	servers := s.servers(view.nodes)
 	residual := s.residualOwners(view.nodes)
-	departed := s.departedNodes(now)
+	builder := poolBuilder{state: s, now: now, servers: servers, departed: s.departedNodes(now), pools: make(map[string]*pool)}
 	for i := range s.services.Services {
-		routed := s.route(&s.services.Services[i], servers, residual, departed, now)
+		service := &s.services.Services[i]
+		known := len(builder.pools)
+		routed := s.route(service)
+		routed.pool = builder.pool(routed, s.poolKeys[i], residual[routed.id])
 		view.services[routed.address] = routed
 		view.byID[routed.id] = routed
+		if len(builder.pools) > known || len(residual[routed.id]) > 0 {
+			view.distinct = append(view.distinct, routed)
+		}
 	}
 	return view
 }
@@ -290,9 +303,9 @@
 	return owners
 }
 
-func (s *State) route(service *Service, servers map[string]*serverIndex, residual map[ServiceID][]*Node, departed []server, now time.Time) *RoutedService {
+func (s *State) route(service *Service) *RoutedService {
 	address, _ := service.address()
-	routed := &RoutedService{
+	return &RoutedService{
 		id:        ServiceIDOf(service.Name),
 		name:      service.Name,
 		address:   address,
@@ -300,42 +313,60 @@
 		coldRate:  service.ColdRate,
 		repeats:   service.Idempotent,
 	}
-	for dataCentre, selector := range service.Selectors {
-		for _, candidate := range servers[dataCentre].matching(selector) {
-			routed.targets = append(routed.targets, s.target(candidate.node, now))
-		}
+}
+
+// poolBuilder computes the targets of a view, once for all services with the same
+// selectors: an operator may publish hundreds of services for the same servers.
+type poolBuilder struct {
+	state    *State
+	now      time.Time
+	servers  map[string]*serverIndex
+	departed []server
+	pools    map[string]*pool
+}
+
+// pool returns the targets of a service with selectors that a key stands for.
+func (b *poolBuilder) pool(routed *RoutedService, key string, residual []*Node) *pool {
+	if len(residual) > 0 {
+		return b.build(routed, residual)
 	}
-	slices.SortFunc(routed.targets, compareTargets)
-	routed.selected = len(routed.targets)
-	owners := residual[routed.id]
-	for _, gone := range departed {
-		if routed.Selects(gone.backend.DataCentre, gone.backend.Labels) {
-			owners = append(owners[:len(owners):len(owners)], gone.node)
-		}
+	shared := b.pools[key]
+	if shared == nil {
+		shared = b.build(routed, nil)
+		b.pools[key] = shared
 	}
-	routed.targets = append(routed.targets, s.residualTargets(routed, owners, now)...)
-	return routed
+	return shared
 }
 
-// departedNodes returns the agents that are not listed any more but still answer.
-func (s *State) departedNodes(now time.Time) []server {
-	var nodes []server
-	for id, d := range s.departed {
-		if now.After(d.until) || s.peers.unreachable[id] {
+func (b *poolBuilder) build(routed *RoutedService, owners []*Node) *pool {
+	built := new(pool)
+	for dataCentre, servers := range b.servers {
+		selector, present := routed.selector(dataCentre)
+		if !present {
 			continue
 		}
-		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
+		for _, candidate := range servers.matching(selector) {
+			built.targets = append(built.targets, b.state.target(candidate.node, b.now))
+		}
 	}
-	return nodes
+	slices.SortFunc(built.targets, compareTargets)
+	built.selected = len(built.targets)
+	for _, gone := range b.departed {
+		if routed.Selects(gone.backend.DataCentre, gone.backend.Labels) {
+			owners = append(owners[:len(owners):len(owners)], gone.node)
+		}
+	}
+	built.targets = append(built.targets, b.residualTargets(routed, built, owners)...)
+	return built
 }
 
-func (s *State) residualTargets(routed *RoutedService, owners []*Node, now time.Time) []Target {
+func (b *poolBuilder) residualTargets(routed *RoutedService, built *pool, owners []*Node) []Target {
 	var targets []Target
 	for _, node := range owners {
-		if routed.Target(node.id) != nil || !routed.IsPresent(node.dataCentre) {
+		if built.target(node.id) != nil || !routed.IsPresent(node.dataCentre) {
 			continue
 		}
-		target := s.target(node, now)
+		target := b.state.target(node, b.now)
 		target.residual = true
 		target.accepting = false
 		targets = append(targets, target)
@@ -344,6 +375,18 @@
 	return targets
 }
 
+// departedNodes returns the agents that are not listed any more but still answer.
+func (s *State) departedNodes(now time.Time) []server {
+	var nodes []server
+	for id, d := range s.departed {
+		if now.After(d.until) || s.peers.unreachable[id] {
+			continue
+		}
+		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
+	}
+	return nodes
+}
+
 func (s *State) target(node *Node, now time.Time) Target {
 	record, known := s.peers.Record(node.id)
 	weight := DefaultWeight
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -55,14 +55,19 @@
 // the flows it already owns.
 func (t *Target) IsResidual() bool { return t.residual }
 
+// pool holds the targets that services with the same selectors share.
+type pool struct {
+	// targets holds the selected targets by ID, then the residual ones.
+	targets  []Target
+	selected int
+}
+
 // RoutedService is a service with its targets.
 type RoutedService struct {
 	id      ServiceID
 	name    string
 	address flow.Address
-	// targets holds the selected targets by ID, then the residual ones.
-	targets  []Target
-	selected int
+	*pool
 	// selectors holds a selector for each data centre that is in the service.
 	selectors map[string]Selector
 	coldRate  float64
@@ -82,10 +87,12 @@
 func (s *RoutedService) Targets() []Target { return s.targets }
 
 // Target returns the target served by an instance, or nil.
-func (s *RoutedService) Target(id InstanceID) *Target {
-	for i := range s.targets {
-		if s.targets[i].id == id {
-			return &s.targets[i]
+func (s *RoutedService) Target(id InstanceID) *Target { return s.target(id) }
+
+func (p *pool) target(id InstanceID) *Target {
+	for i := range p.targets {
+		if p.targets[i].id == id {
+			return &p.targets[i]
 		}
 	}
 	return nil
@@ -93,14 +100,23 @@
 
 // IsPresent reports whether the data centre has a selector for the service.
 func (s *RoutedService) IsPresent(dataCentre string) bool {
-	_, present := s.selectors[dataCentre]
+	_, present := s.selector(dataCentre)
 	return present
 }
 
+// selector returns the selector for a data centre: its own, or the one for any.
+func (s *RoutedService) selector(dataCentre string) (Selector, bool) {
+	if selector, present := s.selectors[dataCentre]; present {
+		return selector, true
+	}
+	selector, present := s.selectors[AnyDataCentre]
+	return selector, present
+}
+
 // Selects reports whether a backend server with these labels may serve the service
 // in a data centre.
 func (s *RoutedService) Selects(dataCentre string, labels map[string]string) bool {
-	selector, present := s.selectors[dataCentre]
+	selector, present := s.selector(dataCentre)
 	return present && selector.Matches(labels)
 }
 
@@ -149,6 +165,8 @@
 	revisions Revisions
 	services  map[flow.Address]*RoutedService
 	byID      map[ServiceID]*RoutedService
+	// distinct holds a service of each pool of targets.
+	distinct  []*RoutedService
 	nodes     map[InstanceID]*Node
 	backends  map[InstanceID]*Backend
 	draining  map[string]bool
@@ -180,6 +198,10 @@
 // Services returns all services in no particular order.
 func (v *View) Services() map[ServiceID]*RoutedService { return v.byID }
 
+// Distinct returns services that together have all targets: of services with the
+// same targets it holds one.
+func (v *View) Distinct() []*RoutedService { return v.distinct }
+
 // Node returns a node of the fleet, or nil.
 func (v *View) Node(id InstanceID) *Node { return v.nodes[id] }
 
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	load := core.NewLoad(clock.Now(), initialSlots)
+	load := core.NewWarmLoad(clock.Now(), initialSlots)
 	c := &Carrier{
 		settings: s,
 		node:     n,
@@ -232,6 +232,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.ApplyView(view)
+	if backend := view.Backend(c.node.ID()); backend != nil && backend.Slots > 0 {
+		c.load.SetSlots(backend.Slots)
+	}
 }
 
 // applySettings puts changed labels in force. Everything else stays until the next
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -47,9 +47,8 @@
 	port    uint16
 	header  datagram.Header
 
-	// prefixes holds the encoded headers of prefixView by target. A target belongs
-	// to one service of the view.
-	prefixes   map[*fleet.Target]datagram.Prefix
+	// prefixes holds the encoded headers of prefixView.
+	prefixes   map[prefixKey]datagram.Prefix
 	prefixView *fleet.View
 }
 
@@ -76,7 +75,7 @@
 		counter: counter,
 		port:    in.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 
-		prefixes: make(map[*fleet.Target]datagram.Prefix),
+		prefixes: make(map[prefixKey]datagram.Prefix),
 		header: datagram.Header{
 			Kind:            datagram.Packet,
 			From:            uint64(identity.ID),
@@ -168,6 +167,12 @@
 	return nil
 }
 
+// prefixKey tells apart the headers of a view.
+type prefixKey struct {
+	service fleet.ServiceID
+	target  fleet.InstanceID
+}
+
 // prefix returns the encoded header for a target. It is the same for every
 // packet as long as the view is in force.
 func (f *Forwarder) prefix(view *fleet.View, decision balancer.Decision) (datagram.Prefix, error) {
@@ -175,7 +180,8 @@
 		clear(f.prefixes)
 		f.prefixView = view
 	}
-	if prefix, known := f.prefixes[decision.Target]; known {
+	key := prefixKey{decision.Service.ID(), decision.Target.ID()}
+	if prefix, known := f.prefixes[key]; known {
 		return prefix, nil
 	}
 	f.header.To = uint64(decision.Target.ID())
@@ -186,7 +192,7 @@
 	if err != nil {
 		return prefix, fmt.Errorf("encode header for %s: %w", decision.Target.Name(), err)
 	}
-	f.prefixes[decision.Target] = prefix
+	f.prefixes[key] = prefix
 	return prefix, nil
 }
 
