--- /dev/null
+++ b/internal/core/agent/carried_test.go
@@ -0,0 +1,285 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// server is a backend server that ends flows itself and returns what it does not
+// hold.
+type server struct {
+	token   uint32
+	refuses bool
+	half    map[flow.ID]bool
+	open    map[flow.ID]bool
+}
+
+// rig is a set of carrying agents with their backend servers.
+type rig struct {
+	state   *fleet.State
+	agents  map[fleet.InstanceID]*Agent
+	servers map[fleet.InstanceID]*server
+}
+
+var ordersLabels = map[string]string{"app": "orders"}
+
+func newRig(t require.TestingT, targets int) *rig {
+	r := &rig{
+		state:   newState(t, targets),
+		agents:  make(map[fleet.InstanceID]*Agent),
+		servers: make(map[fleet.InstanceID]*server),
+	}
+	for i := range targets {
+		id := fleet.InstanceIDOf(fmt.Sprintf("b%d", i))
+		r.servers[id] = &server{token: uint32(1000 * (i + 1)), half: make(map[flow.ID]bool), open: make(map[flow.ID]bool)}
+		r.restart(id)
+	}
+	return r
+}
+
+// restart replaces an agent by one that knows nothing. Its server lives on.
+func (r *rig) restart(id fleet.InstanceID) {
+	config := Config{Self: id, DataCentre: "north", MaxFlows: 100, MaxHanded: 100, Placement: HashOnly{}, Carried: true, Labels: ordersLabels}
+	a := New(config, r.state.View(epoch), NewWarmLoad(epoch, slots), rand.New(rand.NewPCG(1, uint64(id))))
+	a.NoteConfirmed(settled)
+	r.agents[id] = a
+}
+
+func (r *rig) applyView() {
+	for _, a := range r.agents {
+		a.ApplyView(r.state.View(epoch))
+	}
+}
+
+// serve offers a packet to a backend server and reports whether it takes it.
+func (r *rig) serve(id fleet.InstanceID, packet flow.Packet) bool {
+	s := r.servers[id]
+	switch {
+	case packet.Kind() == flow.Opening && s.refuses:
+		return false
+	case packet.Kind() == flow.Opening:
+		s.half[packet.Flow()] = true
+		r.agents[id].Sent(settled, flow.Answer{Flow: packet.Flow(), Token: s.token, Opens: true})
+		return true
+	case s.half[packet.Flow()] && packet.Confirms() == s.token:
+		s.open[packet.Flow()] = true
+	}
+	return s.open[packet.Flow()]
+}
+
+// travel follows a packet until a backend server takes it or an agent ends it.
+func (r *rig) travel(t require.TestingT, at fleet.InstanceID, packet *Arrival) (fleet.InstanceID, Action) {
+	action := r.agents[at].Receive(settled, packet)
+	for range 4 * len(r.agents) {
+		switch a := action.(type) {
+		case *Deliver:
+			if r.serve(at, packet.Packet) {
+				return at, action
+			}
+			action = r.agents[at].Bounced(settled, packet)
+		case *PassOn:
+			packet.Visited = r.agents[at].visitedWithSelf(packet.Visited)
+			packet.Placed, packet.Relayed = a.Placed, packet.Relayed || a.Relayed
+			at = a.Target.ID()
+			action = r.agents[at].Receive(settled, packet)
+		default:
+			return at, action
+		}
+	}
+	require.Fail(t, "the packet never arrives")
+	return 0, nil
+}
+
+// open opens a flow at an agent and returns its owner.
+func (r *rig) open(t require.TestingT, at fleet.InstanceID, port uint16) fleet.InstanceID {
+	owner, action := r.travel(t, at, arrival(port, flow.Opening, 0))
+	require.IsType(t, &Deliver{}, action)
+	found, action := r.travel(t, at, arrival(port, flow.Established, r.servers[owner].token))
+	require.IsType(t, &Deliver{}, action)
+	require.Equal(t, owner, found)
+	return owner
+}
+
+func (r *rig) ids() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for i := range len(r.agents) {
+		ids = append(ids, fleet.InstanceIDOf(fmt.Sprintf("b%d", i)))
+	}
+	return ids
+}
+
+func TestCarriedFlowIsFoundFromAnyAgentAfterRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(t, rapid.IntRange(1, 8).Draw(t, "agents"))
+		ids := r.ids()
+		owner := r.open(t, rapid.SampledFrom(ids).Draw(t, "entry"), 4000)
+		for _, id := range ids {
+			if rapid.Bool().Draw(t, "restart") {
+				r.restart(id)
+			}
+		}
+		for _, id := range ids {
+			found, action := r.travel(t, id, arrival(4000, flow.Established, 77))
+			require.IsType(t, &Deliver{}, action)
+			require.Equal(t, owner, found)
+		}
+	})
+}
+
+func TestConfirmationDecidesBetweenTwoServersWithTheSameOpening(t *testing.T) {
+	r := newRig(t, 2)
+	ids := r.ids()
+	for _, id := range ids {
+		packet := arrival(4000, flow.Opening, 0)
+		packet.Placed = true
+		_, action := r.travel(t, id, packet)
+		require.IsType(t, &Deliver{}, action)
+	}
+	owner, action := r.travel(t, ids[0], arrival(4000, flow.Established, r.servers[ids[1]].token))
+	require.IsType(t, &Deliver{}, action)
+	require.Equal(t, ids[1], owner)
+}
+
+func TestReturnedOpeningGoesOnUntilAllHaveRefused(t *testing.T) {
+	r := newRig(t, 3)
+	ids := r.ids()
+	r.servers[ids[0]].refuses, r.servers[ids[1]].refuses = true, true
+	owner, action := r.travel(t, ids[0], arrival(4000, flow.Opening, 0))
+	require.IsType(t, &Deliver{}, action)
+	require.Equal(t, ids[2], owner)
+	r.servers[ids[2]].refuses = true
+	_, action = r.travel(t, ids[0], arrival(4001, flow.Opening, 0))
+	require.Equal(t, &Reset{Reason: RefuseNotAccepting}, action)
+}
+
+func TestCarriedFlowIsResetOnlyByACurrentPicture(t *testing.T) {
+	r := newRig(t, 2)
+	_, action := r.travel(t, r.ids()[0], arrival(4000, flow.Established, 1))
+	require.Equal(t, &Reset{Reason: ResetUnowned}, action)
+	for _, a := range r.agents {
+		a.NoteConfirmed(settled.Add(-maxResetAge - time.Millisecond))
+	}
+	_, action = r.travel(t, r.ids()[0], arrival(4000, flow.Established, 1))
+	require.Equal(t, &Drop{Reason: DropUnsettled}, action)
+}
+
+// An address is used again for another service while senders hold an old list.
+func TestOwnLabelsGoBeforeTheList(t *testing.T) {
+	r := newRig(t, 2)
+	ids := r.ids()
+	r.agents[ids[0]].SetLabels(map[string]string{"app": "patterns"})
+	packet := arrival(4000, flow.Opening, 0)
+	packet.Placed, packet.Revision = true, 9
+	owner, action := r.travel(t, ids[0], packet)
+	require.IsType(t, &Deliver{}, action)
+	require.Equal(t, ids[1], owner)
+}
+
+func TestNoNewFlowWhereTheListOrTheOperatorSaysSo(t *testing.T) {
+	for name, document := range map[string]fleet.Document{
+		"leaving": &fleet.InstancesDocument{Revision: 2, Instances: []fleet.Instance{
+			{Name: "b0", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLeaving},
+			{Name: "b1", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive},
+		}},
+		"gone": &fleet.InstancesDocument{Revision: 2, Instances: []fleet.Instance{
+			{Name: "b1", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2)
+			ids := r.ids()
+			packet := arrival(4000, flow.Opening, 0)
+			packet.Placed = true
+			held, action := r.travel(t, ids[0], packet)
+			require.IsType(t, &Deliver{}, action)
+			require.Equal(t, ids[0], held)
+			r.travel(t, ids[0], arrival(4000, flow.Established, r.servers[ids[0]].token))
+			_, err := r.state.Apply(epoch, document)
+			require.NoError(t, err)
+			r.applyView()
+			again := arrival(4001, flow.Opening, 0)
+			again.Placed = true
+			owner, _ := r.travel(t, ids[0], again)
+			require.Equal(t, ids[1], owner, "a new flow goes elsewhere")
+			found, action := r.travel(t, ids[1], arrival(4000, flow.Established, 77))
+			require.IsType(t, &Deliver{}, action)
+			require.Equal(t, ids[0], found, "an open flow stays")
+		})
+	}
+}
+
+func TestDrainingDataCentreKeepsItsFlows(t *testing.T) {
+	r := newRig(t, 1)
+	id := r.ids()[0]
+	r.open(t, id, 4000)
+	services, _, _ := r.state.Documents()
+	_, err := r.state.Apply(epoch, &fleet.ServicesDocument{Revision: 2, Services: services.Services, Draining: []string{"north"}})
+	require.NoError(t, err)
+	r.applyView()
+	_, action := r.travel(t, id, arrival(4001, flow.Opening, 0))
+	require.Equal(t, &Reset{Reason: RefuseNotAccepting}, action)
+	_, action = r.travel(t, id, arrival(4000, flow.Established, 77))
+	require.IsType(t, &Deliver{}, action)
+}
+
+// withIdempotent says whether requests of the service may be repeated.
+func (r *rig) withIdempotent(t require.TestingT, idempotent bool) {
+	services, _, _ := r.state.Documents()
+	next := &fleet.ServicesDocument{Revision: services.Revision + 1}
+	for _, service := range services.Services {
+		service.Idempotent = idempotent
+		next.Services = append(next.Services, service)
+	}
+	_, err := r.state.Apply(epoch, next)
+	require.NoError(t, err)
+}
+
+func TestFlowOfAnUnreachableOwner(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		idempotent bool
+		state      fleet.PeerState
+		want       Action
+	}{
+		{"may be repeated", true, fleet.PeerAlive, &Reset{Reason: ResetOwnerLost}},
+		{"must not be repeated", false, fleet.PeerAlive, &Drop{Reason: DropUnreachable}},
+		{"back soon", true, fleet.PeerLeaving, &Drop{Reason: DropUnreachable}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, 3)
+			ids := r.ids()
+			r.withIdempotent(t, test.idempotent)
+			r.state.Peers().SetReachable(ids[2], false, time.Time{})
+			r.state.Peers().Merge(fleet.PeerRecord{ID: ids[2], Incarnation: 1, State: test.state})
+			r.applyView()
+			_, action := r.travel(t, ids[0], arrival(4000, flow.Established, 1))
+			require.Equal(t, test.want, action)
+		})
+	}
+}
+
+func TestRequestsInFlightAreCountedFromWhatIsCarried(t *testing.T) {
+	r := newRig(t, 1)
+	id := r.ids()[0]
+	a := r.agents[id]
+	r.open(t, id, 4000)
+	require.Equal(t, 1, a.load.Running(), "a new flow is about to ask")
+	request := arrival(4000, flow.Established, 77)
+	request.Packet = request.Packet.WithPayload(300)
+	r.travel(t, id, request)
+	require.Equal(t, 1, a.load.Running())
+	a.Sent(settled, flow.Answer{Flow: flowOf(4000), Payload: 1000})
+	require.Zero(t, a.load.Running())
+	r.travel(t, id, request)
+	require.Equal(t, 1, a.load.Running(), "the next request of a long flow")
+	a.Sent(settled, flow.Answer{Flow: flowOf(4000), Ends: true})
+	require.Zero(t, a.load.Running())
+}
