Keep the TCP stack out of the carrying program

Cause: its command package also held the commands of radishmastd. Change: what the commands share is a package of its own.

--- a/cmd/radishmast-carrier/main.go
+++ b/cmd/radishmast-carrier/main.go
@@ -7,22 +7,20 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/radishmast/radishmast/internal/cmd/carrier"
 	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
-	"github.com/radishmast/radishmast/internal/cmd/daemon"
 	"github.com/radishmast/radishmast/internal/cmd/version"
 	"github.com/radishmast/radishmast/platform"
 )
 
-const program = "radishmast-carrier"
-
 func main() {
 	os.Exit(cmdutil.Execute(newRoot))
 }
 
 func newRoot(f *cmdutil.Factory) *ffcli.Command {
-	return cmdutil.NewGroup(program, "The daemons of radishmast that carry packets.", f.Streams,
-		daemon.NewCmdBalancerWith(f, program, platform.BalancerParts),
-		daemon.NewCmdCarrier(f, program, platform.CarrierParts),
-		version.NewCmdVersion(f, program),
+	return cmdutil.NewGroup(carrier.Program, "The daemons of radishmast that carry packets.", f.Streams,
+		carrier.NewCmdBalancer(f, platform.BalancerParts),
+		carrier.NewCmdAgent(f, platform.CarrierParts),
+		version.NewCmdVersion(f, carrier.Program),
 	)
 }
--- /dev/null
+++ b/internal/cmd/carrier/carrier.go
@@ -0,0 +1,46 @@
+// Package carrier holds the commands of radishmast-carrier.
+package carrier
+
+import (
+	"context"
+
+	"github.com/apex/log"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
+	"github.com/radishmast/radishmast/internal/cmd/serve"
+	"github.com/radishmast/radishmast/internal/daemon/balancer"
+	"github.com/radishmast/radishmast/internal/daemon/carrier"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+)
+
+// Program is the name of the program.
+const Program = "radishmast-carrier"
+
+// NewCmdBalancer returns the command that runs an entry instance in an installation.
+func NewCmdBalancer(f *cmdutil.Factory, parts func(*settings.Balancer) balancer.Parts) *ffcli.Command {
+	return serve.NewCmd(f, serve.Role[*settings.Balancer]{
+		Program: Program,
+		Name:    "balancer",
+		Help:    "Run an entry instance that forwards callers' packets to agents.",
+		Read:    settings.ReadBalancer,
+		Run: func(ctx context.Context, s *settings.Balancer, watcher *settings.Watcher[*settings.Balancer], logger log.Interface) error {
+			go watcher.Run(ctx, serve.KeepSettings)
+			return balancer.Run(ctx, s, parts(s), logger)
+		},
+	})
+}
+
+// NewCmdAgent returns the command that runs the process beside a backend server in an
+// installation.
+func NewCmdAgent(f *cmdutil.Factory, parts func(*settings.Carrier) carrier.Parts) *ffcli.Command {
+	return serve.NewCmd(f, serve.Role[*settings.Carrier]{
+		Program: Program,
+		Name:    "agent",
+		Help:    "Run the process that carries packets to and from a backend server.",
+		Read:    settings.ReadCarrier,
+		Run: func(ctx context.Context, s *settings.Carrier, watcher *settings.Watcher[*settings.Carrier], logger log.Interface) error {
+			return carrier.Run(ctx, s, watcher, parts(s), logger)
+		},
+	})
+}
--- /dev/null
+++ b/internal/cmd/serve/serve.go
@@ -0,0 +1,96 @@
+// Package serve holds what the commands that run a daemon share: flags, settings and
+// the log.
+package serve
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
+	"github.com/radishmast/radishmast/internal/daemon/settings"
+	"github.com/radishmast/radishmast/internal/link/operator"
+)
+
+// Options are the flags of a daemon command.
+type Options struct {
+	Streams *cmdutil.Streams
+	Config  string
+	Check   bool
+	Verbose bool
+}
+
+// Role is what differs between the daemon commands: how the settings are read, and
+// what is run with them.
+type Role[S any] struct {
+	Program string
+	Name    string
+	Help    string
+	Read    func([]byte) (S, error)
+	Run     func(ctx context.Context, s S, watcher *settings.Watcher[S], logger log.Interface) error
+}
+
+// NewCmd returns the command of a role.
+func NewCmd[S any](f *cmdutil.Factory, r Role[S]) *ffcli.Command {
+	opts := &Options{Streams: f.Streams}
+	flags := cmdutil.NewFlagSet(r.Program+" "+r.Name, f.Streams)
+	opts.register(flags)
+	return &ffcli.Command{
+		Name:       r.Name,
+		ShortUsage: fmt.Sprintf("%s %s --config FILE [--check]", r.Program, r.Name),
+		ShortHelp:  r.Help,
+		LongHelp:   fmt.Sprintf("Example:\n  %s %s --config /etc/radishmast/%s.json --check", r.Program, r.Name, r.Name),
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return cmdutil.Usagef("unexpected argument %q", args[0])
+			}
+			return runDaemon(ctx, opts, r)
+		},
+	}
+}
+
+func (o *Options) register(flags *flag.FlagSet) {
+	flags.StringVar(&o.Config, "config", "", "file with the settings, in JSON")
+	flags.BoolVar(&o.Check, "check", false, "only check the settings")
+	flags.BoolVar(&o.Verbose, "verbose", false, "log events of single links as well")
+}
+
+func runDaemon[S any](ctx context.Context, opts *Options, r Role[S]) error {
+	if opts.Config == "" {
+		return cmdutil.Usagef("--config is missing; name the file with the settings")
+	}
+	data, err := os.ReadFile(opts.Config)
+	if err != nil {
+		return cmdutil.UsageError{Err: fmt.Errorf("read settings: %w", err)}
+	}
+	s, err := r.Read(data)
+	if err != nil {
+		return cmdutil.UsageError{Err: err}
+	}
+	if opts.Check {
+		_, _ = fmt.Fprintf(opts.Streams.Out, "%s: settings are valid\n", opts.Config)
+		return nil
+	}
+	writer := operator.NewWriter(opts.Streams.Err)
+	defer func() { _ = writer.Close() }()
+	logger := newLogger(opts, writer)
+	return r.Run(ctx, s, settings.NewWatcher(opts.Config, data, r.Read, logger), logger)
+}
+
+// KeepSettings leaves changed settings to the next start.
+func KeepSettings[S any](S) {}
+
+func newLogger(opts *Options, out io.Writer) log.Interface {
+	level := log.InfoLevel
+	if opts.Verbose {
+		level = log.DebugLevel
+	}
+	return &log.Logger{Handler: logfmt.New(out), Level: level}
+}
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -20,7 +20,6 @@
 	"github.com/radishmast/radishmast/internal/link/operator"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
-	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
 // leaveTime is how long a leaving balancer goes on forwarding, so that the
@@ -37,13 +36,8 @@
 	Core   core.Config
 }
 
-// Run serves packets of the Internet Protocol.
-func Run(ctx context.Context, s *settings.Balancer, logger log.Interface) error {
-	return RunWith(ctx, s, Parts{Node: node.ReadsDocuments(), Format: ipv4.Format{}}, logger)
-}
-
-// RunWith serves until ctx is done, then leaves without losing packets on the way.
-func RunWith(ctx context.Context, s *settings.Balancer, parts Parts, logger log.Interface) error {
+// Run serves until ctx is done, then leaves without losing packets on the way.
+func Run(ctx context.Context, s *settings.Balancer, parts Parts, logger log.Interface) error {
 	counters := metrics.New()
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
