--- /dev/null
+++ b/internal/core/balancer/balancer_test.go
@@ -0,0 +1,100 @@
+package balancer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+var (
+	epoch   = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	address = flow.NewAddress(flow.TCP, netip.MustParseAddrPort("10.9.0.1:80"))
+)
+
+func newState(t *testing.T, targets int) *fleet.State {
+	state := fleet.NewState()
+	backends := &fleet.BackendsDocument{Revision: 1}
+	instances := &fleet.InstancesDocument{Revision: 1}
+	for i := range targets {
+		name := fmt.Sprintf("b%d", i)
+		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
+		instances.Instances = append(instances.Instances, fleet.Instance{
+			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
+		})
+	}
+	services := &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
+	}}
+	for _, document := range []fleet.Document{services, backends, instances} {
+		_, err := state.Apply(epoch, document)
+		require.NoError(t, err)
+	}
+	return state
+}
+
+func packet(address flow.Address, kind flow.Kind, copies uint32) flow.Packet {
+	id := flow.NewID(address, netip.MustParseAddrPort("10.1.0.1:4000"))
+	return flow.NewPacket(id, kind, 7, copies, nil)
+}
+
+func TestCopiesOfAnOpeningPacketGoElsewhere(t *testing.T) {
+	view := newState(t, 3).View(epoch)
+	b := New(Config{CountsCopies: true}, NewHints(16))
+	first := b.Forward(view, packet(address, flow.Opening, 0))
+	require.Nil(t, first.Suspect)
+	second := b.Forward(view, packet(address, flow.Opening, 1))
+	require.NotEqual(t, first.Target.ID(), second.Target.ID())
+	require.Equal(t, first.Target.ID(), second.Suspect.ID(), "the one that did not answer is suspected")
+	third := b.Forward(view, packet(address, flow.Opening, 2))
+	require.NotContains(t, []fleet.InstanceID{first.Target.ID(), second.Target.ID()}, third.Target.ID())
+	rest := b.Forward(view, packet(address, flow.Established, 1))
+	require.Equal(t, third.Target.ID(), rest.Target.ID(), "what follows goes where the last copy went")
+	again := b.Forward(view, packet(address, flow.Opening, 0))
+	require.Equal(t, first.Target.ID(), again.Target.ID())
+}
+
+func TestWhatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	unknown := flow.NewAddress(flow.TCP, netip.MustParseAddrPort("10.9.0.9:80"))
+	tests := []struct {
+		name   string
+		packet flow.Packet
+		state  fleet.PeerState
+		want   Decision
+	}{
+		{"opening to an unknown service", packet(unknown, flow.Opening, 0), fleet.PeerAlive, Decision{Drop: DropUnknownService, Reset: true}},
+		{"packet of a flow of an unknown service", packet(unknown, flow.Established, 0), fleet.PeerAlive, Decision{Drop: DropUnknownService}},
+		{"opening without a target", packet(address, flow.Opening, 0), fleet.PeerSilent, Decision{Drop: DropNoTarget, Reset: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := newState(t, 1)
+			state.Peers().Merge(fleet.PeerRecord{ID: fleet.InstanceIDOf("b0"), Incarnation: 1, State: test.state})
+			b := New(Config{Resets: true}, NewHints(16))
+			decision := b.Forward(state.View(epoch), test.packet)
+			require.Equal(t, test.want.Drop, decision.Drop)
+			require.Equal(t, test.want.Reset, decision.Reset)
+			require.False(t, New(Config{}, NewHints(16)).Forward(state.View(epoch), test.packet).Reset)
+		})
+	}
+}
+
+func TestHintsAreForgottenWhenAFlowOpensAnew(t *testing.T) {
+	view := newState(t, 3).View(epoch)
+	b := New(Config{CountsCopies: true}, NewHints(16))
+	hash := packet(address, flow.Established, 0).Flow().Hash()
+	primary := view.ServiceAt(address).Primary(hash).ID()
+	for i := range 3 {
+		if id := fleet.InstanceIDOf(fmt.Sprintf("b%d", i)); id != primary {
+			b.Learn(hash, id)
+			require.Equal(t, id, b.Forward(view, packet(address, flow.Established, 0)).Target.ID())
+		}
+	}
+	b.Forward(view, packet(address, flow.Opening, 0))
+	require.Equal(t, primary, b.Forward(view, packet(address, flow.Established, 0)).Target.ID())
+}
--- /dev/null
+++ b/internal/core/control/freshness_test.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// listing returns a list of agents n0, n1, ... spread over data centres.
+func listing(revision uint64, agents, dataCentres int) *fleet.InstancesDocument {
+	d := &fleet.InstancesDocument{Revision: revision}
+	for i := range agents {
+		d.Instances = append(d.Instances, fleet.Instance{
+			Name: fmt.Sprintf("n%d", i), Role: fleet.RoleAgent, DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
+			Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
+		})
+	}
+	return d
+}
+
+func countReaders(n *network, now time.Time) int {
+	count := 0
+	for _, c := range n.controllers {
+		if c.MustRead(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// deliverAll delivers all messages that are on their way.
+func (n *network) deliverAll(now time.Time) {
+	for len(n.queue) > 0 {
+		n.deliver(0, now)
+	}
+}
+
+func TestFewProcessesReadForAll(t *testing.T) {
+	n := newNetwork(9)
+	now := epoch.Add(firstReadDelay)
+	require.Equal(t, 9, countReaders(n, now), "nobody knows anything yet")
+	n.collect(0, n.controllers[0].Document(now, listing(1, 9, 3)))
+	n.deliverAll(now)
+	require.Equal(t, readers, countReaders(n, now))
+	for range 20 {
+		now = now.Add(time.Second)
+		for i, c := range n.controllers {
+			if c.fresh.rank < readers {
+				n.collect(i, c.Confirm(now))
+			}
+		}
+		n.deliverAll(now)
+		require.Equal(t, readers, countReaders(n, now.Add(time.Second)))
+	}
+	oldest := now.Add(staleAfter + time.Millisecond)
+	require.Equal(t, readers+1, countReaders(n, oldest), "the next in rank reads first")
+	require.Equal(t, 9, countReaders(n, oldest.Add(maxDelay)), "then all do")
+}
+
+func TestReadersAreInDifferentDataCentres(t *testing.T) {
+	n := newNetwork(9)
+	n.collect(0, n.controllers[0].Document(epoch, listing(1, 9, 3)))
+	n.deliverAll(epoch)
+	places := make(map[int]bool)
+	for i, c := range n.controllers {
+		if c.fresh.rank < readers {
+			places[i%3] = true
+		}
+	}
+	require.Len(t, places, readers)
+}
+
+func TestAgeOfThePictureSpreads(t *testing.T) {
+	n := newNetwork(3)
+	n.collect(0, n.controllers[0].Document(epoch, listing(1, 3, 1)))
+	n.deliverAll(epoch)
+	now := epoch.Add(time.Second)
+	n.collect(0, n.controllers[0].Confirm(now))
+	n.deliverAll(now.Add(10 * time.Millisecond))
+	for _, c := range n.controllers {
+		age, known := c.Age(now.Add(20 * time.Millisecond))
+		require.True(t, known)
+		require.LessOrEqual(t, age, 20*time.Millisecond)
+	}
+}
+
+// A change of hundreds of entries is pushed by nobody: with many links each process
+// would get it as often as it has links.
+func TestLargeChangeIsFetchedOnce(t *testing.T) {
+	n := newNetwork(6)
+	large := &fleet.BackendsDocument{Revision: 1}
+	for i := range 400 {
+		large.Backends = append(large.Backends, fleet.Backend{Name: fmt.Sprintf("b%d", i), DataCentre: "north"})
+	}
+	n.queue = nil
+	n.collect(0, n.controllers[0].Document(epoch, large))
+	sent := 0
+	for len(n.queue) > 0 {
+		if n.queue[0].message.Change != nil {
+			sent++
+		}
+		n.deliver(0, epoch)
+	}
+	for _, c := range n.controllers {
+		require.EqualValues(t, 1, c.state.Revisions().Backends)
+	}
+	require.LessOrEqual(t, sent, len(n.controllers)-1)
+}
+
+// An entry instance short of processor time took all its peers for unreachable.
+func TestAProcessThatRunsLateDoesNotBlameItsPeers(t *testing.T) {
+	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
+	c.Document(epoch, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
+	}})
+	c.Document(epoch, &fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
+	c.Document(epoch, listing(1, 2, 2))
+	peer := fleet.InstanceIDOf("n1")
+	now := epoch
+	for range 20 {
+		c.Tick(now)
+		now = now.Add(4 * TickInterval)
+	}
+	require.False(t, c.state.Peers().IsUnreachable(peer), "every tick was late")
+	for range 20 {
+		c.Tick(now)
+		now = now.Add(TickInterval)
+	}
+	require.True(t, c.state.Peers().IsUnreachable(peer))
+}
+
+func TestSuspectedPeerIsProbedAtOnce(t *testing.T) {
+	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
+	c.Document(epoch, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
+	}})
+	c.Document(epoch, &fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
+	c.Document(epoch, listing(1, 2, 2))
+	peer := fleet.InstanceIDOf("n1")
+	outputs := c.Suspect(epoch, peer)
+	require.Len(t, outputs, 1)
+	require.IsType(t, Probe{}, outputs[0])
+	require.Empty(t, c.Suspect(epoch, peer), "a probe is on its way")
+}
