Refuse nothing before the first picture, and read at once

A refusal must be true. Ruled out: the store (it answered in 110 ms). Change: a picture without services and instances is never confirmed; the first read does not wait for the next tick.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -103,9 +103,14 @@
 }
 
 // IsConfirmed reports whether the view was compared with a peer or the platform
-// since the process started or resumed. Traffic waits for it.
+// since the process started or resumed. Traffic waits for it: without documents this
+// process could only refuse what others serve.
 func (c *Controller) IsConfirmed(now time.Time) bool {
-	return !c.unconfirmed || (now.After(c.confirmBy) && c.state.Revisions().Services > 0)
+	revisions := c.state.Revisions()
+	if revisions.Services == 0 || revisions.Instances == 0 {
+		return false
+	}
+	return !c.unconfirmed || now.After(c.confirmBy)
 }
 
 // View returns the view last published.
--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -21,7 +21,7 @@
 	rankDelay = 40 * time.Millisecond
 	maxDelay  = 600 * time.Millisecond
 	// firstReadDelay spreads the first reads of a fleet that starts at once.
-	firstReadDelay = 30 * time.Millisecond
+	firstReadDelay = 10 * time.Millisecond
 	// minAdvance is the least progress of the picture's age that is passed on at once.
 	minAdvance = 500 * time.Millisecond
 )
@@ -48,6 +48,11 @@
 	return now.After(f.confirmedAt.Add(staleAfter + delay))
 }
 
+// FirstReadIn returns how long this process waits for its peers before its first read.
+func (c *Controller) FirstReadIn(now time.Time) time.Duration {
+	return max(0, c.fresh.firstReadAt.Sub(now))
+}
+
 // Age returns how old the picture is. It reports false if it was never confirmed.
 func (c *Controller) Age(now time.Time) (time.Duration, bool) {
 	if c.fresh.confirmedAt.IsZero() {
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -147,3 +147,19 @@
 	require.IsType(t, Probe{}, outputs[0])
 	require.Empty(t, c.Suspect(epoch, peer), "a probe is on its way")
 }
+
+// After a start of the whole fleet, entry instances confirmed each other's empty
+// pictures and refused every flow as one of an unknown service.
+func TestAnEmptyPictureIsNeverConfirmed(t *testing.T) {
+	n := newNetwork(2)
+	now := n.settle(epoch)
+	for _, c := range n.controllers {
+		require.False(t, c.IsConfirmed(now))
+	}
+	n.collect(0, n.controllers[0].Document(now, listing(1, 2, 1)))
+	n.deliverAll(now)
+	require.False(t, n.controllers[1].IsConfirmed(now), "services are not known yet")
+	n.collect(0, n.controllers[0].Document(now, &fleet.ServicesDocument{Revision: 1}))
+	n.deliverAll(now)
+	require.True(t, n.controllers[1].IsConfirmed(now))
+}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -224,6 +224,8 @@
 func (n *Node) Run(ctx context.Context) error {
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
+	firstRead := time.NewTimer(n.controller.FirstReadIn(clock.Now()))
+	defer firstRead.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -232,6 +234,8 @@
 			now := clock.Now()
 			n.carryOut(ctx, input(now))
 			n.extendValidity(now)
+		case <-firstRead.C:
+			n.updateDuty(clock.Now())
 		case <-ticker.C:
 			now := clock.Now()
 			n.carryOut(ctx, n.controller.Tick(now))
