Meter new flows of cold servers, and hand on what a silent server leaves unanswered

Change: a token bucket at the agent, the one place that sees all new flows of a server, also in doubt after its own start or when the server has lost its flows; a server that answers an opening packet within 100 ms or not is the evidence for silence: the packet goes on, peers are told, a trial every 250 ms finds its return.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -60,11 +60,15 @@
 
 	ResetUnowned   Reason = "reset_unowned"
 	ResetOwnerLost Reason = "reset_owner_lost"
+	ResetSilent    Reason = "reset_server_silent"
+	RetrySilent    Reason = "retry_server_silent"
+	HandOverSilent Reason = "handover_server_silent"
 
 	RefuseNotAccepting Reason = "refuse_not_accepting"
 	RefuseConnections  Reason = "refuse_connections"
 	RefuseWait         Reason = "refuse_wait"
 	RefuseDial         Reason = "refuse_dial"
+	RefuseCold         Reason = "refuse_cold"
 	RefuseBudget       Reason = "refuse_retry_budget"
 
 	RetryDial           Reason = "retry_dial"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -57,6 +57,8 @@
 	visited  []fleet.InstanceID
 	// askedAt is when the request that awaits an answer was delivered, if one does.
 	askedAt time.Time
+	// ended tells that the backend server sends nothing more on the flow.
+	ended bool
 }
 
 // Arrival is a packet with what its sender says about it.
@@ -104,6 +106,8 @@
 	// admission decides which request gets a free slot.
 	admission *Admission
 	weight    weightLearner
+	warmup    warmup
+	silence   silence
 	// utilisation is the load's average as of the last report.
 	utilisation float64
 	// offerAt is the instant from which room may be offered again.
@@ -262,6 +266,9 @@
 	if a.owned >= a.config.MaxFlows || a.closing >= closingPerFlow*a.config.MaxFlows {
 		return a.dropped(DropTableFull)
 	}
+	if a.config.Carried && !a.warmup.allows(now, service.ColdRate()) {
+		return a.placeCold(now, service, arrival)
+	}
 	a.owned++
 	a.attempts++
 	a.budget.deposit()
@@ -276,6 +283,9 @@
 	}
 	a.flows[arrival.Packet.Flow()] = known
 	a.reserveSlot(now, known)
+	if a.config.Carried {
+		a.silence.await(now, arrival.Packet.Flow(), known.attempt)
+	}
 	a.delivered(arrival)
 	a.deliver.Opens = true
 	return &a.deliver
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -44,6 +44,10 @@
 		known.opening, known.visited = nil, nil
 		opened = true
 	}
+	if a.silence.isDeaf(now) && service.IsIdempotent() && arrival.Packet.Kind() == flow.Established {
+		a.reset.Reason = ResetSilent
+		return &a.reset
+	}
 	known.expires = now.Add(carriedLifetime)
 	if arrival.Packet.Payload() > 0 && known.state == stateOpen {
 		a.reserveSlot(now, known)
@@ -111,7 +115,7 @@
 // unfitCarried returns why this agent must not deliver an opening packet. What the
 // backend server is comes from the agent's own settings, since a list may still
 // name the one that had its address before.
-func (a *Agent) unfitCarried(service *fleet.RoutedService, arrival *Arrival) Reason {
+func (a *Agent) unfitCarried(now time.Time, service *fleet.RoutedService, arrival *Arrival) Reason {
 	node := a.view.Node(a.config.Self)
 	switch {
 	case a.draining:
@@ -126,6 +130,8 @@
 		return HandOverLeaving
 	case a.owned >= a.config.MaxFlows:
 		return HandOverConnections
+	case a.silence.isSilent() && !a.silence.allowsTrial(now):
+		return HandOverSilent
 	}
 	return ""
 }
@@ -137,9 +143,23 @@
 	return nil
 }
 
+// placeCold finds another server for a new flow that a server in cold start cannot
+// bear, or refuses it.
+func (a *Agent) placeCold(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	if verdict, found := a.placeElsewhere(now, service, arrival, HandOverCold).(handOver); found {
+		return a.settle(now, service, arrival, verdict)
+	}
+	a.reset.Reason = RefuseCold
+	return &a.reset
+}
+
+// Begin starts the time of an agent that carries flows.
+func (a *Agent) Begin(now time.Time) { a.warmup = newWarmup(now) }
+
 // Bounced decides about a packet that the backend server has returned, since it
 // does not take the new flow or does not hold the flow.
 func (a *Agent) Bounced(now time.Time, arrival *Arrival) Action {
+	a.silence.hear(now)
 	service := a.view.Service(arrival.Service)
 	if service == nil {
 		return a.dropped(DropUnknownService)
@@ -147,6 +167,9 @@
 	known := a.flows[arrival.Packet.Flow()]
 	if arrival.Packet.Kind() != flow.Opening {
 		if known != nil && known.state != stateHanded {
+			if known.state == stateOpen && !known.ended {
+				a.warmup.doubt(now)
+			}
 			a.forget(now, arrival.Packet.Flow(), known)
 		}
 		return a.search(now, service, arrival)
@@ -159,8 +182,12 @@
 
 // Sent records a packet that the backend server has sent to a caller.
 func (a *Agent) Sent(now time.Time, answer flow.Answer) {
+	a.silence.hear(now)
 	known := a.flows[answer.Flow]
 	if known == nil || known.state == stateHanded {
+		if !answer.Opens && !answer.Ends {
+			a.warmup.trust()
+		}
 		known = a.adopt(answer.Flow, known)
 	}
 	if known == nil {
@@ -173,6 +200,7 @@
 		known.token = answer.Token
 	case answer.Ends:
 		a.releaseSlot(now, known)
+		known.ended = true
 		known.expires = now.Add(endedLifetime)
 	case answer.Payload > 0:
 		a.answered(now, known)
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -283,3 +283,147 @@
 	a.Sent(settled, flow.Answer{Flow: flowOf(4000), Ends: true})
 	require.Zero(t, a.load.Running())
 }
+
+// withColdRate says what a server bears in cold start, and of one how long it lasts.
+func (r *rig) withColdRate(t require.TestingT, rate float64, boot string, warming time.Duration) {
+	services, backends, _ := r.state.Documents()
+	changed := &fleet.ServicesDocument{Revision: services.Revision + 1}
+	for _, service := range services.Services {
+		service.ColdRate = rate
+		changed.Services = append(changed.Services, service)
+	}
+	listed := &fleet.BackendsDocument{Revision: backends.Revision + 1}
+	for _, backend := range backends.Backends {
+		backend.Boot, backend.Warming = boot, warming
+		listed.Backends = append(listed.Backends, backend)
+	}
+	for _, document := range []fleet.Document{changed, listed} {
+		_, err := r.state.Apply(epoch, document)
+		require.NoError(t, err)
+	}
+	r.applyView()
+}
+
+// takes counts the new flows that an agent delivers of an offered load.
+func (r *rig) takes(at fleet.InstanceID, begin time.Time, duration time.Duration, perSecond int, port uint16) int {
+	taken := 0
+	step := time.Second / time.Duration(perSecond)
+	for now := begin; now.Before(begin.Add(duration)); now = now.Add(step) {
+		port++
+		packet := arrival(port, flow.Opening, 0)
+		packet.Placed = true
+		if _, delivered := r.agents[at].Receive(now, packet).(*Deliver); delivered {
+			taken++
+		}
+	}
+	return taken
+}
+
+func TestServerInColdStartGetsNoMoreThanItBears(t *testing.T) {
+	const bears, overage, slack = 10, 1.5, 5
+	tests := map[string]func(a *Agent){
+		"listed as cold":       func(*Agent) {},
+		"agent just restarted": func(a *Agent) { a.Begin(settled) },
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1)
+			id := r.ids()[0]
+			r.agents[id].config.MaxFlows = 1000
+			warming := 2 * time.Second
+			if name != "listed as cold" {
+				warming = 0
+			}
+			r.agents[id].Begin(settled.Add(-time.Hour))
+			r.withColdRate(t, bears, "boot 1", warming)
+			prepare(r.agents[id])
+			taken := r.takes(id, settled, time.Second, 200, 5000)
+			require.LessOrEqual(t, float64(taken), bears*overage+slack)
+			require.Positive(t, taken)
+			taken = r.takes(id, settled.Add(4*time.Second), time.Second, 200, 9000)
+			require.Equal(t, 200, taken, "it is warm")
+		})
+	}
+}
+
+func TestServerThatLostItsFlowsIsTakenForCold(t *testing.T) {
+	r := newRig(t, 1)
+	id := r.ids()[0]
+	r.agents[id].Begin(settled.Add(-time.Hour))
+	r.withColdRate(t, 10, "boot 1", 0)
+	r.open(t, id, 4000)
+	require.True(t, r.agents[id].warmup.allows(settled, 10))
+	r.servers[id].open = make(map[flow.ID]bool)
+	r.travel(t, id, arrival(4000, flow.Established, 77))
+	require.True(t, r.agents[id].warmup.isCold(settled))
+}
+
+func TestServerThatKeptItsFlowsIsTakenForWarm(t *testing.T) {
+	r := newRig(t, 1)
+	id := r.ids()[0]
+	r.open(t, id, 4000)
+	r.restart(id)
+	r.agents[id].Begin(settled)
+	require.True(t, r.agents[id].warmup.isCold(settled))
+	r.agents[id].Sent(settled, flow.Answer{Flow: flowOf(4000), Payload: 100})
+	require.False(t, r.agents[id].warmup.isCold(settled))
+}
+
+func TestOpeningThatAServerDoesNotAnswerIsHandedOn(t *testing.T) {
+	r := newRig(t, 2)
+	ids := r.ids()
+	a := r.agents[ids[0]]
+	packet := arrival(4000, flow.Opening, 0)
+	packet.Placed = true
+	require.IsType(t, &Deliver{}, a.Receive(settled, packet))
+	require.Empty(t, a.Overdue(settled.Add(silenceTimeout-time.Millisecond)))
+	late := settled.Add(silenceTimeout)
+	retries := a.Overdue(late)
+	require.Len(t, retries, 1)
+	require.Equal(t, ids[1], retries[0].Action.(*PassOn).Target.ID())
+	require.Equal(t, []byte("packet"), retries[0].Opening)
+	require.True(t, a.IsSilent())
+	require.IsType(t, &Deliver{}, a.Receive(late, arrival(4001, flow.Opening, 0)), "a trial")
+	require.IsType(t, &PassOn{}, a.Receive(late, arrival(4002, flow.Opening, 0)))
+	a.Sent(late, flow.Answer{Flow: flowOf(4001), Token: 9, Opens: true})
+	require.False(t, a.IsSilent())
+	require.IsType(t, &Deliver{}, a.Receive(late, arrival(4003, flow.Opening, 0)))
+}
+
+func TestFlowsOfASilentServerAreResetOnlyIfTheyMayBeRepeated(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		r := newRig(t, 2)
+		r.withIdempotent(t, idempotent)
+		r.applyView()
+		id := r.open(t, r.ids()[0], 4000)
+		a := r.agents[id]
+		packet := arrival(4001, flow.Opening, 0)
+		packet.Placed = true
+		begun := settled.Add(time.Millisecond)
+		a.Receive(begun, packet)
+		a.Overdue(begun.Add(silenceTimeout))
+		require.IsType(t, &Deliver{}, a.Receive(begun.Add(silenceTimeout), arrival(4000, flow.Established, 77)))
+		action := a.Receive(begun.Add(deafTimeout), arrival(4000, flow.Established, 77))
+		if idempotent {
+			require.Equal(t, &Reset{Reason: ResetSilent}, action)
+		} else {
+			require.IsType(t, &Deliver{}, action)
+		}
+	}
+}
+
+func TestHandingOnIsAShareOfFlows(t *testing.T) {
+	r := newRig(t, 2)
+	a := r.agents[r.ids()[0]]
+	handed := 0
+	now := settled
+	for port := range uint16(90) {
+		packet := arrival(5000+port, flow.Opening, 0)
+		packet.Placed = true
+		a.Receive(now, packet)
+		a.silence.hear(now)
+		now = now.Add(silenceTimeout)
+		handed += len(a.Overdue(now))
+	}
+	require.LessOrEqual(t, handed, 90*depositPerFlow/retryCost+initialBalance/retryCost+1)
+}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -146,6 +146,9 @@
 // because their service is gone or their data centre is out.
 func (a *Agent) ApplyView(view *fleet.View) []Owned {
 	a.view, a.together = view, siblingsIn(view, a.config.Self)
+	if backend := view.Backend(a.config.Self); backend != nil {
+		a.warmup.list(backend)
+	}
 	var cut []Owned
 	for id, known := range a.flows {
 		if known.state == stateHanded || a.mayServe(known.service, id) {
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -46,7 +46,7 @@
 
 // place decides who serves a new flow.
 func (a *Agent) place(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
-	if reason := a.unfit(service, arrival); reason != "" {
+	if reason := a.unfit(now, service, arrival); reason != "" {
 		return a.placeElsewhere(now, service, arrival, reason)
 	}
 	if arrival.Placed {
@@ -62,9 +62,9 @@
 }
 
 // unfit returns why this agent must not take new flows of the service.
-func (a *Agent) unfit(service *fleet.RoutedService, arrival *Arrival) Reason {
+func (a *Agent) unfit(now time.Time, service *fleet.RoutedService, arrival *Arrival) Reason {
 	if a.config.Carried {
-		return a.unfitCarried(service, arrival)
+		return a.unfitCarried(now, service, arrival)
 	}
 	switch {
 	case a.draining:
@@ -81,10 +81,7 @@
 // order. Without one the flow is refused.
 func (a *Agent) placeElsewhere(now time.Time, service *fleet.RoutedService, arrival *Arrival, reason Reason) verdict {
 	visited := a.visitedWithSelf(arrival.Visited)
-	if sibling := a.roomiest(now, service, visited); sibling != nil {
-		return handOver{sibling, reason}
-	}
-	if target := service.NextAccepting(arrival.Packet.Flow().Hash(), visited); target != nil {
+	if target := a.elsewhere(now, service, arrival.Packet.Flow(), visited); target != nil {
 		return handOver{target, reason}
 	}
 	if reason == HandOverConnections {
--- /dev/null
+++ b/internal/core/agent/silence.go
@@ -0,0 +1,118 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// When a backend server counts as silent. The load pattern it answers: a server that
+// has crashed or hangs while the agent beside it lives, and callers that send copies
+// of their opening packets after 200 and 600 ms.
+const (
+	// silenceTimeout is how long a server may take to answer an opening packet.
+	silenceTimeout = 100 * time.Millisecond
+	// trialInterval is the time between two opening packets that show whether a silent
+	// server is back.
+	trialInterval = 250 * time.Millisecond
+	// deafTimeout is how long a server is silent before the callers of its flows are
+	// told.
+	deafTimeout = 400 * time.Millisecond
+)
+
+// silence follows whether the backend server answers.
+type silence struct {
+	heardAt time.Time
+	// since is when the first opening packet was delivered that got no answer, or zero
+	// while the server answers.
+	since   time.Time
+	trialAt time.Time
+	// awaited holds the flows whose opening packets were delivered, oldest first.
+	awaited []awaited
+}
+
+type awaited struct {
+	id      flow.ID
+	attempt Attempt
+	since   time.Time
+}
+
+// await records that an opening packet was delivered.
+func (s *silence) await(now time.Time, id flow.ID, attempt Attempt) {
+	s.awaited = append(s.awaited, awaited{id, attempt, now})
+}
+
+// hear records that the backend server has sent something.
+func (s *silence) hear(now time.Time) {
+	s.heardAt = now
+	s.since = time.Time{}
+}
+
+func (s *silence) isSilent() bool { return !s.since.IsZero() }
+
+// isDeaf reports whether the backend server has been silent for so long that its
+// flows are better repeated elsewhere.
+func (s *silence) isDeaf(now time.Time) bool {
+	return s.isSilent() && now.Sub(s.since) >= deafTimeout
+}
+
+// allowsTrial reports whether an opening packet may be delivered to a silent server.
+func (s *silence) allowsTrial(now time.Time) bool {
+	if now.Before(s.trialAt) {
+		return false
+	}
+	s.trialAt = now.Add(trialInterval)
+	return true
+}
+
+// IsSilent reports whether the backend server has stopped answering.
+func (a *Agent) IsSilent() bool { return a.silence.isSilent() }
+
+// Overdue hands on the new flows that the backend server has not answered in time. No
+// answer means that nothing was run: a flow opens at the server whose answer the
+// caller confirms.
+func (a *Agent) Overdue(now time.Time) []Retry {
+	var retries []Retry
+	for len(a.silence.awaited) > 0 && now.Sub(a.silence.awaited[0].since) >= silenceTimeout {
+		first := a.silence.awaited[0]
+		a.silence.awaited = a.silence.awaited[1:]
+		known := a.owns(first.id, first.attempt)
+		if known == nil || known.state != statePending {
+			continue
+		}
+		if a.silence.heardAt.Before(first.since) && !a.silence.isSilent() {
+			a.silence.since = first.since
+		}
+		if retry, found := a.handOn(now, first.id, known); found {
+			retries = append(retries, retry)
+		}
+	}
+	return retries
+}
+
+// handOn moves a new flow to another agent, if there is one and the retry budget
+// allows it. The server may still answer: the caller's confirmation decides.
+func (a *Agent) handOn(now time.Time, id flow.ID, known *entry) (Retry, bool) {
+	service := a.view.Service(known.service)
+	if service == nil {
+		return Retry{}, false
+	}
+	retry := Retry{Service: known.service, Opening: known.opening, Visited: a.visitedWithSelf(known.visited)}
+	target := a.elsewhere(now, service, id, retry.Visited)
+	if target == nil || !a.budget.withdraw() {
+		return Retry{}, false
+	}
+	a.forget(now, id, known)
+	a.moveTo(now, id, &retry, target, RetrySilent)
+	return retry, true
+}
+
+// elsewhere returns the roomiest sibling by the latest reports or else the next
+// candidate, or nil.
+func (a *Agent) elsewhere(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
+	if sibling := a.roomiest(now, service, visited); sibling != nil {
+		return sibling
+	}
+	return service.NextAccepting(id.Hash(), visited)
+}
--- /dev/null
+++ b/internal/core/agent/warmup.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// How many new flows a backend server in cold start gets. The load pattern it
+// answers: servers that come back together, each met by the flows of all entry
+// instances and by what its siblings hand over. Only the agent beside a server sees
+// all of them.
+const (
+	// warmupBurst is how many new flows may come at once.
+	warmupBurst = 4
+	// startDoubt is how long an agent that has just started takes its server for cold,
+	// since both may have started together and the list may still name the earlier
+	// start.
+	startDoubt = 3 * time.Second
+)
+
+// warmup meters the new flows of a backend server while it is cold.
+type warmup struct {
+	limiter *rate.Limiter
+	until   time.Time
+	boot    string
+	// doubted tells that the server is taken for cold without being listed so.
+	doubted bool
+	// listed is how long the list says that the cold start lasts, until it is turned
+	// into a deadline.
+	listed time.Duration
+}
+
+func newWarmup(now time.Time) warmup {
+	limiter := rate.NewLimiter(0, warmupBurst)
+	// An earlier process may have just used its burst.
+	limiter.AllowN(now, warmupBurst)
+	return warmup{limiter: limiter, until: now.Add(startDoubt), doubted: true}
+}
+
+// list takes over what the list says of the backend server.
+func (w *warmup) list(backend *fleet.Backend) {
+	w.listed = max(w.listed, backend.Warming)
+	if w.boot != "" && w.boot != backend.Boot {
+		w.doubted = false
+		w.until = time.Time{}
+	}
+	w.boot = backend.Boot
+}
+
+// doubt takes the backend server for cold, since it has lost its flows.
+func (w *warmup) doubt(now time.Time) {
+	if !w.isCold(now) {
+		w.until = now.Add(startDoubt)
+		w.doubted = true
+	}
+}
+
+// trust ends a doubt: the backend server holds flows from before.
+func (w *warmup) trust() {
+	if w.doubted {
+		w.until, w.doubted = time.Time{}, false
+	}
+}
+
+func (w *warmup) isCold(now time.Time) bool {
+	if w.listed > 0 {
+		w.until = now.Add(w.listed)
+		w.listed, w.doubted = 0, false
+	}
+	return now.Before(w.until)
+}
+
+// allows reports whether one more new flow may be delivered. perSecond is how many a
+// second the server bears in cold start, or zero if that is not known.
+func (w *warmup) allows(now time.Time, perSecond float64) bool {
+	if perSecond == 0 || !w.isCold(now) {
+		return true
+	}
+	if w.limiter.Limit() != rate.Limit(perSecond) {
+		w.limiter.SetLimitAt(now, rate.Limit(perSecond))
+	}
+	return w.limiter.AllowN(now, 1)
+}
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -33,6 +33,8 @@
 	initialSlots   = 2
 	sweepInterval  = time.Second
 	reportInterval = 500 * time.Millisecond
+	// overdueInterval is how often unanswered opening packets are looked for.
+	overdueInterval = 50 * time.Millisecond
 	// leaveTime is how long a leaving agent goes on carrying packets, so that flows
 	// of a single request can end.
 	leaveTime = 3 * time.Second
@@ -65,10 +67,12 @@
 	outbound *net.UDPConn
 
 	// mu guards the decision core, which every traffic goroutine asks.
-	mu        sync.Mutex
-	core      *core.Agent
-	load      *core.Load
-	offered   *offered
+	mu      sync.Mutex
+	core    *core.Agent
+	load    *core.Load
+	offered *offered
+	// wasSilent is whether peers were told last that the backend server is silent.
+	wasSilent bool
 	decisions *operator.Decisions
 }
 
@@ -131,6 +135,7 @@
 		Carried:    true,
 		Labels:     s.Labels,
 	}, n.Load(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
+	c.core.Begin(clock.Now())
 	n.OnPublish(c.applyView)
 	return c, nil
 }
@@ -179,7 +184,12 @@
 	if err != nil {
 		return err
 	}
-	sweep, report := time.NewTicker(sweepInterval), time.NewTicker(reportInterval)
+	traffic, err := newTraffic(c)
+	if err != nil {
+		return err
+	}
+	sweep, report, overdue := time.NewTicker(sweepInterval), time.NewTicker(reportInterval), time.NewTicker(overdueInterval)
+	defer overdue.Stop()
 	defer sweep.Stop()
 	defer report.Stop()
 	for {
@@ -193,10 +203,30 @@
 			c.describe()
 		case <-report.C:
 			c.report(sender)
+		case <-overdue.C:
+			c.handOnOverdue(clock.Now(), traffic)
 		}
 	}
 }
 
+// handOnOverdue hands on what the backend server has not answered in time, and tells
+// peers when it falls silent or answers again.
+func (c *Carrier) handOnOverdue(now time.Time, traffic *traffic) {
+	c.mu.Lock()
+	retries := c.core.Overdue(now)
+	silent := c.core.IsSilent()
+	c.mu.Unlock()
+	for i := range retries {
+		traffic.retry(&retries[i])
+	}
+	traffic.flush()
+	if silent != c.wasSilent {
+		c.wasSilent = silent
+		c.logger.WithField("silent", silent).Warn("backend server")
+		c.describe()
+	}
+}
+
 // report tells the load to every sibling.
 func (c *Carrier) report(sender *node.Sender) {
 	c.mu.Lock()
@@ -221,11 +251,15 @@
 	c.mu.Lock()
 	residual := c.core.ResidualServices()
 	draining := c.core.IsDraining()
+	silent := c.core.IsSilent()
 	weight := c.core.LearnWeight(clock.Now())
 	c.mu.Unlock()
 	state := fleet.PeerAlive
-	if draining {
+	switch {
+	case draining:
 		state = fleet.PeerLeaving
+	case silent:
+		state = fleet.PeerSilent
 	}
 	c.node.Describe(state, weight, residual)
 }
--- a/internal/daemon/carrier/traffic.go
+++ b/internal/daemon/carrier/traffic.go
@@ -191,6 +191,22 @@
 	t.sender.Queue(&t.out, t.arrival.Packet.Bytes(), action.Target.Data())
 }
 
+// retry hands on an opening packet that was delivered in vain.
+func (t *traffic) retry(retry *core.Retry) {
+	passOn, handed := retry.Action.(*core.PassOn)
+	if !handed {
+		return
+	}
+	in := datagram.Header{Service: uint64(retry.Service)}
+	for _, id := range retry.Visited {
+		in.Visited = append(in.Visited, uint64(id))
+	}
+	if t.parse(&in, retry.Opening) {
+		t.record("pass", passOn.Target.Name(), passOn.Reason)
+		t.passOn(&in, passOn)
+	}
+}
+
 // sendHint tells the balancer that first received the packet who owns the flow.
 func (t *traffic) sendHint(in *datagram.Header) {
 	to, known := datagram.UnpackEndpoint(in.Reply)
