Let servers whose entries lapse serve on while they answer

Besides, agents that had left the list were probed without being found in the view, and so counted as unreachable. Ruled out: unreachable agents (the resets began before the first miss). Lines about documents say what changed.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -77,6 +77,8 @@
 	unconfirmed bool
 	fresh       freshness
 	recent      recentChanges
+	// hadLapse tells that agents whose entries have gone were still accepting.
+	hadLapse bool
 	// fetchingUntil is until when an answer of a peer that was asked for documents is
 	// awaited.
 	fetchingUntil time.Time
@@ -143,10 +145,34 @@
 		c.broadcast(c.summary(now), 0)
 	}
 	c.probe(now)
+	c.keepLapsed(now)
 	c.publish(now)
 	return c.take()
 }
 
+// awayAfter is the age of the picture from which the platform counts as away.
+const awayAfter = 2 * time.Second
+
+// keepLapsed lets agents whose entries have gone without notice serve on while the
+// platform is away, and ends that in time after its return.
+func (c *Controller) keepLapsed(now time.Time) {
+	if age, known := c.Age(now); known && age > awayAfter {
+		c.state.ExtendLapses(now.Add(fleet.LapseGrace))
+	}
+	next, found := c.state.NextLapse(now)
+	if !found && !c.hadLapse {
+		return
+	}
+	c.hadLapse = found
+	if !found {
+		c.reroute(now)
+		return
+	}
+	if next.Sub(now) <= TickInterval {
+		c.scheduleView(next)
+	}
+}
+
 // detectPause notices that the process did not run for a while. What it knows
 // is then old until a peer or the platform confirms it.
 func (c *Controller) detectPause(now time.Time) {
@@ -192,7 +218,7 @@
 	case err != nil:
 		c.emit(Report{Event: EventDocumentRefused, Err: err})
 	default:
-		c.emit(Report{Event: EventDocumentApplied})
+		c.emit(change.report())
 		c.recent.keep(change)
 		c.spread(now, change, source)
 		c.reroute(now)
--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -170,3 +170,17 @@
 	}
 	return whole
 }
+
+// report says what the change does.
+func (c *Change) report() Report {
+	r := Report{Event: EventDocumentApplied, Revision: c.To}
+	switch {
+	case c.Services != nil:
+		r.Document, r.Upserts, r.Removed = "services", len(c.Services.Upserts), len(c.Services.Removed)
+	case c.Backends != nil:
+		r.Document, r.Upserts, r.Removed = "backends", len(c.Backends.Upserts), len(c.Backends.Removed)
+	case c.Instances != nil:
+		r.Document, r.Upserts, r.Removed = "instances", len(c.Instances.Upserts), len(c.Instances.Removed)
+	}
+	return r
+}
--- a/internal/core/control/output.go
+++ b/internal/core/control/output.go
@@ -64,6 +64,11 @@
 	Event Event
 	Peer  string
 	Err   error
+	// Document says which document came into force, if one did.
+	Document string
+	Revision uint64
+	// Upserts and Removed are the entries that it changes.
+	Upserts, Removed int
 }
 
 func (Send) isOutput()      {}
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -34,8 +34,18 @@
 	instance Instance
 	backend  Backend
 	until    time.Time
+	// acceptUntil is until when it still gets new flows, since its entry may only have
+	// lapsed. It is zero for one that was leaving.
+	acceptUntil time.Time
 }
 
+// LapseGrace is how long an agent whose entry has gone without notice still gets new
+// flows while it answers. Entries lapse while the platform is away, and are back
+// shortly after it.
+const LapseGrace = 2 * time.Second
+
+func (d *departure) isLapsed(now time.Time) bool { return now.Before(d.acceptUntil) }
+
 // NewState returns a state without documents.
 func NewState() *State {
 	return &State{peers: NewPeers(), departed: make(map[InstanceID]departure)}
@@ -142,8 +152,12 @@
 		if instance.Role != RoleAgent || backend == nil || isNamed(id) {
 			continue
 		}
-		instance.State = StateLeaving
-		s.departed[id] = departure{instance, *backend, now.Add(departedLifetime)}
+		gone := departure{instance: instance, backend: *backend, until: now.Add(departedLifetime)}
+		if instance.State == StateLive {
+			gone.acceptUntil = now.Add(LapseGrace)
+		}
+		gone.instance.State = StateLeaving
+		s.departed[id] = gone
 	}
 }
 
@@ -159,7 +173,7 @@
 		revisions: s.Revisions(),
 		services:  make(map[flow.Address]*RoutedService, len(s.services.Services)),
 		byID:      make(map[ServiceID]*RoutedService, len(s.services.Services)),
-		nodes:     s.nodes(),
+		nodes:     s.nodes(now),
 		backends:  s.backendsByID(),
 		draining:  make(map[string]bool, len(s.services.Draining)),
 		settledAt: settledAt,
@@ -167,7 +181,12 @@
 	for _, dataCentre := range s.services.Draining {
 		view.draining[dataCentre] = true
 	}
-	servers := s.servers(view.nodes)
+	for id, d := range s.departed {
+		if d.isLapsed(now) && view.backends[id] == nil {
+			view.backends[id] = &d.backend
+		}
+	}
+	servers := s.servers(view.nodes, view.backends)
 	residual := s.residualOwners(view.nodes)
 	builder := poolBuilder{state: s, now: now, servers: servers, departed: s.departedNodes(now), pools: make(map[string]*pool)}
 	for i := range s.services.Services {
@@ -199,8 +218,13 @@
 	node    *Node
 }
 
-func (s *State) nodes() map[InstanceID]*Node {
+func (s *State) nodes(now time.Time) map[InstanceID]*Node {
 	nodes := make(map[InstanceID]*Node, len(s.instances.Instances))
+	for id, d := range s.departed {
+		node := nodeOf(&d.instance)
+		node.leaving = !d.isLapsed(now)
+		nodes[id] = node
+	}
 	for i := range s.instances.Instances {
 		node := nodeOf(&s.instances.Instances[i])
 		nodes[node.id] = node
@@ -271,11 +295,10 @@
 }
 
 // servers indexes the backend servers with a listed agent by data centre.
-func (s *State) servers(nodes map[InstanceID]*Node) map[string]*serverIndex {
+func (s *State) servers(nodes map[InstanceID]*Node, backends map[InstanceID]*Backend) map[string]*serverIndex {
 	servers := make(map[string]*serverIndex)
-	for i := range s.backends.Backends {
-		backend := &s.backends.Backends[i]
-		node := nodes[InstanceIDOf(backend.Name)]
+	for id, backend := range backends {
+		node := nodes[id]
 		if node == nil || node.role != RoleAgent {
 			continue
 		}
@@ -375,11 +398,34 @@
 	return targets
 }
 
+// ExtendLapses gives the agents whose entries have gone without notice until an instant
+// to be listed again, since the platform is away.
+func (s *State) ExtendLapses(until time.Time) {
+	for id, d := range s.departed {
+		if !d.acceptUntil.IsZero() && d.acceptUntil.Before(until) {
+			d.acceptUntil = until
+			s.departed[id] = d
+		}
+	}
+}
+
+// NextLapse returns when the first agent whose entry has gone stops getting new flows.
+// It reports false if there is none.
+func (s *State) NextLapse(now time.Time) (time.Time, bool) {
+	var first time.Time
+	for _, d := range s.departed {
+		if d.isLapsed(now) && (first.IsZero() || d.acceptUntil.Before(first)) {
+			first = d.acceptUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
 // departedNodes returns the agents that are not listed any more but still answer.
 func (s *State) departedNodes(now time.Time) []server {
 	var nodes []server
 	for id, d := range s.departed {
-		if now.After(d.until) || s.peers.unreachable[id] {
+		if now.After(d.until) || d.isLapsed(now) || s.peers.unreachable[id] {
 			continue
 		}
 		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
@@ -394,6 +440,7 @@
 		weight = record.Weight
 	}
 	suspected := s.peers.suspected(node.id, now)
+	listed := !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre)
 	return Target{
 		id:          node.id,
 		name:        node.name,
@@ -401,7 +448,7 @@
 		data:        node.data,
 		incarnation: record.Incarnation,
 		weight:      weight,
-		accepting:   !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre) && !suspected && record.State != PeerLeaving && record.State != PeerSilent,
+		accepting:   listed && !suspected && record.State != PeerLeaving && record.State != PeerSilent,
 		reachable:   !s.peers.unreachable[node.id],
 		leaving:     node.leaving || record.State == PeerLeaving,
 	}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -280,6 +280,9 @@
 	if r.Peer != "" {
 		entry = entry.WithField("peer", r.Peer)
 	}
+	if r.Document != "" {
+		entry = entry.WithFields(log.Fields{"document": r.Document, "revision": r.Revision, "upserts": r.Upserts, "removed": r.Removed})
+	}
 	if r.Err != nil {
 		entry = entry.WithError(r.Err)
 	}
