Refuse new flows that cannot be answered within their service's objective

Ruled out: uneven spread (shares within 20 %). Change: with all slots taken and no sibling with room, an agent takes a new flow only if the work that one request takes, times its place in line, fits 0.8 of the objective; else it resets it at once, which is true as nothing has run.

--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -231,6 +231,7 @@
 		return
 	}
 	known.askedAt = now
+	known.queued = a.load.isQueueing()
 	a.load.start(now)
 }
 
@@ -238,7 +239,11 @@
 	if known.askedAt.IsZero() {
 		return
 	}
-	a.load.finish(now, now.Sub(known.askedAt))
+	latency := now.Sub(known.askedAt)
+	a.load.finish(now, latency)
+	if !known.queued {
+		a.load.noteWork(latency)
+	}
 	known.askedAt = time.Time{}
 }
 
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -42,6 +42,8 @@
 	running int
 	// latency is the average time to answer, in nanoseconds.
 	latency float64
+	// work is the average time to answer a request that did not queue, in nanoseconds.
+	work float64
 
 	// busy is the time integral of the used share of slots since sampledAt.
 	busy        time.Duration
@@ -118,6 +120,25 @@
 	return now.Add(max(minPatience, time.Duration(patienceFactor*l.latency)))
 }
 
+// noteWork counts the time to answer a request that did not queue.
+func (l *Load) noteWork(latency time.Duration) {
+	if l.work == 0 {
+		l.work = float64(latency)
+	}
+	l.work += latencyGain * (float64(latency) - l.work)
+}
+
+// isQueueing reports whether one more request would wait for a slot.
+func (l *Load) isQueueing() bool { return float64(l.running) >= l.slots }
+
+// expected returns how long one more request would take.
+func (l *Load) expected() time.Duration {
+	if !l.isQueueing() {
+		return time.Duration(l.work)
+	}
+	return time.Duration(l.work * float64(l.running+1) / l.slots)
+}
+
 // Restarted puts the limit back to cold. A backend server that fell while it
 // warmed up gets more time for it.
 func (l *Load) Restarted() {
--- /dev/null
+++ b/internal/core/agent/overload_test.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// overload is a load of new flows, one request each, on one server.
+type overload struct {
+	perSecond float64
+	work      time.Duration
+	queue     int
+	objective time.Duration
+}
+
+// play offers the load for some seconds and returns how many requests were answered in
+// time and how many late.
+func (o *overload) play(t *testing.T, controlled bool) (inTime, late int) {
+	r := newRig(t, 1)
+	id := r.ids()[0]
+	services, _, _ := r.state.Documents()
+	next := &fleet.ServicesDocument{Revision: 2, Services: services.Services}
+	if controlled {
+		next.Services[0].Objective = o.objective
+	}
+	_, err := r.state.Apply(epoch, next)
+	require.NoError(t, err)
+	r.applyView()
+	a := r.agents[id]
+	a.config.Placement, a.config.MaxFlows = HandOverWhenFull{}, 10000
+	random := rand.New(rand.NewPCG(1, 2))
+	var free [slots]time.Time
+	type answer struct {
+		at, asked time.Time
+		port      uint16
+	}
+	var answers []answer
+	port := uint16(1024)
+	for now := settled; now.Before(settled.Add(8 * time.Second)); {
+		now = now.Add(time.Duration(random.ExpFloat64() / o.perSecond * float64(time.Second)))
+		for len(answers) > 0 && !answers[0].at.After(now) {
+			done := answers[0]
+			answers = answers[1:]
+			a.Sent(done.at, flow.Answer{Flow: flowOf(done.port), Payload: 100})
+			a.Sent(done.at, flow.Answer{Flow: flowOf(done.port), Ends: true})
+			if done.at.Sub(done.asked) <= o.objective {
+				inTime++
+			} else {
+				late++
+			}
+		}
+		port++
+		if _, delivered := a.Receive(now, arrival(port, flow.Opening, 0)).(*Deliver); !delivered {
+			continue
+		}
+		a.Sent(now, flow.Answer{Flow: flowOf(port), Token: 1, Opens: true})
+		a.Receive(now, arrival(port, flow.Established, 1))
+		if len(answers) >= slots+o.queue {
+			a.Sent(now, flow.Answer{Flow: flowOf(port), Payload: 10})
+			a.Sent(now, flow.Answer{Flow: flowOf(port), Ends: true})
+			continue
+		}
+		slot := 0
+		for i := range free {
+			if free[i].Before(free[slot]) {
+				slot = i
+			}
+		}
+		begin := now
+		if free[slot].After(now) {
+			begin = free[slot]
+		}
+		free[slot] = begin.Add(o.work)
+		answers = append(answers, answer{free[slot], now, port})
+	}
+	return inTime, late
+}
+
+// Servers that come back cold are asked for more than they can do for seconds.
+func TestUnderOverloadWhatIsTakenIsInTime(t *testing.T) {
+	load := &overload{perSecond: 60, work: 48 * time.Millisecond, queue: 8, objective: 200 * time.Millisecond}
+	inTime, late := load.play(t, true)
+	inTimeBefore, lateBefore := load.play(t, false)
+	require.Greater(t, float64(inTime), 0.9*float64(inTime+late))
+	require.Greater(t, inTime, 2*inTimeBefore, "without: %d in time and %d late", inTimeBefore, lateBefore)
+	require.Greater(t, inTime+late, (inTimeBefore+lateBefore)*9/10, "nothing is refused that could be served")
+}
+
+func TestWithoutOverloadNothingIsRefused(t *testing.T) {
+	load := &overload{perSecond: 20, work: 48 * time.Millisecond, queue: 8, objective: 250 * time.Millisecond}
+	inTime, late := load.play(t, true)
+	inTimeBefore, lateBefore := load.play(t, false)
+	require.GreaterOrEqual(t, inTime+late, (inTimeBefore+lateBefore)*98/100)
+}
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -50,7 +50,7 @@
 		return a.placeElsewhere(now, service, arrival, reason)
 	}
 	if arrival.Placed {
-		return take{}
+		return a.takeInTime(service)
 	}
 	switch a.config.Placement.(type) {
 	case HandOverWhenFull:
@@ -97,7 +97,7 @@
 	}
 	sibling := a.roomiest(now, service, visited)
 	if sibling == nil {
-		return take{}
+		return a.takeInTime(service)
 	}
 	if a.load.IsCold() {
 		return handOver{sibling, HandOverCold}
@@ -105,6 +105,22 @@
 	return handOver{sibling, HandOverFull}
 }
 
+// objectiveShare is the part of a service's objective that the backend server may use
+// up. The rest is for the way.
+const objectiveShare = 0.8
+
+// takeInTime takes a new flow if its first request can be answered within the service's
+// objective, and else refuses it at once. The load pattern it answers: more requests
+// than slots for seconds, as when all servers return cold. Whatever the queue lets in
+// is served at the same rate, but behind a long queue nothing is in time.
+func (a *Agent) takeInTime(service *fleet.RoutedService) verdict {
+	limit := time.Duration(objectiveShare * float64(service.Objective()))
+	if limit > 0 && a.config.Carried && a.load.isQueueing() && a.load.expected() > limit {
+		return refuse{RefuseWait}
+	}
+	return take{}
+}
+
 // placeEvenly hands a share of flows to the least utilised sibling while this
 // backend server is busier than the mean.
 func (a *Agent) placeEvenly(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) verdict {
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -101,6 +101,8 @@
 	// ColdRate is the number of new flows a second that one of its backend servers
 	// bears in cold start, or zero if that is not known.
 	ColdRate float64 `json:"coldRate,omitempty"`
+	// Objective is the time in which callers want answers, or zero if none is stated.
+	Objective time.Duration `json:"objective,omitempty"`
 	// Idempotent tells that callers may repeat any request of the service.
 	Idempotent bool `json:"idempotent,omitempty"`
 }
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -335,6 +335,7 @@
 		selectors: service.Selectors,
 		coldRate:  service.ColdRate,
 		repeats:   service.Idempotent,
+		objective: service.Objective,
 	}
 }
 
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -72,6 +72,7 @@
 	selectors map[string]Selector
 	coldRate  float64
 	repeats   bool
+	objective time.Duration
 }
 
 // ID returns the service's identifier.
@@ -123,6 +124,9 @@
 // IsIdempotent reports whether callers may repeat any request of the service.
 func (s *RoutedService) IsIdempotent() bool { return s.repeats }
 
+// Objective returns the time in which callers want answers, or zero if none is stated.
+func (s *RoutedService) Objective() time.Duration { return s.objective }
+
 // ColdRate returns the number of new flows a second that a backend server bears in
 // cold start, or zero if that is not known.
 func (s *RoutedService) ColdRate() float64 { return s.coldRate }
