End no process because a socket fails for a moment

A failed read ended a daemon too. Change: a socket that cannot be opened is tried again every 100 ms, a failed read is counted and logged.

--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -153,7 +153,7 @@
 		return err
 	}
 	group.Go(func() error {
-		return node.Repeat(ctx, a.node.Socket(), func() error {
+		return a.node.Repeat(ctx, a.node.Socket(), func() error {
 			defer traffic.flush()
 			return receiver.Step(traffic.handle)
 		})
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -17,6 +18,7 @@
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	"github.com/radishmast/radishmast/internal/link/fabric"
+	"github.com/radishmast/radishmast/internal/link/listen"
 	"github.com/radishmast/radishmast/internal/link/operator"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
@@ -85,7 +87,9 @@
 	}
 	balancer := core.New(parts.Core, core.NewHints(s.Hints))
 	for range s.Readers {
-		in, err := peer.Listen(ctx, settings.Endpoint(s.Fabric))
+		in, err := listen.Retry(ctx, logger, func() (*net.UDPConn, error) {
+			return peer.Listen(ctx, settings.Endpoint(s.Fabric))
+		})
 		if err != nil {
 			return err
 		}
@@ -95,14 +99,14 @@
 		}
 		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation(), Data: n.Data()}
 		forwarder := fabric.NewForwarder(identity, balancer, parts.Format, n, n.Suspect, decisions, codec, in, n.NewWriter(), counters)
-		group.Go(func() error { return node.Repeat(ctx, in, forwarder.Step) })
+		group.Go(func() error { return n.Repeat(ctx, in, forwarder.Step) })
 	}
 	receiver, err := n.NewReceiver()
 	if err != nil {
 		return err
 	}
 	group.Go(func() error {
-		return node.Repeat(ctx, n.Socket(), func() error {
+		return n.Repeat(ctx, n.Socket(), func() error {
 			return receiver.Step(func(header *datagram.Header, body []byte) {
 				learn(balancer, header, body)
 			})
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -22,6 +22,7 @@
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	"github.com/radishmast/radishmast/internal/link/clock"
+	"github.com/radishmast/radishmast/internal/link/listen"
 	"github.com/radishmast/radishmast/internal/link/operator"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
@@ -110,7 +111,9 @@
 	if err != nil {
 		return nil, err
 	}
-	outbound, err := peer.Listen(ctx, settings.Endpoint(s.Outbound))
+	outbound, err := listen.Retry(ctx, logger, func() (*net.UDPConn, error) {
+		return peer.Listen(ctx, settings.Endpoint(s.Outbound))
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -162,14 +165,14 @@
 		return err
 	}
 	group.Go(func() error {
-		return node.Repeat(ctx, c.node.Socket(), func() error {
+		return c.node.Repeat(ctx, c.node.Socket(), func() error {
 			defer inward.flush()
 			return receiver.Step(inward.handle)
 		})
 	})
 	reader := peer.NewReader(c.outbound)
 	group.Go(func() error {
-		return node.Repeat(ctx, c.outbound, func() error {
+		return c.node.Repeat(ctx, c.outbound, func() error {
 			defer outward.flush()
 			return outward.step(reader)
 		})
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	link "github.com/radishmast/radishmast/internal/link/control"
+	"github.com/radishmast/radishmast/internal/link/listen"
 	"github.com/radishmast/radishmast/internal/link/peer"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -95,7 +96,9 @@
 // New returns a node with an open datagram socket.
 func New(ctx context.Context, common *settings.Common, role fleet.Role, parts Parts, counters *metrics.Counters, logger log.Interface) (*Node, error) {
 	debug.SetGCPercent(gcPercent)
-	socket, err := peer.Listen(ctx, settings.Endpoint(common.Data))
+	socket, err := listen.Retry(ctx, logger, func() (*net.UDPConn, error) {
+		return peer.Listen(ctx, settings.Endpoint(common.Data))
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/radishmast/radishmast/internal/link/clock"
+	"github.com/radishmast/radishmast/internal/link/listen"
 )
 
 // ReadyPath is the path of the readiness endpoint.
@@ -26,8 +26,7 @@
 
 // ServeReady answers the fabric's readiness probes in a group until ctx is done.
 func (n *Node) ServeReady(ctx context.Context, group *errgroup.Group, endpoint string) error {
-	config := net.ListenConfig{}
-	listener, err := config.Listen(ctx, "tcp4", endpoint)
+	listener, err := listen.TCP(ctx, endpoint, n.logger)
 	if err != nil {
 		return fmt.Errorf("listen for readiness probes on %s: %w", endpoint, err)
 	}
--- a/internal/daemon/node/repeat.go
+++ b/internal/daemon/node/repeat.go
@@ -4,10 +4,15 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 )
 
-// Repeat calls step until it fails; closing the socket ends it when ctx is done.
-func Repeat(ctx context.Context, socket *net.UDPConn, step func() error) error {
+// readPause is how long a traffic goroutine waits after a failed read.
+const readPause = 10 * time.Millisecond
+
+// Repeat calls step, which reads from a socket, until ctx is done and the socket closed.
+// A read that fails is counted and logged, and ends nothing.
+func (n *Node) Repeat(ctx context.Context, socket *net.UDPConn, step func() error) error {
 	release := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer release()
 	for {
@@ -17,7 +22,9 @@
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return nil
 		default:
-			return err
+			n.counters.Add("read_failed", 1)
+			n.logger.WithError(err).Warn("socket")
+			time.Sleep(readPause)
 		}
 	}
 }
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/radishmast/radishmast/internal/link/clock"
 	link "github.com/radishmast/radishmast/internal/link/control"
+	"github.com/radishmast/radishmast/internal/link/listen"
 	"github.com/radishmast/radishmast/internal/link/operator"
 )
 
@@ -24,8 +24,7 @@
 // Start runs the control goroutine, the control endpoint and the platform
 // readers in a group until ctx is done.
 func (n *Node) Start(ctx context.Context, group *errgroup.Group) error {
-	config := net.ListenConfig{}
-	listener, err := config.Listen(ctx, "tcp4", n.control.String())
+	listener, err := listen.TCP(ctx, n.control.String(), n.logger)
 	if err != nil {
 		return fmt.Errorf("listen for control links on %s: %w", n.control, err)
 	}
