--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -135,7 +135,7 @@
 func TestPausedProcessIsNotConfirmedUntilAPeerAnswers(t *testing.T) {
 	n := newNetwork(2)
 	n.collect(0, n.controllers[0].Document(epoch, &fleet.ServicesDocument{Revision: 1}))
-	n.collect(0, n.controllers[0].Document(epoch, listing(1, 2, 1)))
+	n.collect(0, n.controllers[0].Document(epoch, listing(2, 1)))
 	n.settle(epoch)
 	now := epoch.Add(time.Hour)
 	outputs := n.controllers[0].Tick(now)
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -12,8 +12,8 @@
 )
 
 // listing returns a list of agents n0, n1, ... spread over data centres.
-func listing(revision uint64, agents, dataCentres int) *fleet.InstancesDocument {
-	d := &fleet.InstancesDocument{Revision: revision}
+func listing(agents, dataCentres int) *fleet.InstancesDocument {
+	d := &fleet.InstancesDocument{Revision: 1}
 	for i := range agents {
 		d.Instances = append(d.Instances, fleet.Instance{
 			Name: fmt.Sprintf("n%d", i), Role: fleet.RoleAgent, DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
@@ -44,7 +44,7 @@
 	n := newNetwork(9)
 	now := epoch.Add(firstReadDelay)
 	require.Equal(t, 9, countReaders(n, now), "nobody knows anything yet")
-	n.collect(0, n.controllers[0].Document(now, listing(1, 9, 3)))
+	n.collect(0, n.controllers[0].Document(now, listing(9, 3)))
 	n.deliverAll(now)
 	require.Equal(t, readers, countReaders(n, now))
 	for range 20 {
@@ -64,7 +64,7 @@
 
 func TestReadersAreInDifferentDataCentres(t *testing.T) {
 	n := newNetwork(9)
-	n.collect(0, n.controllers[0].Document(epoch, listing(1, 9, 3)))
+	n.collect(0, n.controllers[0].Document(epoch, listing(9, 3)))
 	n.deliverAll(epoch)
 	places := make(map[int]bool)
 	for i, c := range n.controllers {
@@ -77,7 +77,7 @@
 
 func TestAgeOfThePictureSpreads(t *testing.T) {
 	n := newNetwork(3)
-	n.collect(0, n.controllers[0].Document(epoch, listing(1, 3, 1)))
+	n.collect(0, n.controllers[0].Document(epoch, listing(3, 1)))
 	n.deliverAll(epoch)
 	now := epoch.Add(time.Second)
 	n.collect(0, n.controllers[0].Confirm(now))
@@ -119,7 +119,7 @@
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}})
 	c.Document(epoch, &fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
-	c.Document(epoch, listing(1, 2, 2))
+	c.Document(epoch, listing(2, 2))
 	peer := fleet.InstanceIDOf("n1")
 	now := epoch
 	for range 20 {
@@ -140,7 +140,7 @@
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}})
 	c.Document(epoch, &fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
-	c.Document(epoch, listing(1, 2, 2))
+	c.Document(epoch, listing(2, 2))
 	peer := fleet.InstanceIDOf("n1")
 	outputs := c.Suspect(epoch, peer)
 	require.Len(t, outputs, 1)
@@ -156,7 +156,7 @@
 	for _, c := range n.controllers {
 		require.False(t, c.IsConfirmed(now))
 	}
-	n.collect(0, n.controllers[0].Document(now, listing(1, 2, 1)))
+	n.collect(0, n.controllers[0].Document(now, listing(2, 1)))
 	n.deliverAll(now)
 	require.False(t, n.controllers[1].IsConfirmed(now), "services are not known yet")
 	n.collect(0, n.controllers[0].Document(now, &fleet.ServicesDocument{Revision: 1}))
