Bound what grows with the fleet: reports, accepted links, records at once

Each agent reported to every sibling twice a second, everybody kept the link to the few processes it had known at the start, and each weight travelled by itself. Ruled out: the store (3 calls a second). Change: a report goes to 16 siblings chosen at random, accepted links beyond 12 are shed once their processes have learned of others, and only records that decide where packets go are sent at once.

--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -449,3 +449,17 @@
 	_, action := r.travel(t, ids[0], packet)
 	require.Equal(t, &Reset{Reason: RefuseNotAccepting}, action)
 }
+
+func TestReportsGoToABoundedAudience(t *testing.T) {
+	r := newRig(t, 60)
+	a := r.agents[r.ids()[0]]
+	heard := make(map[fleet.InstanceID]bool)
+	for range 40 {
+		audience := a.Audience()
+		require.Len(t, audience, reportFanout)
+		for _, target := range audience {
+			heard[target.ID()] = true
+		}
+	}
+	require.Len(t, heard, 59, "in time everybody hears")
+}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -126,6 +126,24 @@
 // Siblings returns the instances that serve a service together with this agent.
 func (a *Agent) Siblings() []*fleet.Target { return a.together }
 
+// reportFanout is how many siblings hear a report, so that its cost does not grow with
+// the service. A report counts for several intervals, in which each agent hears from
+// several times as many.
+const reportFanout = 16
+
+// Audience returns the siblings that the next report goes to: all, or a random choice
+// of them.
+func (a *Agent) Audience() []*fleet.Target {
+	if len(a.together) <= reportFanout {
+		return a.together
+	}
+	audience := make([]*fleet.Target, reportFanout)
+	for i, at := range a.random.Perm(len(a.together))[:reportFanout] {
+		audience[i] = a.together[at]
+	}
+	return audience
+}
+
 // siblingsIn finds the instances that serve a service together with an agent.
 func siblingsIn(view *fleet.View, self fleet.InstanceID) []*fleet.Target {
 	seen := make(map[fleet.InstanceID]bool)
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -51,6 +51,7 @@
 	dialled    bool
 	silentAt   time.Time
 	rotateAt   time.Time
+	shedAt     time.Time
 	mismatches int
 }
 
@@ -63,6 +64,9 @@
 	links   map[LinkID]*link
 	prober  *prober
 	changed map[fleet.InstanceID]fleet.PeerRecord
+	// urgent tells that a changed record decides where packets may go. Others wait for
+	// the next tick, so that many travel together.
+	urgent bool
 
 	outputs []Output
 	viewAt  time.Time
@@ -285,7 +289,9 @@
 	for _, record := range message.Records {
 		c.merge(now, record)
 	}
-	c.flushRecords()
+	if c.urgent {
+		c.flushRecords()
+	}
 	c.publish(now)
 	return c.take()
 }
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -163,3 +163,19 @@
 	n.deliverAll(now)
 	require.True(t, n.controllers[1].IsConfirmed(now))
 }
+
+// After a start of the whole fleet everybody has dialled the same three processes.
+func TestLinksBeyondTheLimitAreShed(t *testing.T) {
+	c := New(epoch, Config{Self: 1, Incarnation: 1}, rand.New(rand.NewPCG(1, 1)))
+	for i := range 100 {
+		c.LinkUp(epoch, LinkID(i+1), i < wantedLinks)
+	}
+	c.Tick(epoch.Add(time.Second))
+	require.Equal(t, 100, c.Links(), "they are still learning")
+	now := epoch.Add(shedTime + time.Millisecond)
+	for id := range c.links {
+		c.Message(now, id, c.summary(now))
+	}
+	c.Tick(now)
+	require.Equal(t, maxAccepted+wantedLinks, c.Links())
+}
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -13,6 +13,7 @@
 		dialled:  dialled,
 		silentAt: now.Add(linkTimeout),
 		rotateAt: c.rotation(now),
+		shedAt:   now.Add(shedTime),
 	}
 	c.emit(Send{Link: id, Message: c.summary(now)})
 	return c.take()
@@ -31,6 +32,7 @@
 // maintainLinks closes silent links, replaces old ones, and dials new ones until
 // the wanted number of own links stands.
 func (c *Controller) maintainLinks(now time.Time) {
+	c.shedLinks(now)
 	dialled := 0
 	for id, l := range c.links {
 		switch {
@@ -52,6 +54,34 @@
 	}
 }
 
+// maxAccepted is how many accepted links a process keeps. After a start of the whole
+// fleet everybody has dialled the few processes it knew of.
+const maxAccepted = 12
+
+// shedTime is how long a process that has dialled this one may learn from it before its
+// link can be shed.
+const shedTime = 2 * time.Second
+
+// shedLinks closes accepted links beyond the limit. Their processes dial others, which
+// they know by now.
+func (c *Controller) shedLinks(now time.Time) {
+	accepted := 0
+	for _, l := range c.links {
+		if !l.dialled {
+			accepted++
+		}
+	}
+	for id, l := range c.links {
+		if accepted <= maxAccepted {
+			return
+		}
+		if !l.dialled && now.After(l.shedAt) {
+			c.closeLink(id)
+			accepted--
+		}
+	}
+}
+
 func (c *Controller) closeLink(id LinkID) {
 	delete(c.links, id)
 	c.emit(CloseLink{Link: id})
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -22,6 +22,7 @@
 	}
 	c.changed[record.ID] = record
 	if isRouting(old, record) {
+		c.urgent = true
 		c.reroute(now)
 	} else {
 		c.scheduleView(now.Add(weightViewDelay))
@@ -83,6 +84,7 @@
 		records = append(records, record)
 	}
 	clear(c.changed)
+	c.urgent = false
 	for part := range slices.Chunk(records, maxRecordsInSend) {
 		c.broadcast(&Message{Records: part}, 0)
 	}
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -30,7 +30,7 @@
 func (r *reporter) send() {
 	r.agent.mu.Lock()
 	report := r.agent.core.Report(clock.Now())
-	siblings := r.agent.core.Siblings()
+	siblings := r.agent.core.Audience()
 	r.agent.mu.Unlock()
 	r.sendTo(report, siblings)
 }
@@ -45,7 +45,7 @@
 		r.agent.counters.Add("offers_sent", 1)
 		siblings = append(siblings, sibling)
 	} else if r.agent.core.MustTellWaiting(now) {
-		siblings = r.agent.core.Siblings()
+		siblings = r.agent.core.Audience()
 	}
 	if len(siblings) == 0 {
 		r.agent.mu.Unlock()
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -234,7 +234,7 @@
 func (c *Carrier) report(sender *node.Sender) {
 	c.mu.Lock()
 	report := c.core.Report(clock.Now())
-	siblings := c.core.Siblings()
+	siblings := c.core.Audience()
 	c.mu.Unlock()
 	body, err := cbor.Marshal(&report)
 	if err != nil {
