--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -7,7 +7,6 @@
 package control
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -154,29 +153,6 @@
 	return c.take()
 }
 
-// awayAfter is the age of the picture from which the platform counts as away.
-const awayAfter = 2 * time.Second
-
-// keepLapsed lets agents whose entries have gone without notice serve on while the
-// platform is away, and ends that in time after its return.
-func (c *Controller) keepLapsed(now time.Time) {
-	if age, known := c.Age(now); known && age > awayAfter {
-		c.state.ExtendLapses(now.Add(fleet.LapseGrace))
-	}
-	next, found := c.state.NextLapse(now)
-	if !found && !c.hadLapse {
-		return
-	}
-	c.hadLapse = found
-	if !found {
-		c.reroute(now)
-		return
-	}
-	if next.Sub(now) <= TickInterval {
-		c.scheduleView(next)
-	}
-}
-
 // detectPause notices that the process did not run for a while. What it knows
 // is then old until a peer or the platform confirms it.
 func (c *Controller) detectPause(now time.Time) {
@@ -197,51 +173,6 @@
 	c.lastTick = now
 }
 
-// Document applies a document read from the platform.
-func (c *Controller) Document(now time.Time, document fleet.Document) []Output {
-	c.apply(now, document, 0)
-	c.confirm(now, now, 0)
-	c.publish(now)
-	return c.take()
-}
-
-// Confirm records that the platform answered that nothing has changed.
-func (c *Controller) Confirm(now time.Time) []Output {
-	c.confirm(now, now, 0)
-	return c.take()
-}
-
-func (c *Controller) apply(now time.Time, document fleet.Document, source LinkID) {
-	if !c.state.IsNewer(document) {
-		c.emit(Report{Event: EventDocumentOlder})
-		return
-	}
-	change := changeBetween(c.state, document)
-	_, err := c.state.Apply(now, document)
-	switch {
-	case err != nil:
-		c.emit(Report{Event: EventDocumentRefused, Err: err})
-	default:
-		c.emit(change.report())
-		c.recent.keep(change)
-		c.spread(now, change, source)
-		c.reroute(now)
-	}
-}
-
-// maxPushed is the number of entries up to which a change is sent to every peer
-// unasked. Peers learn of a larger one and fetch it once, since most of them hear of
-// it from several sides.
-const maxPushed = 16
-
-func (c *Controller) spread(now time.Time, change *Change, source LinkID) {
-	if change.size() <= maxPushed {
-		c.broadcast(&Message{Change: change}, source)
-		return
-	}
-	c.broadcast(c.summary(now), source)
-}
-
 // reroute asks for a new view at once, since it changes where packets may go.
 func (c *Controller) reroute(now time.Time) {
 	c.rerouted = true
@@ -318,21 +249,6 @@
 	c.compareTables(id, l, summary.Peers)
 }
 
-// fetchTimeout is how long a peer may take to send documents before another one is
-// asked.
-const fetchTimeout = 250 * time.Millisecond
-
-// fetch asks a peer for newer documents, unless another one has just been asked.
-func (c *Controller) fetch(now time.Time, id LinkID) {
-	if now.Before(c.fetchingUntil) {
-		return
-	}
-	c.fetchingUntil = now.Add(fetchTimeout)
-	message := c.summary(now)
-	message.Summary.Wants = true
-	c.emit(Send{Link: id, Message: message})
-}
-
 // compareTables starts a comparison by parts when the tables differed in two
 // summaries running, since a change on its way makes them differ for a moment.
 func (c *Controller) compareTables(id LinkID, l *link, digest uint64) {
@@ -368,24 +284,6 @@
 	}
 }
 
-func (c *Controller) receiveChange(now time.Time, id LinkID, change *Change) {
-	document, err := change.document(c.state)
-	var gap GapError
-	if errors.As(err, &gap) {
-		if change.To > gap.Have {
-			c.emit(Report{Event: EventChangeGap, Err: err})
-			c.fetchingUntil = time.Time{}
-			c.fetch(now, id)
-		}
-		return
-	}
-	if err != nil {
-		c.emit(Report{Event: EventDocumentRefused, Err: err})
-		return
-	}
-	c.apply(now, document, id)
-}
-
 func (c *Controller) summary(now time.Time) *Message {
 	age, known := c.Age(now)
 	if !known {
--- /dev/null
+++ b/internal/core/fleet/departures.go
@@ -0,0 +1,83 @@
+package fleet
+
+import "time"
+
+// departedLifetime is how long an agent that is not listed any more is still asked
+// for flows. A list may lose an agent that lives.
+const departedLifetime = 60 * time.Second
+
+// departure is an agent that is no longer listed.
+type departure struct {
+	instance Instance
+	backend  Backend
+	until    time.Time
+	// acceptUntil is until when it still gets new flows, since its entry may only have
+	// lapsed. It is zero for one that was leaving.
+	acceptUntil time.Time
+}
+
+// LapseGrace is how long an agent whose entry has gone without notice still gets new
+// flows while it answers. Entries lapse while the platform is away, and are back
+// shortly after it.
+const LapseGrace = 2 * time.Second
+
+func (d *departure) isLapsed(now time.Time) bool { return now.Before(d.acceptUntil) }
+
+// noteDepartures keeps the agents that a next document no longer names.
+func (s *State) noteDepartures(now time.Time, isNamed func(InstanceID) bool) {
+	for id, d := range s.departed {
+		if now.After(d.until) {
+			delete(s.departed, id)
+		}
+	}
+	backends := s.backendsByID()
+	for i := range s.instances.Instances {
+		instance := s.instances.Instances[i]
+		id := InstanceIDOf(instance.Name)
+		backend := backends[id]
+		if instance.Role != RoleAgent || backend == nil || isNamed(id) {
+			continue
+		}
+		gone := departure{instance: instance, backend: *backend, until: now.Add(departedLifetime)}
+		if instance.State == StateLive {
+			gone.acceptUntil = now.Add(LapseGrace)
+		}
+		gone.instance.State = StateLeaving
+		s.departed[id] = gone
+	}
+}
+
+// ExtendLapses gives the agents whose entries have gone without notice until an instant
+// to be listed again, since the platform is away.
+func (s *State) ExtendLapses(until time.Time) {
+	for id, d := range s.departed {
+		if !d.acceptUntil.IsZero() && d.acceptUntil.Before(until) {
+			d.acceptUntil = until
+			s.departed[id] = d
+		}
+	}
+}
+
+// NextLapse returns when the first agent whose entry has gone stops getting new flows.
+// It reports false if there is none.
+func (s *State) NextLapse(now time.Time) (time.Time, bool) {
+	var first time.Time
+	for _, d := range s.departed {
+		if d.isLapsed(now) && (first.IsZero() || d.acceptUntil.Before(first)) {
+			first = d.acceptUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// departedNodes returns the agents that are not listed any more but still answer.
+func (s *State) departedNodes(now time.Time) []server {
+	var nodes []server
+	for id, d := range s.departed {
+		if now.After(d.until) || d.isLapsed(now) || s.peers.unreachable[id] {
+			continue
+		}
+		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
+	}
+	return nodes
+}
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -25,27 +25,6 @@
 	departed map[InstanceID]departure
 }
 
-// departedLifetime is how long an agent that is not listed any more is still asked
-// for flows. A list may lose an agent that lives.
-const departedLifetime = 60 * time.Second
-
-// departure is an agent that is no longer listed.
-type departure struct {
-	instance Instance
-	backend  Backend
-	until    time.Time
-	// acceptUntil is until when it still gets new flows, since its entry may only have
-	// lapsed. It is zero for one that was leaving.
-	acceptUntil time.Time
-}
-
-// LapseGrace is how long an agent whose entry has gone without notice still gets new
-// flows while it answers. Entries lapse while the platform is away, and are back
-// shortly after it.
-const LapseGrace = 2 * time.Second
-
-func (d *departure) isLapsed(now time.Time) bool { return now.Before(d.acceptUntil) }
-
 // NewState returns a state without documents.
 func NewState() *State {
 	return &State{peers: NewPeers(), departed: make(map[InstanceID]departure)}
@@ -137,30 +116,6 @@
 	})
 }
 
-// noteDepartures keeps the agents that a next document no longer names.
-func (s *State) noteDepartures(now time.Time, isNamed func(InstanceID) bool) {
-	for id, d := range s.departed {
-		if now.After(d.until) {
-			delete(s.departed, id)
-		}
-	}
-	backends := s.backendsByID()
-	for i := range s.instances.Instances {
-		instance := s.instances.Instances[i]
-		id := InstanceIDOf(instance.Name)
-		backend := backends[id]
-		if instance.Role != RoleAgent || backend == nil || isNamed(id) {
-			continue
-		}
-		gone := departure{instance: instance, backend: *backend, until: now.Add(departedLifetime)}
-		if instance.State == StateLive {
-			gone.acceptUntil = now.Add(LapseGrace)
-		}
-		gone.instance.State = StateLeaving
-		s.departed[id] = gone
-	}
-}
-
 // View computes the routing view after a change of where packets may go.
 func (s *State) View(now time.Time) *View {
 	return s.ViewSettledAt(now, now.Add(settleTime))
@@ -339,101 +294,6 @@
 	}
 }
 
-// poolBuilder computes the targets of a view, once for all services with the same
-// selectors: an operator may publish hundreds of services for the same servers.
-type poolBuilder struct {
-	state    *State
-	now      time.Time
-	servers  map[string]*serverIndex
-	departed []server
-	pools    map[string]*pool
-}
-
-// pool returns the targets of a service with selectors that a key stands for.
-func (b *poolBuilder) pool(routed *RoutedService, key string, residual []*Node) *pool {
-	if len(residual) > 0 {
-		return b.build(routed, residual)
-	}
-	shared := b.pools[key]
-	if shared == nil {
-		shared = b.build(routed, nil)
-		b.pools[key] = shared
-	}
-	return shared
-}
-
-func (b *poolBuilder) build(routed *RoutedService, owners []*Node) *pool {
-	built := new(pool)
-	for dataCentre, servers := range b.servers {
-		selector, present := routed.selector(dataCentre)
-		if !present {
-			continue
-		}
-		for _, candidate := range servers.matching(selector) {
-			built.targets = append(built.targets, b.state.target(candidate.node, b.now))
-		}
-	}
-	slices.SortFunc(built.targets, compareTargets)
-	built.selected = len(built.targets)
-	for _, gone := range b.departed {
-		if routed.Selects(gone.backend.DataCentre, gone.backend.Labels) {
-			owners = append(owners[:len(owners):len(owners)], gone.node)
-		}
-	}
-	built.targets = append(built.targets, b.residualTargets(routed, built, owners)...)
-	return built
-}
-
-func (b *poolBuilder) residualTargets(routed *RoutedService, built *pool, owners []*Node) []Target {
-	var targets []Target
-	for _, node := range owners {
-		if built.target(node.id) != nil || !routed.IsPresent(node.dataCentre) {
-			continue
-		}
-		target := b.state.target(node, b.now)
-		target.residual = true
-		target.accepting = false
-		targets = append(targets, target)
-	}
-	slices.SortFunc(targets, compareTargets)
-	return targets
-}
-
-// ExtendLapses gives the agents whose entries have gone without notice until an instant
-// to be listed again, since the platform is away.
-func (s *State) ExtendLapses(until time.Time) {
-	for id, d := range s.departed {
-		if !d.acceptUntil.IsZero() && d.acceptUntil.Before(until) {
-			d.acceptUntil = until
-			s.departed[id] = d
-		}
-	}
-}
-
-// NextLapse returns when the first agent whose entry has gone stops getting new flows.
-// It reports false if there is none.
-func (s *State) NextLapse(now time.Time) (time.Time, bool) {
-	var first time.Time
-	for _, d := range s.departed {
-		if d.isLapsed(now) && (first.IsZero() || d.acceptUntil.Before(first)) {
-			first = d.acceptUntil
-		}
-	}
-	return first, !first.IsZero()
-}
-
-// departedNodes returns the agents that are not listed any more but still answer.
-func (s *State) departedNodes(now time.Time) []server {
-	var nodes []server
-	for id, d := range s.departed {
-		if now.After(d.until) || d.isLapsed(now) || s.peers.unreachable[id] {
-			continue
-		}
-		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
-	}
-	return nodes
-}
-
 func (s *State) target(node *Node, now time.Time) Target {
 	record, known := s.peers.Record(node.id)
 	weight := DefaultWeight
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -1,15 +1,11 @@
 package agent
 
 import (
-	"fmt"
-
-	"github.com/fxamacker/cbor/v2"
-
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/link/clock"
-	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
 // reporter sends load reports to the agent's siblings.
@@ -57,14 +53,5 @@
 }
 
 func (r *reporter) sendTo(report core.Report, siblings []*fleet.Target) {
-	body, err := cbor.Marshal(&report)
-	if err != nil {
-		r.agent.logger.WithError(fmt.Errorf("encode load report: %w", err)).Error("report")
-		return
-	}
-	for _, sibling := range siblings {
-		header := r.agent.node.Header(datagram.Load, sibling.ID(), sibling.Incarnation())
-		r.sender.QueueControl(&header, body, sibling.Data())
-	}
-	r.sender.Flush()
+	exchange.SendReport(r.agent.node, r.sender, r.agent.logger, report, siblings)
 }
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -11,11 +11,11 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/link/backend"
 	"github.com/radishmast/radishmast/internal/link/caller"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/chunk"
-	"github.com/radishmast/radishmast/internal/wire/datagram"
 	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
@@ -156,12 +156,8 @@
 		a.counters.Add("drop_send_failed", 1)
 		return
 	}
-	header := a.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
-	header.Service = uint64(retry.Service)
-	header.Flags = flagsOf(action)
-	for _, id := range retry.Visited {
-		header.Visited = append(header.Visited, uint64(id))
-	}
+	in := exchange.RetryHeader(retry)
+	header := exchange.PassOnHeader(a.node, &in, action, nil)
 	sender.Queue(&header, retry.Opening, action.Target.Data())
 	sender.Flush()
 }
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
@@ -46,8 +44,8 @@
 }
 
 func (t *traffic) handleLoad(header *datagram.Header, body []byte) {
-	var report core.Report
-	if err := cbor.Unmarshal(body, &report); err != nil {
+	report, err := exchange.ReadReport(body)
+	if err != nil {
 		t.agent.counters.Add("drop_undecodable", 1)
 		return
 	}
@@ -70,15 +68,7 @@
 		t.agent.counters.Add("drop_malformed", 1)
 		return
 	}
-	t.arrival.Packet = packet
-	t.arrival.Service = fleet.ServiceID(header.Service)
-	t.arrival.Revision = header.Revision
-	t.arrival.Placed = header.Flags&datagram.Placed != 0
-	t.arrival.Searched = header.Flags&datagram.Searched != 0
-	t.arrival.Visited = t.arrival.Visited[:0]
-	for _, id := range header.Visited {
-		t.arrival.Visited = append(t.arrival.Visited, fleet.InstanceID(id))
-	}
+	exchange.ReadArrival(&t.arrival, header, packet)
 	t.decide(now, header)
 }
 
@@ -112,16 +102,8 @@
 }
 
 func (t *traffic) passOn(in *datagram.Header, action *core.PassOn) {
-	t.visited = append(t.visited[:0], in.Visited...)
-	if self := uint64(t.agent.node.ID()); !slices.Contains(t.visited, self) {
-		t.visited = append(t.visited, self)
-	}
-	t.out = t.agent.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
-	t.out.Service = in.Service
-	t.out.Revision = max(t.out.Revision, in.Revision)
-	t.out.Origin = in.Origin
-	t.out.Visited = t.visited
-	t.out.Flags = flagsOf(action)
+	t.out = exchange.PassOnHeader(t.agent.node, in, action, t.visited)
+	t.visited = t.out.Visited
 	t.agent.counters.Add("packets_passed_on", 1)
 	if action.Reason != "" {
 		t.agent.counters.Add(string(action.Reason), 1)
@@ -129,17 +111,6 @@
 	t.sender.Queue(&t.out, t.arrival.Packet.Bytes(), action.Target.Data())
 }
 
-func flagsOf(action *core.PassOn) datagram.Flags {
-	var flags datagram.Flags
-	if action.Placed {
-		flags |= datagram.Placed
-	}
-	if action.Searched {
-		flags |= datagram.Searched
-	}
-	return flags
-}
-
 // sendHint tells the balancer that first received the packet who owns the flow.
 func (t *traffic) sendHint(in *datagram.Header) {
 	origin := t.agent.node.Load().Node(fleet.InstanceID(in.Origin))
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/daemon/metrics"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
@@ -25,7 +25,6 @@
 	"github.com/radishmast/radishmast/internal/link/listen"
 	"github.com/radishmast/radishmast/internal/link/operator"
 	"github.com/radishmast/radishmast/internal/link/peer"
-	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
 const (
@@ -236,16 +235,7 @@
 	report := c.core.Report(clock.Now())
 	siblings := c.core.Audience()
 	c.mu.Unlock()
-	body, err := cbor.Marshal(&report)
-	if err != nil {
-		c.logger.WithError(fmt.Errorf("encode load report: %w", err)).Error("report")
-		return
-	}
-	for _, sibling := range siblings {
-		header := c.node.Header(datagram.Load, sibling.ID(), sibling.Incarnation())
-		sender.QueueControl(&header, body, sibling.Data())
-	}
-	sender.Flush()
+	exchange.SendReport(c.node, sender, c.logger, report, siblings)
 }
 
 // describe tells peers of the agent's state and of the services whose flows it
--- a/internal/daemon/carrier/traffic.go
+++ b/internal/daemon/carrier/traffic.go
@@ -4,14 +4,12 @@
 	"encoding/binary"
 	"fmt"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
 	"github.com/radishmast/radishmast/internal/link/clock"
@@ -59,8 +57,8 @@
 }
 
 func (t *traffic) handleLoad(header *datagram.Header, body []byte) {
-	var report core.Report
-	if err := cbor.Unmarshal(body, &report); err != nil {
+	report, err := exchange.ReadReport(body)
+	if err != nil {
 		t.carrier.counters.Add("drop_undecodable", 1)
 		return
 	}
@@ -88,15 +86,7 @@
 		t.carrier.counters.Add("drop_malformed", 1)
 		return false
 	}
-	t.arrival.Packet = packet
-	t.arrival.Service = fleet.ServiceID(header.Service)
-	t.arrival.Revision = header.Revision
-	t.arrival.Placed = header.Flags&datagram.Placed != 0
-	t.arrival.Relayed = header.Flags&datagram.Relayed != 0
-	t.arrival.Visited = t.arrival.Visited[:0]
-	for _, id := range header.Visited {
-		t.arrival.Visited = append(t.arrival.Visited, fleet.InstanceID(id))
-	}
+	exchange.ReadArrival(&t.arrival, header, packet)
 	return true
 }
 
@@ -169,21 +159,8 @@
 }
 
 func (t *traffic) passOn(in *datagram.Header, action *core.PassOn) {
-	t.visited = append(t.visited[:0], in.Visited...)
-	if self := uint64(t.carrier.node.ID()); !slices.Contains(t.visited, self) {
-		t.visited = append(t.visited, self)
-	}
-	t.out = t.carrier.node.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
-	t.out.Service = in.Service
-	t.out.Revision = max(t.out.Revision, in.Revision)
-	t.out.Origin, t.out.Reply = in.Origin, in.Reply
-	t.out.Visited = t.visited
-	if action.Placed {
-		t.out.Flags |= datagram.Placed
-	}
-	if action.Relayed || in.Flags&datagram.Relayed != 0 {
-		t.out.Flags |= datagram.Relayed
-	}
+	t.out = exchange.PassOnHeader(t.carrier.node, in, action, t.visited)
+	t.visited = t.out.Visited
 	t.carrier.counters.Add("packets_passed_on", 1)
 	if action.Reason != "" {
 		t.carrier.counters.Add(string(action.Reason), 1)
@@ -197,10 +174,7 @@
 	if !handed {
 		return
 	}
-	in := datagram.Header{Service: uint64(retry.Service)}
-	for _, id := range retry.Visited {
-		in.Visited = append(in.Visited, uint64(id))
-	}
+	in := exchange.RetryHeader(retry)
 	if t.parse(&in, retry.Opening) {
 		t.record("pass", passOn.Target.Name(), passOn.Reason)
 		t.passOn(&in, passOn)
--- /dev/null
+++ b/internal/daemon/exchange/exchange.go
@@ -0,0 +1,95 @@
+// Package exchange holds what both kinds of agent say to other processes: packets
+// passed on and load reports.
+package exchange
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/node"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// ReadArrival fills in a packet and what its header says of how it came, reusing the
+// arrival's memory.
+func ReadArrival(arrival *core.Arrival, header *datagram.Header, packet flow.Packet) {
+	arrival.Packet = packet
+	arrival.Service = fleet.ServiceID(header.Service)
+	arrival.Revision = header.Revision
+	arrival.Placed = header.Flags&datagram.Placed != 0
+	arrival.Searched = header.Flags&datagram.Searched != 0
+	arrival.Relayed = header.Flags&datagram.Relayed != 0
+	arrival.Visited = arrival.Visited[:0]
+	for _, id := range header.Visited {
+		arrival.Visited = append(arrival.Visited, fleet.InstanceID(id))
+	}
+}
+
+// PassOnHeader returns the header with which a packet is passed on. It uses the memory
+// of visited, which must not be changed before the header is encoded.
+func PassOnHeader(n *node.Node, in *datagram.Header, action *core.PassOn, visited []uint64) datagram.Header {
+	visited = append(visited[:0], in.Visited...)
+	if self := uint64(n.ID()); !slices.Contains(visited, self) {
+		visited = append(visited, self)
+	}
+	out := n.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
+	out.Service = in.Service
+	out.Revision = max(out.Revision, in.Revision)
+	out.Origin, out.Reply = in.Origin, in.Reply
+	out.Visited = visited
+	out.Flags = flagsOf(action) | in.Flags&datagram.Relayed
+	return out
+}
+
+func flagsOf(action *core.PassOn) datagram.Flags {
+	var flags datagram.Flags
+	if action.Placed {
+		flags |= datagram.Placed
+	}
+	if action.Searched {
+		flags |= datagram.Searched
+	}
+	if action.Relayed {
+		flags |= datagram.Relayed
+	}
+	return flags
+}
+
+// ReadReport decodes a load report.
+func ReadReport(body []byte) (core.Report, error) {
+	var report core.Report
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		return report, fmt.Errorf("decode load report: %w", err)
+	}
+	return report, nil
+}
+
+// SendReport sends a load report to siblings.
+func SendReport(n *node.Node, sender *node.Sender, logger log.Interface, report core.Report, siblings []*fleet.Target) {
+	body, err := cbor.Marshal(&report)
+	if err != nil {
+		logger.WithError(fmt.Errorf("encode load report: %w", err)).Error("report")
+		return
+	}
+	for _, sibling := range siblings {
+		header := n.Header(datagram.Load, sibling.ID(), sibling.Incarnation())
+		sender.QueueControl(&header, body, sibling.Data())
+	}
+	sender.Flush()
+}
+
+// RetryHeader returns the header that stands for how an opening packet came that is
+// handed on later.
+func RetryHeader(retry *core.Retry) datagram.Header {
+	header := datagram.Header{Service: uint64(retry.Service)}
+	for _, id := range retry.Visited {
+		header.Visited = append(header.Visited, uint64(id))
+	}
+	return header
+}
