Let a request in flight end when its data centre is taken out

Ruled out: the partition (the reset came from the agent's own cut). Change: a flow that owes an answer goes on for 2 s; its packets are delivered, new flows are not.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -61,6 +61,8 @@
 	queued bool
 	// ended tells that the backend server sends nothing more on the flow.
 	ended bool
+	// sparedUntil is until when the flow may go on though its data centre is out.
+	sparedUntil time.Time
 }
 
 // Arrival is a packet with what its sender says about it.
@@ -158,7 +160,7 @@
 	if a.config.Carried {
 		return a.carry(now, service, arrival)
 	}
-	if !service.IsPresent(a.config.DataCentre) {
+	if !service.IsPresent(a.config.DataCentre) && !a.isSpared(now, arrival.Packet.Flow()) {
 		return a.receiveOut(service, arrival)
 	}
 	if known := a.flows[arrival.Packet.Flow()]; known != nil {
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -266,3 +266,20 @@
 	}
 	require.InDelta(t, 1000*depositPerFlow/retryCost+initialBalance/retryCost, granted, 1)
 }
+
+// A request in flight may end though operators take its data centre out.
+func TestFlowThatOwesAnAnswerIsSparedForAWhile(t *testing.T) {
+	state := newState(t, 1)
+	config := Config{Self: fleet.InstanceIDOf("b0"), DataCentre: "north", MaxFlows: 9, MaxHanded: 1, Placement: HashOnly{}}
+	a := New(config, state.View(epoch), NewLoad(epoch, slots), nil)
+	a.Receive(settled, arrival(4000, flow.Opening, 0))
+	a.Answered(flowOf(4000), 1)
+	_, err := state.Apply(epoch, &fleet.ServicesDocument{Revision: 3, Services: []fleet.Service{{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp"}}})
+	require.NoError(t, err)
+	cut := a.ApplyView(state.View(epoch))
+	require.Len(t, cut, 1)
+	a.Spare(cut[0], settled.Add(time.Second))
+	require.IsType(t, &Deliver{}, a.Receive(settled, arrival(4000, flow.Established, 1)))
+	require.Equal(t, &Drop{Reason: DropDataCentreOut}, a.Receive(settled, arrival(4001, flow.Opening, 0)))
+	require.Equal(t, &Drop{Reason: DropDataCentreOut}, a.Receive(settled.Add(time.Second), arrival(4000, flow.Established, 1)))
+}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -159,6 +159,19 @@
 	return cut
 }
 
+// Spare lets a flow whose data centre is out go on until an instant, since an answer is
+// owed on it.
+func (a *Agent) Spare(owned Owned, until time.Time) {
+	if known := a.owns(owned.Flow, owned.Attempt); known != nil {
+		known.sparedUntil = until
+	}
+}
+
+func (a *Agent) isSpared(now time.Time, id flow.ID) bool {
+	known := a.flows[id]
+	return known != nil && now.Before(known.sparedUntil)
+}
+
 // Owned names a flow that the agent owns.
 type Owned struct {
 	Flow    flow.ID
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -290,8 +290,28 @@
 	a.mu.Unlock()
 	for _, owned := range cut {
 		a.counters.Add("reset_data_centre_out", 1)
+		a.cutAnswered(owned)
+	}
+}
+
+// answerGrace is how long a request in flight may still be answered after its data
+// centre was taken out.
+const answerGrace = 2 * time.Second
+
+// cutAnswered resets a flow, at once or when the answer that is owed has had time to
+// come.
+func (a *Agent) cutAnswered(owned core.Owned) {
+	a.mu.Lock()
+	s := a.conns[owned.Flow]
+	a.mu.Unlock()
+	if s == nil || s.attempt != owned.Attempt || !s.request.isUnanswered() {
 		a.cut(owned)
+		return
 	}
+	a.mu.Lock()
+	a.core.Spare(owned, clock.Now().Add(answerGrace))
+	a.mu.Unlock()
+	time.AfterFunc(answerGrace, func() { a.cut(owned) })
 }
 
 // cut resets a flow, or makes one that is still opening fail.
