--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -87,12 +87,7 @@
 // server beside this agent may still hold the flow from before a restart.
 func (a *Agent) carryHanded(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
 	target := service.Target(known.owner)
-	for _, visited := range arrival.Visited {
-		if visited == known.owner {
-			target = nil
-		}
-	}
-	if target == nil || !target.IsReachable() {
+	if target == nil || !target.IsReachable() || slices.Contains(arrival.Visited, known.owner) {
 		return a.offered()
 	}
 	known.expires = now.Add(handedLifetime)
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -27,16 +27,14 @@
 		return
 	}
 	change := changeBetween(c.state, document)
-	_, err := c.state.Apply(now, document)
-	switch {
-	case err != nil:
+	if _, err := c.state.Apply(now, document); err != nil {
 		c.emit(Report{Event: EventDocumentRefused, Err: err})
-	default:
-		c.emit(change.report())
-		c.recent.keep(change)
-		c.spread(now, change, source)
-		c.reroute(now)
+		return
 	}
+	c.emit(change.report())
+	c.recent.keep(change)
+	c.spread(now, change, source)
+	c.reroute(now)
 }
 
 // maxPushed is the number of entries up to which a change is sent to every peer
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -97,8 +97,18 @@
 		if err != nil {
 			return err
 		}
-		identity := fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation(), Data: n.Data()}
-		forwarder := fabric.NewForwarder(identity, balancer, parts.Format, n, n.Suspect, decisions, codec, in, n.NewWriter(), counters)
+		forwarder := fabric.NewForwarder(fabric.Config{
+			Identity:  fabric.Identity{ID: n.ID(), Incarnation: n.Incarnation(), Data: n.Data()},
+			Core:      balancer,
+			Format:    parts.Format,
+			Views:     n,
+			Suspect:   n.Suspect,
+			Decisions: decisions,
+			Codec:     codec,
+			In:        in,
+			Writer:    n.NewWriter(),
+			Counter:   counters,
+		})
 		group.Go(func() error { return n.Repeat(ctx, in, forwarder.Step) })
 	}
 	receiver, err := n.NewReceiver()
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -229,7 +229,7 @@
 	}
 }
 
-// report tells the load to every sibling.
+// report tells the load to siblings.
 func (c *Carrier) report(sender *node.Sender) {
 	c.mu.Lock()
 	report := c.core.Report(clock.Now())
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -64,29 +64,46 @@
 	Data netip.AddrPort
 }
 
+// Config is what a forwarder works with.
+type Config struct {
+	Identity Identity
+	Core     *balancer.Balancer
+	Format   flow.Format
+	Views    ViewSource
+	Suspect  Suspect
+	// Decisions logs decisions about flows. It may be nil.
+	Decisions *operator.Decisions
+	Codec     *datagram.Codec
+	// In is the socket that the fabric sends to.
+	In *net.UDPConn
+	// Writer writes to agents.
+	Writer  *peer.Writer
+	Counter Counter
+}
+
 // NewForwarder returns a forwarder that reads from a socket of the fabric and
 // writes to agents.
-func NewForwarder(identity Identity, core *balancer.Balancer, format flow.Format, views ViewSource, suspect Suspect, decisions *operator.Decisions, codec *datagram.Codec, in *net.UDPConn, writer *peer.Writer, counter Counter) *Forwarder {
+func NewForwarder(config Config) *Forwarder {
 	return &Forwarder{
-		core:      core,
-		format:    format,
-		views:     views,
-		suspect:   suspect,
-		decisions: decisions,
-		back:      peer.NewWriter(in, peer.NewPaths()),
-		codec:     codec,
-		reader:    peer.NewReader(in),
-		writer:    writer,
-		counter:   counter,
-		port:      in.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		core:      config.Core,
+		format:    config.Format,
+		views:     config.Views,
+		suspect:   config.Suspect,
+		decisions: config.Decisions,
+		back:      peer.NewWriter(config.In, peer.NewPaths()),
+		codec:     config.Codec,
+		reader:    peer.NewReader(config.In),
+		writer:    config.Writer,
+		counter:   config.Counter,
+		port:      config.In.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 
 		prefixes: make(map[prefixKey]datagram.Prefix),
 		header: datagram.Header{
 			Kind:            datagram.Packet,
-			From:            uint64(identity.ID),
-			FromIncarnation: identity.Incarnation,
-			Origin:          uint64(identity.ID),
-			Reply:           datagram.PackEndpoint(identity.Data),
+			From:            uint64(config.Identity.ID),
+			FromIncarnation: config.Identity.Incarnation,
+			Origin:          uint64(config.Identity.ID),
+			Reply:           datagram.PackEndpoint(config.Identity.Data),
 		},
 	}
 }
--- a/internal/link/fabric/forwarder_test.go
+++ b/internal/link/fabric/forwarder_test.go
@@ -88,7 +88,7 @@
 	view := newView(t, endpoint(out))
 	codec, err := datagram.NewCodec()
 	require.NoError(t, err)
-	f := NewForwarder(Identity{ID: 5, Incarnation: 9}, balancer.New(balancer.Config{}, balancer.NewHints(16)), ipv4.Format{}, fixedView{view}, func(fleet.InstanceID) {}, nil, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{})
+	f := newForwarder(balancer.New(balancer.Config{}, balancer.NewHints(16)), view, codec, in)
 	packet := segment(4000, 100)
 	_, err = out.WriteToUDPAddrPort(packet, endpoint(in))
 	require.NoError(t, err)
@@ -165,7 +165,7 @@
 		codec, err := datagram.NewCodec(keys...)
 		require.NoError(b, err)
 		core := balancer.New(balancer.Config{}, balancer.NewHints(1<<18))
-		return NewForwarder(Identity{ID: 5, Incarnation: 9}, core, ipv4.Format{}, fixedView{newView(b, endpoint(out))}, func(fleet.InstanceID) {}, nil, codec, in, peer.NewWriter(in, peer.NewPaths()), ignore{}).Step
+		return newForwarder(core, newView(b, endpoint(out)), codec, in).Step
 	})
 }
 
@@ -184,3 +184,18 @@
 		}
 	}
 }
+
+// newForwarder returns a forwarder with a view that stays in force.
+func newForwarder(core *balancer.Balancer, view *fleet.View, codec *datagram.Codec, in *net.UDPConn) *Forwarder {
+	return NewForwarder(Config{
+		Identity: Identity{ID: 5, Incarnation: 9},
+		Core:     core,
+		Format:   ipv4.Format{},
+		Views:    fixedView{view},
+		Suspect:  func(fleet.InstanceID) {},
+		Codec:    codec,
+		In:       in,
+		Writer:   peer.NewWriter(in, peer.NewPaths()),
+		Counter:  ignore{},
+	})
+}
