Begin weights at the speed that the first answers show

Change: reports carry the time that a request takes that does not queue; the first estimate of a weight is the mean of the siblings over the own one. Weights are looked at twice a second.

--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -44,6 +44,8 @@
 	latency float64
 	// work is the average time to answer a request that did not queue, in nanoseconds.
 	work float64
+	// worked is the number of requests that the average rests on.
+	worked int
 
 	// busy is the time integral of the used share of slots since sampledAt.
 	busy        time.Duration
@@ -125,7 +127,21 @@
 	if l.work == 0 {
 		l.work = float64(latency)
 	}
-	l.work += latencyGain * (float64(latency) - l.work)
+	l.worked++
+	gain := max(latencyGain, 1/float64(l.worked))
+	l.work += gain * (float64(latency) - l.work)
+}
+
+// minWorked is the number of requests after which their average counts.
+const minWorked = 10
+
+// knownWork returns how long a request takes that does not queue, or zero if that is
+// not known yet.
+func (l *Load) knownWork() time.Duration {
+	if l.worked < minWorked {
+		return 0
+	}
+	return time.Duration(l.work)
 }
 
 // isQueueing reports whether one more request would wait for a slot.
--- a/internal/core/agent/overload_test.go
+++ b/internal/core/agent/overload_test.go
@@ -98,3 +98,20 @@
 	inTimeBefore, lateBefore := load.play(t, false)
 	require.GreaterOrEqual(t, inTime+late, (inTimeBefore+lateBefore)*98/100)
 }
+
+// After a restart of everything the long flows open anew within a second.
+func TestWeightBeginsAtTheSpeedOfTheServer(t *testing.T) {
+	r := newRig(t, 3)
+	ids := r.ids()
+	slow := r.agents[ids[0]]
+	slow.config.Placement = HandOverWhenFull{}
+	require.Equal(t, fleet.DefaultWeight, slow.LearnWeight(settled))
+	for range minWorked {
+		slow.load.noteWork(60 * time.Millisecond)
+	}
+	for _, id := range ids[1:] {
+		slow.Heard(settled, id, Report{Limit: slots, MaxOpen: 9, Utilisation: 500, Work: 30000})
+	}
+	slow.utilisation = 0.5
+	require.InDelta(t, float64(fleet.DefaultWeight)*40/60, float64(slow.LearnWeight(settled)), 1)
+}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -24,6 +24,9 @@
 	Utilisation uint16
 	// Cold tells that the backend server is warming up.
 	Cold bool
+	// Work is how long a request takes that does not queue, in microseconds, or zero if
+	// that is not known yet.
+	Work uint32
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
@@ -173,6 +176,7 @@
 		MaxOpen:     uint32(a.config.MaxFlows),
 		Utilisation: uint16(a.utilisation * perMille),
 		Cold:        a.load.IsCold(),
+		Work:        uint32(a.load.knownWork().Microseconds()),
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/core/agent/weight.go
+++ b/internal/core/agent/weight.go
@@ -33,6 +33,8 @@
 	estimate  float64
 	published fleet.Weight
 	spreadAt  time.Time
+	// primed tells that the estimate has begun at the speed of the backend server.
+	primed bool
 }
 
 func newWeightLearner() weightLearner {
@@ -49,6 +51,9 @@
 	if !known || a.load.IsCold() || a.draining || mean < minUtilisation {
 		return a.weight.published
 	}
+	if a.prime(now) {
+		return a.weight.published
+	}
 	own := max(a.utilisation, minUtilisation)
 	a.weight.estimate *= math.Pow(mean/own, weightGain)
 	a.weight.estimate = min(max(a.weight.estimate, float64(minWeight)), float64(maxWeight))
@@ -60,6 +65,35 @@
 	return a.weight.published
 }
 
+// prime begins the estimate at the speed of the backend server against its siblings',
+// which shows in the first answers. Utilisation shows it only after seconds. The load
+// pattern it answers: long flows that all open anew after everything has restarted, and
+// then stay where they are. It reports false if the estimate has begun before.
+func (a *Agent) prime(now time.Time) bool {
+	own := a.load.knownWork()
+	if a.weight.primed || own == 0 {
+		return false
+	}
+	var sum time.Duration
+	known := 0
+	for _, sibling := range a.Siblings() {
+		report, found := a.report(now, sibling.ID())
+		if found && report.Work > 0 {
+			sum += time.Duration(report.Work) * time.Microsecond
+			known++
+		}
+	}
+	if 2*known < min(len(a.together), reportFanout) {
+		return false
+	}
+	mean := float64(sum+own) / float64(known+1)
+	a.weight.primed = true
+	a.weight.estimate = min(max(float64(fleet.DefaultWeight)*mean/float64(own), float64(minWeight)), float64(maxWeight))
+	a.weight.published = fleet.Weight(math.Round(a.weight.estimate))
+	a.weight.spreadAt = now.Add(weightInterval)
+	return true
+}
+
 // meanUtilisation averages over this agent and its warm siblings. It reports
 // false without any.
 func (a *Agent) meanUtilisation(now time.Time) (float64, bool) {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -31,7 +31,7 @@
 	// handedPerFlow is how many hand-overs are remembered for each flow owned.
 	handedPerFlow  = 2
 	initialSlots   = 2
-	sweepInterval  = time.Second
+	sweepInterval  = 500 * time.Millisecond
 	reportInterval = 500 * time.Millisecond
 	// overdueInterval is how often unanswered opening packets are looked for.
 	overdueInterval = 50 * time.Millisecond
