Check the settings of a carrying agent, and drop one that nothing read

Cause: a last read found the setting placement, which the carrying agent accepts and ignores. Change: it is gone; tests check the settings and their reload.

--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -86,12 +86,11 @@
 	Backend     string            `json:"backend"`
 	Labels      map[string]string `json:"labels"`
 	Connections int               `json:"connections"`
-	Placement   string            `json:"placement"`
 }
 
 // ReadCarrier reads and checks the settings of a carrying agent.
 func ReadCarrier(data []byte) (*Carrier, error) {
-	s := &Carrier{Connections: defaultConnections, Placement: "handover"}
+	s := &Carrier{Connections: defaultConnections}
 	if err := decode(data, s); err != nil {
 		return nil, err
 	}
@@ -104,7 +103,6 @@
 		checkEndpoint("outbound", s.Outbound),
 		checkEndpoint("backend", s.Backend),
 		checkCount("connections", s.Connections, maxConnections),
-		checkOneOf("placement", s.Placement, "uniform", "hash", "handover", "choices"),
 	)
 }
 
