Compare peer tables by what routes packets only, and let a search visit 256 agents

Weights change all the time there, so tables always differed and every link compared and sent them record by record (98 kB/s at an agent, 41 at 30 machines); and a search ended after 64 of some 140 candidates, the rest unasked. Ruled out: load reports and links, bounded before (no gain in kB/s). Change: the digest leaves weights and sequence numbers out; a datagram may name 256 visited agents.

--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -179,3 +179,19 @@
 	c.Tick(now)
 	require.Equal(t, maxAccepted+wantedLinks, c.Links())
 }
+
+// In a large fleet some weight is always on its way. Tables that differ in nothing else
+// were compared record by record on every link.
+func TestTablesThatDifferInWeightsOnlyAreNotCompared(t *testing.T) {
+	n := newNetwork(2)
+	now := n.settle(epoch)
+	other := n.controllers[1].own
+	other.Weight, other.Sequence = 3*fleet.DefaultWeight, other.Sequence+1
+	n.controllers[0].state.Peers().Merge(other)
+	require.Equal(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
+	other.State, other.Sequence = fleet.PeerLeaving, other.Sequence+1
+	n.controllers[0].state.Peers().Merge(other)
+	require.NotEqual(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
+	n.settle(now)
+	require.Equal(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
+}
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -106,11 +106,15 @@
 	return buckets
 }
 
+// recordDigest covers what decides where packets may go. Weights change all the time
+// in a large fleet; one that was lost is replaced by the next.
 func recordDigest(record fleet.PeerRecord) uint64 {
-	var fixed [26]byte
-	binary.LittleEndian.PutUint64(fixed[0:], uint64(record.ID))
-	binary.LittleEndian.PutUint64(fixed[8:], record.Incarnation)
-	binary.LittleEndian.PutUint64(fixed[16:], record.Sequence)
-	fixed[24] = byte(record.State)
-	return xxhash.Sum64(fixed[:])
+	fixed := make([]byte, 0, 64)
+	fixed = binary.LittleEndian.AppendUint64(fixed, uint64(record.ID))
+	fixed = binary.LittleEndian.AppendUint64(fixed, record.Incarnation)
+	fixed = append(fixed, byte(record.State))
+	for _, service := range record.Residual {
+		fixed = binary.LittleEndian.AppendUint64(fixed, uint64(service))
+	}
+	return xxhash.Sum64(fixed)
 }
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -18,7 +18,7 @@
 const Version = 1
 
 // MaxVisited bounds the candidates a packet may have visited.
-const MaxVisited = 64
+const MaxVisited = 256
 
 // MaxSize is the largest datagram sent or accepted, in bytes.
 const MaxSize = 4096
