--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -59,7 +59,7 @@
 	case *fleet.BackendsDocument:
 		return &Change{From: backends.Revision, To: d.Revision, Backends: diff(backends.Backends, d.Backends, backendName)}
 	case *fleet.InstancesDocument:
-		return &Change{From: instances.Revision, To: d.Revision, Instances: diff(instances.Instances, d.Instances, instanceName)}
+		return &Change{From: instances.Revision, To: d.Revision, Instances: diff(instances.Instances, d.Instances, instanceName), Leased: d.Leased}
 	}
 	return nil
 }
@@ -94,9 +94,9 @@
 	case c.Instances != nil:
 		base, err := c.base(instances.Revision)
 		if err != nil || !base {
-			return &fleet.InstancesDocument{Revision: c.To, Instances: c.Instances.Upserts}, err
+			return &fleet.InstancesDocument{Revision: c.To, Instances: c.Instances.Upserts, Leased: c.Leased}, err
 		}
-		return &fleet.InstancesDocument{Revision: c.To, Instances: patch(instances.Instances, c.Instances, instanceName)}, nil
+		return &fleet.InstancesDocument{Revision: c.To, Instances: patch(instances.Instances, c.Instances, instanceName), Leased: c.Leased}, nil
 	}
 	return nil, fmt.Errorf("change to revision %d names no document", c.To)
 }
@@ -150,7 +150,7 @@
 	services, backends, instances := state.Documents()
 	var changes []*Change
 	if instances.Revision > have.Instances {
-		whole := &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}}
+		whole := &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}, Leased: instances.Leased}
 		changes = append(changes, shortest(r.instances, have.Instances, whole))
 	}
 	if backends.Revision > have.Backends {
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -52,6 +52,8 @@
 	Draining  []string
 	Backends  *Delta[fleet.Backend]
 	Instances *Delta[fleet.Instance]
+	// Leased stands beside Instances.
+	Leased bool
 }
 
 // Delta lists the entries of a document that were added or changed, and the
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		gone := departure{instance: instance, backend: *backend, until: now.Add(departedLifetime)}
-		if instance.State == StateLive {
+		if instance.State == StateLive && s.instances.Leased {
 			gone.acceptUntil = now.Add(LapseGrace)
 		}
 		gone.instance.State = StateLeaving
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -169,6 +169,8 @@
 type InstancesDocument struct {
 	Revision  uint64     `json:"revision"`
 	Instances []Instance `json:"instances"`
+	// Leased tells that an entry also goes when its instance could not renew it.
+	Leased bool `json:"leased,omitempty"`
 }
 
 // DocumentError says which entry of a document is wrong and what is allowed.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -169,3 +169,20 @@
 	state.Peers().SetReachable(gone, true, epoch.Add(time.Second))
 	require.Equal(t, gone, orders(state).Primary(1).ID(), "an own answer outweighs the suspicion of others")
 }
+
+// Where entries are no leases, an instance that is not listed any more has been removed.
+func TestOnlyLeasedEntriesLapse(t *testing.T) {
+	for _, leased := range []bool{true, false} {
+		state := NewState()
+		instance := Instance{Name: "b0", Role: RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: StateLive}
+		for _, document := range []Document{
+			&BackendsDocument{Revision: 1, Backends: []Backend{{Name: "b0", DataCentre: "north"}}},
+			&InstancesDocument{Revision: 1, Instances: []Instance{instance}, Leased: leased},
+			&InstancesDocument{Revision: 2, Leased: leased},
+		} {
+			_, err := state.Apply(epoch, document)
+			require.NoError(t, err)
+		}
+		require.Equal(t, leased, state.View(epoch).IsAccepting(InstanceIDOf("b0")))
+	}
+}
