Remove two accessors that nothing calls

Cause: the carrying agent asks the view whether an instance accepts new flows; the accessors of targets and nodes that told whether they leave have no caller left. No behaviour changes; vet and the core's tests pass.

--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -47,10 +47,6 @@
 // IsReachable reports whether this process gets answers from the agent.
 func (t *Target) IsReachable() bool { return t.reachable }
 
-// IsLeaving reports whether the agent or its backend server has announced that it
-// leaves. The agent may be back soon.
-func (t *Target) IsLeaving() bool { return t.leaving }
-
 // IsResidual reports whether the target is no longer selected and only keeps
 // the flows it already owns.
 func (t *Target) IsResidual() bool { return t.residual }
@@ -160,9 +156,6 @@
 // Control returns the node's control endpoint.
 func (n *Node) Control() netip.AddrPort { return n.control }
 
-// IsLeaving reports whether the platform lists the node as leaving.
-func (n *Node) IsLeaving() bool { return n.leaving }
-
 // View is an immutable picture of the fleet. Traffic goroutines share one view
 // and never change it.
 type View struct {
