Let suspicion count at once, and ask suspected candidates last

Ruled out: resets (none was sent), and the agents' restarts (the owners never stopped). Change: suspicion counts unless the peer has answered since; the suspect is probed at once, so that a false one heals within a round trip; searches and homes pass suspects over until nobody else is left. Where all candidates are suspected they stay in use, as before for 10 s.

--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -74,7 +74,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			state := newState(t, 1)
-			state.Peers().Merge(fleet.PeerRecord{ID: fleet.InstanceIDOf("b0"), Incarnation: 1, State: test.state})
+			state.Peers().Merge(epoch, fleet.PeerRecord{ID: fleet.InstanceIDOf("b0"), Incarnation: 1, State: test.state})
 			b := New(Config{Resets: true}, NewHints(16))
 			decision := b.Forward(state.View(epoch), test.packet)
 			require.Equal(t, test.want.Drop, decision.Drop)
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -183,7 +184,7 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			c := New(epoch, Config{Self: 1, Incarnation: 1}, rand.New(rand.NewPCG(1, 1)))
 			for i := range size {
-				c.state.Peers().Merge(fleet.PeerRecord{ID: fleet.InstanceIDOf(fmt.Sprint(i)), Incarnation: 1})
+				c.state.Peers().Merge(epoch, fleet.PeerRecord{ID: fleet.InstanceIDOf(fmt.Sprint(i)), Incarnation: 1})
 			}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -192,3 +193,33 @@
 		})
 	}
 }
+
+func TestPeerThatOthersSuspectIsProbedAtOnce(t *testing.T) {
+	n := newNetwork(2)
+	n.settle(epoch)
+	c, other := n.controllers[0], fleet.InstanceIDOf("b0")
+	now := epoch.Add(time.Minute)
+	c.Document(now, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}},
+	}}})
+	backends := &fleet.BackendsDocument{Revision: 2}
+	instances := &fleet.InstancesDocument{Revision: 3}
+	for _, name := range []string{"n0", "b0"} {
+		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
+		instances.Instances = append(instances.Instances, fleet.Instance{
+			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
+		})
+	}
+	c.Document(now, backends)
+	c.Document(now, instances)
+	c.Answered(now, other, 1)
+	now = now.Add(time.Second)
+	outputs := c.Message(now, 2, &Message{Records: []fleet.PeerRecord{{ID: other, Incarnation: 1, State: fleet.PeerSuspect}}})
+	require.True(t, slices.ContainsFunc(outputs, func(output Output) bool {
+		probe, isProbe := output.(Probe)
+		return isProbe && probe.Node.ID() == other
+	}))
+	require.False(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(other).IsAccepting())
+	c.Answered(now.Add(10*time.Millisecond), other, 1)
+	require.True(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(other).IsAccepting(), "its answer outweighs the suspicion")
+}
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -102,7 +102,7 @@
 		unconfirmed: true,
 		fresh:       freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(firstReadDelay))))},
 	}
-	c.state.Peers().Merge(c.own)
+	c.state.Peers().Merge(now, c.own)
 	c.view = c.state.View(now)
 	return c
 }
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -187,10 +187,10 @@
 	now := n.settle(epoch)
 	other := n.controllers[1].own
 	other.Weight, other.Sequence = 3*fleet.DefaultWeight, other.Sequence+1
-	n.controllers[0].state.Peers().Merge(other)
+	n.controllers[0].state.Peers().Merge(epoch, other)
 	require.Equal(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
 	other.State, other.Sequence = fleet.PeerLeaving, other.Sequence+1
-	n.controllers[0].state.Peers().Merge(other)
+	n.controllers[0].state.Peers().Merge(epoch, other)
 	require.NotEqual(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
 	n.settle(now)
 	require.Equal(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -13,7 +13,6 @@
 	probeInterval   = 250 * time.Millisecond
 	probeTimeout    = 100 * time.Millisecond
 	maxMisses       = 3
-	vouchLifetime   = 10 * time.Second
 	suspectInterval = 5 * time.Second
 )
 
@@ -148,7 +147,7 @@
 		return
 	}
 	state.dueAt = now.Add(probeInterval)
-	if c.state.Peers().SetReachable(id, false, time.Time{}) {
+	if c.state.Peers().SetReachable(now, id, false) {
 		c.emit(Report{Event: EventPeerUnreachable, Peer: c.nodeName(id)})
 		c.reroute(now)
 	}
@@ -165,14 +164,19 @@
 
 // Suspect probes a peer at once, since traffic to it goes unanswered.
 func (c *Controller) Suspect(now time.Time, id fleet.InstanceID) []Output {
+	c.probeAtOnce(now, id)
+	return c.take()
+}
+
+// probeAtOnce probes a peer outside its turn, unless an answer is awaited already.
+func (c *Controller) probeAtOnce(now time.Time, id fleet.InstanceID) {
 	state, node := c.prober.states[id], c.view.Node(id)
 	if state == nil || node == nil || state.waiting || state.misses >= maxMisses {
-		return nil
+		return
 	}
 	state.begin(now)
 	record, _ := c.state.Peers().Record(id)
 	c.emit(Probe{Node: node, Incarnation: record.Incarnation})
-	return c.take()
 }
 
 // Answered records that a peer answered a probe.
@@ -183,7 +187,7 @@
 	}
 	state.waiting = false
 	state.misses = 0
-	if c.state.Peers().SetReachable(id, true, now.Add(vouchLifetime)) {
+	if c.state.Peers().SetReachable(now, id, true) {
 		c.emit(Report{Event: EventPeerReachable, Peer: c.nodeName(id)})
 		c.reroute(now)
 	}
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -17,10 +17,13 @@
 		return
 	}
 	old, _ := c.state.Peers().Record(record.ID)
-	if !c.state.Peers().Merge(record) {
+	if !c.state.Peers().Merge(now, record) {
 		return
 	}
 	c.changed[record.ID] = record
+	if record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect {
+		c.probeAtOnce(now, record.ID)
+	}
 	if isRouting(old, record) {
 		c.urgent = true
 		c.reroute(now)
@@ -50,7 +53,7 @@
 
 func (c *Controller) spreadOwn(now time.Time) {
 	old, _ := c.state.Peers().Record(c.own.ID)
-	c.state.Peers().Merge(c.own)
+	c.state.Peers().Merge(now, c.own)
 	c.changed[c.own.ID] = c.own
 	if isRouting(old, c.own) {
 		c.reroute(now)
--- a/internal/core/fleet/capacity_test.go
+++ b/internal/core/fleet/capacity_test.go
@@ -29,7 +29,7 @@
 		if i%agentsPerBalancer == 0 {
 			instances.Instances = append(instances.Instances, listed(fmt.Sprintf("entry-%d", i), RoleBalancer, centre))
 		}
-		state.Peers().Merge(PeerRecord{ID: InstanceIDOf(name), Incarnation: 1, Weight: DefaultWeight})
+		state.Peers().Merge(epoch, PeerRecord{ID: InstanceIDOf(name), Incarnation: 1, Weight: DefaultWeight})
 	}
 	for _, document := range []Document{services, backends, instances} {
 		if _, err := state.Apply(epoch, document); err != nil {
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -57,7 +57,7 @@
 func TestSharesFollowWeights(t *testing.T) {
 	state := newState(t, 4)
 	for i, weight := range []Weight{16, 32, 48, 64} {
-		state.Peers().Merge(PeerRecord{ID: InstanceIDOf(fmt.Sprintf("b%d", i)), Incarnation: 1, Weight: weight})
+		state.Peers().Merge(epoch, PeerRecord{ID: InstanceIDOf(fmt.Sprintf("b%d", i)), Incarnation: 1, Weight: weight})
 	}
 	service := orders(state)
 	counts := make(map[string]int)
@@ -77,7 +77,7 @@
 		unreachable := 0
 		for i := range count {
 			if rapid.Bool().Draw(t, "unreachable") {
-				state.Peers().SetReachable(InstanceIDOf(fmt.Sprintf("b%d", i)), false, time.Time{})
+				state.Peers().SetReachable(epoch, InstanceIDOf(fmt.Sprintf("b%d", i)), false)
 				unreachable++
 			}
 		}
@@ -142,9 +142,9 @@
 		shuffled := rapid.Permutation(records).Draw(t, "order")
 		a, b := NewPeers(), NewPeers()
 		for i := range records {
-			a.Merge(records[i])
-			b.Merge(shuffled[i])
-			b.Merge(shuffled[i])
+			a.Merge(epoch, records[i])
+			b.Merge(epoch, shuffled[i])
+			b.Merge(epoch, shuffled[i])
 		}
 		require.ElementsMatch(t, a.All(), b.All())
 	})
@@ -153,9 +153,9 @@
 func TestTargetsOfOtherStates(t *testing.T) {
 	state := newState(t, 3)
 	gone, leaving, residual := InstanceIDOf("b0"), InstanceIDOf("b1"), InstanceIDOf("b2")
-	state.Peers().Merge(PeerRecord{ID: gone, Incarnation: 1, State: PeerSuspect})
-	state.Peers().Merge(PeerRecord{ID: leaving, Incarnation: 1, State: PeerLeaving})
-	state.Peers().Merge(PeerRecord{ID: residual, Incarnation: 1, Residual: []ServiceID{ServiceIDOf("orders")}})
+	state.Peers().Merge(epoch, PeerRecord{ID: gone, Incarnation: 1, State: PeerSuspect})
+	state.Peers().Merge(epoch, PeerRecord{ID: leaving, Incarnation: 1, State: PeerLeaving})
+	state.Peers().Merge(epoch, PeerRecord{ID: residual, Incarnation: 1, Residual: []ServiceID{ServiceIDOf("orders")}})
 	_, err := state.Apply(epoch, &BackendsDocument{Revision: 9, Backends: []Backend{
 		{Name: "b0", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
 		{Name: "b1", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
@@ -166,10 +166,41 @@
 	require.Nil(t, service.Primary(1), "neither suspected nor leaving targets take new flows")
 	require.True(t, service.Target(residual).IsResidual())
 	require.False(t, service.Target(residual).IsAccepting())
-	state.Peers().SetReachable(gone, true, epoch.Add(time.Second))
+	state.Peers().SetReachable(epoch, gone, true)
 	require.Equal(t, gone, orders(state).Primary(1).ID(), "an own answer outweighs the suspicion of others")
 }
 
+// A data centre without power: each process has had answers a moment ago, and only some
+// have noticed. Packets of open flows must not be passed to what is dark meanwhile.
+func TestSuspectedTargetsAreAskedLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 12).Draw(t, "targets")
+		state := newState(t, count)
+		suspected := make(map[InstanceID]bool)
+		for i := range count {
+			id := InstanceIDOf(fmt.Sprintf("b%d", i))
+			state.Peers().SetReachable(epoch, id, true)
+			if rapid.Bool().Draw(t, "suspected") {
+				suspected[id] = true
+				state.Peers().Merge(epoch.Add(time.Second), PeerRecord{ID: id, Incarnation: 1, State: PeerSuspect})
+			}
+		}
+		service := orders(state)
+		hash := rapid.Uint64().Draw(t, "hash")
+		allSuspected := len(suspected) == count
+		require.Equal(t, allSuspected, suspected[service.Home(hash).ID()])
+		require.Equal(t, allSuspected, suspected[service.Primary(hash).ID()], "suspicion does not empty a service")
+		var visited []InstanceID
+		for walk := service.NextCandidate(hash, visited); walk.Next != nil; walk = service.NextCandidate(hash, visited) {
+			visited = append(visited, walk.Next.ID())
+		}
+		require.Len(t, visited, count)
+		for i, id := range visited {
+			require.Equal(t, i >= count-len(suspected), suspected[id])
+		}
+	})
+}
+
 // Where entries are no leases, an instance that is not listed any more has been removed.
 func TestOnlyLeasedEntriesLapse(t *testing.T) {
 	for _, leased := range []bool{true, false} {
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -50,8 +50,10 @@
 // Peers is the table of peer records. It is not safe for concurrent use.
 type Peers struct {
 	records map[InstanceID]PeerRecord
-	// reached holds until when a direct answer vouches for a peer.
-	reached map[InstanceID]time.Time
+	// answeredAt holds when a peer last answered this process.
+	answeredAt map[InstanceID]time.Time
+	// suspectedAt holds when this process learned that a peer is suspected.
+	suspectedAt map[InstanceID]time.Time
 	// unreachable holds the peers that do not answer this process.
 	unreachable map[InstanceID]bool
 }
@@ -60,18 +62,22 @@
 func NewPeers() *Peers {
 	return &Peers{
 		records:     make(map[InstanceID]PeerRecord),
-		reached:     make(map[InstanceID]time.Time),
+		answeredAt:  make(map[InstanceID]time.Time),
+		suspectedAt: make(map[InstanceID]time.Time),
 		unreachable: make(map[InstanceID]bool),
 	}
 }
 
 // Merge applies a record and reports whether it changed the table.
-func (p *Peers) Merge(record PeerRecord) bool {
+func (p *Peers) Merge(now time.Time, record PeerRecord) bool {
 	old, known := p.records[record.ID]
 	if known && !record.supersedes(old) {
 		return false
 	}
 	p.records[record.ID] = record
+	if record.State == PeerSuspect {
+		p.suspectedAt[record.ID] = now
+	}
 	return true
 }
 
@@ -91,11 +97,12 @@
 }
 
 // SetReachable records whether the peer answers this process. A direct answer
-// outweighs the suspicion of others until the given instant. It reports whether
-// reachability changed.
-func (p *Peers) SetReachable(id InstanceID, reachable bool, vouchedUntil time.Time) bool {
+// outweighs the suspicion of others. It reports whether that changes where packets may
+// go.
+func (p *Peers) SetReachable(now time.Time, id InstanceID, reachable bool) bool {
+	wasSuspected := p.isSuspected(id)
 	if reachable {
-		p.reached[id] = vouchedUntil
+		p.answeredAt[id] = now
 	}
 	changed := p.unreachable[id] == reachable
 	if reachable {
@@ -103,7 +110,7 @@
 	} else {
 		p.unreachable[id] = true
 	}
-	return changed
+	return changed || wasSuspected != p.isSuspected(id)
 }
 
 // IsUnreachable reports whether the peer does not answer this process.
@@ -114,16 +121,30 @@
 	for id := range p.records {
 		if !keep(id) {
 			delete(p.records, id)
-			delete(p.reached, id)
+			delete(p.answeredAt, id)
+			delete(p.suspectedAt, id)
 			delete(p.unreachable, id)
 		}
 	}
 }
 
-// suspected reports whether new flows should pass the peer over.
-func (p *Peers) suspected(id InstanceID, now time.Time) bool {
-	if p.unreachable[id] {
-		return true
-	}
-	return p.records[id].State == PeerSuspect && now.After(p.reached[id])
+const (
+	// vouchTime is how long before a suspicion reaches this process an answer of the peer
+	// still outweighs it.
+	vouchTime = 200 * time.Millisecond
+	// vouchLifetime is how long an answer of a peer lets it take new flows where all
+	// others are suspected too.
+	vouchLifetime = 10 * time.Second
+)
+
+// isSuspected reports whether others suspect the peer and it has not answered this
+// process since.
+func (p *Peers) isSuspected(id InstanceID) bool {
+	return p.records[id].State == PeerSuspect && p.answeredAt[id].Before(p.suspectedAt[id].Add(-vouchTime))
+}
+
+// isGivenUp reports whether the peer must not get new flows: it does not answer this
+// process, or others suspect it and it has not answered here for long.
+func (p *Peers) isGivenUp(id InstanceID, now time.Time) bool {
+	return p.unreachable[id] || p.isSuspected(id) && now.After(p.answeredAt[id].Add(vouchLifetime))
 }
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -300,7 +300,6 @@
 	if known && record.Weight > 0 {
 		weight = record.Weight
 	}
-	suspected := s.peers.suspected(node.id, now)
 	listed := !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre)
 	return Target{
 		id:          node.id,
@@ -309,8 +308,9 @@
 		data:        node.data,
 		incarnation: record.Incarnation,
 		weight:      weight,
-		accepting:   listed && !suspected && record.State != PeerLeaving && record.State != PeerSilent,
+		accepting:   listed && !s.peers.isGivenUp(node.id, now) && record.State != PeerLeaving && record.State != PeerSilent,
 		reachable:   !s.peers.unreachable[node.id],
+		suspected:   s.peers.isSuspected(node.id),
 		leaving:     node.leaving || record.State == PeerLeaving,
 	}
 }
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -17,10 +17,13 @@
 	data        netip.AddrPort
 	incarnation uint64
 	weight      Weight
-	accepting   bool
-	reachable   bool
-	leaving     bool
-	residual    bool
+	// accepting tells that nothing but a fresh suspicion of others speaks against new
+	// flows.
+	accepting bool
+	reachable bool
+	suspected bool
+	leaving   bool
+	residual  bool
 }
 
 // ID returns the instance that serves the target.
@@ -42,7 +45,7 @@
 func (t *Target) Weight() Weight { return t.weight }
 
 // IsAccepting reports whether the target may be given new flows.
-func (t *Target) IsAccepting() bool { return t.accepting }
+func (t *Target) IsAccepting() bool { return t.accepting && !t.suspected }
 
 // IsReachable reports whether this process gets answers from the agent.
 func (t *Target) IsReachable() bool { return t.reachable }
@@ -230,15 +233,20 @@
 }
 
 // Primary returns the target that decides about a new flow: the first accepting
-// candidate. It returns nil if no target is accepting.
+// candidate. Where others suspect all of them, suspicion does not count, so that one
+// process with a broken path cannot empty a service. Primary returns nil if no target is
+// accepting.
 func (s *RoutedService) Primary(hash uint64) *Target {
-	return s.best(hash, (*Target).IsAccepting)
+	if primary := s.best(hash, (*Target).IsAccepting); primary != nil {
+		return primary
+	}
+	return s.best(hash, func(target *Target) bool { return target.accepting })
 }
 
 // Home returns the first reachable candidate of an established flow, selected
 // targets before residual ones. It returns nil if none is reachable.
 func (s *RoutedService) Home(hash uint64) *Target {
-	if home := s.best(hash, (*Target).IsReachable); home != nil {
+	if home := s.bestUnsuspected(hash, (*Target).IsReachable); home != nil {
 		return home
 	}
 	for i := s.selected; i < len(s.targets); i++ {
@@ -253,7 +261,7 @@
 // in visited, or nil.
 func (s *RoutedService) NextAccepting(hash uint64, visited []InstanceID) *Target {
 	return s.best(hash, func(target *Target) bool {
-		return target.accepting && target.reachable && !slices.Contains(visited, target.id)
+		return target.IsAccepting() && !slices.Contains(visited, target.id)
 	})
 }
 
@@ -265,6 +273,16 @@
 	})
 }
 
+// bestUnsuspected returns the first eligible target that nobody suspects, or else the
+// first eligible one.
+func (s *RoutedService) bestUnsuspected(hash uint64, eligible func(*Target) bool) *Target {
+	best := s.best(hash, func(target *Target) bool { return !target.suspected && eligible(target) })
+	if best != nil {
+		return best
+	}
+	return s.best(hash, eligible)
+}
+
 func (s *RoutedService) best(hash uint64, eligible func(*Target) bool) *Target {
 	var best *Target
 	highest := math.Inf(-1)
@@ -317,8 +335,8 @@
 	SkippedIn string
 }
 
-// NextCandidate returns the first reachable candidate that is not in visited:
-// selected targets in rendezvous order, then residual owners.
+// NextCandidate returns the first reachable candidate that is not in visited: selected
+// targets in rendezvous order, those that are suspected last, then residual owners.
 func (s *RoutedService) NextCandidate(hash uint64, visited []InstanceID) Walk {
 	var walk Walk
 	unvisited := func(target *Target) bool {
@@ -333,7 +351,7 @@
 		}
 		return true
 	}
-	walk.Next = s.best(hash, unvisited)
+	walk.Next = s.bestUnsuspected(hash, unvisited)
 	if walk.Next != nil {
 		return walk
 	}
