Dial seeds in turn, and never the process itself

Cause: TestProcessTurnedAwayByTheStoreLearnsFromPeers failed once beside the lab's load: an entry instance that had restarted was not ready after 10 s. Trace (its log has no link and no document): the settings name three seeds, of which it was one itself; each dial picked one at random, so that all three links it wants could lead to itself, and then nothing was dialled any more for a minute. Ruled out: the load (the store answered 503 throughout as the test asks, and the other entry instance had the documents). Change: a process leaves itself out of its seeds and dials the others in turn.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -223,3 +224,22 @@
 	c.Answered(now.Add(10*time.Millisecond), other, 1)
 	require.True(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(other).IsAccepting(), "its answer outweighs the suspicion")
 }
+
+// A process that restarts while the platform turns it away learns from its seeds. It is
+// often one of them itself.
+func TestSeedsAreDialledInTurnAndNeverTheProcessItself(t *testing.T) {
+	own, first, second := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.2:1"), netip.MustParseAddrPort("127.0.0.3:1")
+	for seed := range uint64(20) {
+		config := Config{Self: 1, Control: own, Role: fleet.RoleBalancer, Seeds: []netip.AddrPort{first, own, second}}
+		c := New(epoch, config, rand.New(rand.NewPCG(seed, 0)))
+		var dialled []netip.AddrPort
+		for now := epoch; len(dialled) < 2 && now.Before(epoch.Add(5*time.Second)); now = now.Add(TickInterval) {
+			for _, output := range c.Tick(now) {
+				if open, isOpen := output.(OpenLink); isOpen {
+					dialled = append(dialled, open.Control)
+				}
+			}
+		}
+		require.ElementsMatch(t, []netip.AddrPort{first, second}, dialled)
+	}
+}
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -40,7 +40,10 @@
 	Incarnation uint64
 	Role        fleet.Role
 	DataCentre  string
-	// Seeds are control endpoints to learn from when nothing is known yet.
+	// Control is the process's own control endpoint.
+	Control netip.AddrPort
+	// Seeds are control endpoints to learn from when nothing is known yet. The process's
+	// own may be among them.
 	Seeds []netip.AddrPort
 }
 
@@ -71,10 +74,12 @@
 	viewAt  time.Time
 	viewDue bool
 	// rerouted tells that the view that is due changes where packets may go.
-	rerouted    bool
-	view        *fleet.View
-	summaryAt   time.Time
-	dialAt      time.Time
+	rerouted  bool
+	view      *fleet.View
+	summaryAt time.Time
+	dialAt    time.Time
+	// nextSeed counts the seeds that were dialled.
+	nextSeed    int
 	lastTick    time.Time
 	confirmBy   time.Time
 	unconfirmed bool
@@ -89,6 +94,7 @@
 
 // New returns a controller without documents.
 func New(now time.Time, config Config, random *rand.Rand) *Controller {
+	config.Seeds = slices.DeleteFunc(slices.Clone(config.Seeds), func(seed netip.AddrPort) bool { return seed == config.Control })
 	c := &Controller{
 		config:      config,
 		random:      random,
@@ -100,6 +106,7 @@
 		lastTick:    now,
 		confirmBy:   now.Add(confirmTimeout),
 		unconfirmed: true,
+		nextSeed:    random.IntN(max(1, len(config.Seeds))),
 		fresh:       freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(firstReadDelay))))},
 	}
 	c.state.Peers().Merge(now, c.own)
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -87,7 +87,7 @@
 	c.emit(CloseLink{Link: id})
 }
 
-// randomPeer picks a node that has no link yet, or a seed if no node is known.
+// randomPeer picks a node that has no link yet, or the next seed if no node is known.
 func (c *Controller) randomPeer() (netip.AddrPort, bool) {
 	linked := make(map[fleet.InstanceID]bool, len(c.links))
 	for _, l := range c.links {
@@ -99,8 +99,9 @@
 			candidates = append(candidates, node.Control())
 		}
 	}
-	if len(candidates) == 0 && len(c.view.Nodes()) == 0 {
-		candidates = c.config.Seeds
+	if len(c.view.Nodes()) == 0 && len(c.config.Seeds) > 0 {
+		c.nextSeed++
+		return c.config.Seeds[c.nextSeed%len(c.config.Seeds)], true
 	}
 	if len(candidates) == 0 {
 		return netip.AddrPort{}, false
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -140,6 +140,7 @@
 		Incarnation: n.incarnation,
 		Role:        role,
 		DataCentre:  n.dataCentre,
+		Control:     n.control,
 		Seeds:       seeds(common.Peers),
 	}, rand.New(rand.NewPCG(uint64(n.id), n.incarnation)))
 	n.view.Store(n.controller.View())
