Register open flows with two agents, and search by another way after a retransmission

Cause: packets that come through an entry instance without a hint walk the candidates in an order that weights move; with 43 candidates that is 20 steps, each a packet to a server that does not hold the flow, and one dark agent on the way ends it. Change: an agent registers each flow that is open for 250 ms with two others (of two data centres) that anybody finds by the flow alone; they refer packets to the owner, once a packet. Registrations follow restarts and failures of registrars and are renewed each minute, in batches. A search that sees the same packet again takes another step than before. Ruled out: hints copied between entry instances (10 M flows, 39,000 new a second). Found by its test: two services with the same servers cancelled each other in the view's membership. Costs: 16 bytes a flow and minute.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -24,6 +24,9 @@
 	// Relayed tells the receiver that this agent could not reach the candidates that
 	// are left.
 	Relayed bool
+	// Referred tells the receiver that it is the registered owner. This agent has not
+	// asked its own backend server, so that it does not count as visited.
+	Referred bool
 	// Reason is the counter for the hand-over, empty for an ordinary search.
 	Reason Reason
 }
@@ -84,4 +87,5 @@
 	HandOverOther       Reason = "handover_other_service"
 	RetryBounced        Reason = "retry_bounced"
 	HandOverRemembers   Reason = "handover_remembered"
+	ReferRegistered     Reason = "refer_registered"
 )
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -60,7 +60,8 @@
 	// queued tells that the request had to wait for a slot.
 	queued bool
 	// ended tells that the backend server sends nothing more on the flow.
-	ended bool
+	ended        bool
+	registration registration
 	// sparedUntil is until when the flow may go on though its data centre is out.
 	sparedUntil time.Time
 }
@@ -74,6 +75,10 @@
 	Searched bool
 	// Relayed tells that the sender could not reach the candidates that are left.
 	Relayed bool
+	// Referred tells that the packet was passed to the registered owner of its flow.
+	Referred bool
+	// Passed tells that the sender is another agent.
+	Passed  bool
 	Visited []fleet.InstanceID
 }
 
@@ -121,6 +126,10 @@
 	random    *rand.Rand
 	siblings  map[fleet.InstanceID]siblingReport
 	budget    retryBudget
+	directory directory
+	trail     trail
+	// membership stands for the agents in view by which registrars are chosen.
+	membership uint64
 
 	// confirmedAt is when the view was last compared with the platform.
 	confirmedAt time.Time
@@ -144,6 +153,10 @@
 		weight:    newWeightLearner(),
 		random:    random,
 		siblings:  make(map[fleet.InstanceID]siblingReport),
+		directory: newDirectory(registeredPerFlow * config.MaxFlows),
+		trail:     make(trail),
+
+		membership: view.Membership(),
 	}
 }
 
@@ -172,6 +185,9 @@
 	case flow.Connectionless:
 		return a.receiveConnectionless(now, service, arrival)
 	}
+	if action, found := a.refer(now, service, arrival); found {
+		return action
+	}
 	return a.search(now, service, arrival)
 }
 
@@ -186,6 +202,7 @@
 }
 
 func (a *Agent) receiveKnown(now time.Time, service *fleet.RoutedService, known *entry, arrival *Arrival) Action {
+	known.registration.noteSearched(arrival.Visited)
 	switch known.state {
 	case stateHanded:
 		return a.receiveHanded(now, service, known, arrival)
@@ -333,7 +350,7 @@
 // search passes a packet of a flow this agent does not own to the next
 // candidate. When all have said that they do not own it, the caller gets a reset.
 func (a *Agent) search(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
-	walk := service.NextCandidate(arrival.Packet.Flow().Hash(), a.visitedWithSelf(arrival.Visited))
+	walk := a.nextStep(now, service, arrival)
 	switch {
 	case walk.Next != nil:
 		return a.passedOn(walk.Next, "")
@@ -359,7 +376,7 @@
 
 func (a *Agent) delivered(arrival *Arrival) Action {
 	a.deliver.Opens = false
-	a.deliver.Hint = len(arrival.Visited) > 0 && arrival.Packet.Kind() != flow.Opening
+	a.deliver.Hint = arrival.Passed && arrival.Packet.Kind() != flow.Opening
 	return &a.deliver
 }
 
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -28,6 +28,9 @@
 		return a.carryOpening(now, service, known, arrival)
 	}
 	if known == nil {
+		if action, found := a.refer(now, service, arrival); found {
+			return action
+		}
 		return a.offered()
 	}
 	opened := false
@@ -42,12 +45,14 @@
 		}
 		known.state = stateOpen
 		known.opening, known.visited = nil, nil
+		known.registration.dueAt = now.Add(registerAfter)
 		opened = true
 	}
 	if a.silence.isDeaf(now) && service.IsIdempotent() && arrival.Packet.Kind() == flow.Established {
 		a.reset.Reason = ResetSilent
 		return &a.reset
 	}
+	known.registration.noteSearched(arrival.Visited)
 	known.expires = now.Add(carriedLifetime)
 	if arrival.Packet.Payload() > 0 && known.state == stateOpen {
 		a.reserveSlot(now, known)
@@ -258,6 +263,7 @@
 
 // SweepCarried forgets the flows that have ended or fallen silent.
 func (a *Agent) SweepCarried(now time.Time) {
+	a.trail.sweep(now)
 	for id, known := range a.flows {
 		if !known.askedAt.IsZero() && now.Sub(known.askedAt) > answerTimeout {
 			a.releaseSlot(now, known)
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -27,6 +27,8 @@
 	state   *fleet.State
 	agents  map[fleet.InstanceID]*Agent
 	servers map[fleet.InstanceID]*server
+	// passes counts how often packets were passed from one agent to another.
+	passes int
 }
 
 var ordersLabels = map[string]string{"app": "orders"}
@@ -88,7 +90,12 @@
 			}
 			action = r.agents[at].Bounced(settled, packet)
 		case *PassOn:
-			packet.Visited = r.agents[at].visitedWithSelf(packet.Visited)
+			if !a.Referred {
+				packet.Visited = r.agents[at].visitedWithSelf(packet.Visited)
+			}
+			packet.Referred = packet.Referred || a.Referred
+			packet.Passed = true
+			r.passes++
 			packet.Placed, packet.Relayed = a.Placed, packet.Relayed || a.Relayed
 			at = a.Target.ID()
 			action = r.agents[at].Receive(settled, packet)
--- /dev/null
+++ b/internal/core/agent/directory.go
@@ -0,0 +1,224 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// Where an open flow is. The load pattern it answers: entry instances or a whole data
+// centre fail, and the packets of all their flows come through others that have no hints.
+// Each agent registers its flows with two others, which anybody finds by the flow alone.
+// A registration is a short cut, as a hint is: a search goes on where it was wrong.
+const (
+	// registerAfter is how long a flow is open before it is registered. Most flows of a
+	// single request have ended by then.
+	registerAfter = 250 * time.Millisecond
+	// registrationLifetime is how long a registration counts.
+	registrationLifetime = 90 * time.Second
+	// renewInterval is the time between two registrations of a flow.
+	renewInterval = 60 * time.Second
+	// registeredPerFlow bounds the registrations that an agent holds for others, for each
+	// flow that it may own itself.
+	registeredPerFlow = 4
+	// maxRegistration is the number of flows that one message registers.
+	maxRegistration = 128
+)
+
+// registered says who owns a flow.
+type registered struct {
+	owner   fleet.InstanceID
+	expires time.Time
+}
+
+// directory holds the registrations of other agents' flows.
+type directory struct {
+	flows map[uint64]registered
+	limit int
+}
+
+func newDirectory(limit int) directory {
+	return directory{flows: make(map[uint64]registered), limit: limit}
+}
+
+func (d *directory) put(now time.Time, hash uint64, owner fleet.InstanceID) {
+	if _, known := d.flows[hash]; !known && len(d.flows) >= d.limit {
+		return
+	}
+	d.flows[hash] = registered{owner: owner, expires: now.Add(registrationLifetime)}
+}
+
+func (d *directory) owner(now time.Time, hash uint64) (fleet.InstanceID, bool) {
+	found, known := d.flows[hash]
+	return found.owner, known && now.Before(found.expires)
+}
+
+func (d *directory) sweep(now time.Time) {
+	for hash, entry := range d.flows {
+		if !now.Before(entry.expires) {
+			delete(d.flows, hash)
+		}
+	}
+}
+
+// Registration tells an agent of flows that this agent owns.
+type Registration struct {
+	To    *fleet.Target
+	Flows []uint64
+}
+
+// Registered stores that another agent owns flows, named by their hashes.
+func (a *Agent) Registered(now time.Time, owner fleet.InstanceID, flows []uint64) {
+	for _, hash := range flows {
+		a.directory.put(now, hash, owner)
+	}
+}
+
+// registrar is an agent that was told of a flow. One that has restarted knows nothing.
+type registrar struct {
+	id          fleet.InstanceID
+	incarnation uint64
+}
+
+// registration is what an owner has told others of a flow.
+type registration struct {
+	registrars [fleet.Registrars]registrar
+	// dueAt is when the flow is to be registered next.
+	dueAt time.Time
+	// membership is that of the view by which the registrars were chosen.
+	membership uint64
+}
+
+func (r *registration) isDue(now time.Time, membership uint64) bool {
+	return !now.Before(r.dueAt) || r.membership != 0 && r.membership != membership
+}
+
+// Registrations returns what other agents are to be told of the open flows: of new ones,
+// of those whose registrars have changed, and now and then of all.
+func (a *Agent) Registrations(now time.Time) []Registration {
+	a.directory.sweep(now)
+	batch := make(map[fleet.InstanceID]*Registration)
+	for id, known := range a.flows {
+		if known.state != stateOpen || known.ended || !known.registration.isDue(now, a.membership) {
+			continue
+		}
+		if service := a.view.Service(known.service); service != nil {
+			a.register(now, service, id.Hash(), &known.registration, batch)
+		}
+	}
+	var registrations []Registration
+	for _, registration := range batch {
+		for part := range slices.Chunk(registration.Flows, maxRegistration) {
+			registrations = append(registrations, Registration{To: registration.To, Flows: part})
+		}
+	}
+	return registrations
+}
+
+func (a *Agent) register(now time.Time, service *fleet.RoutedService, hash uint64, told *registration, batch map[fleet.InstanceID]*Registration) {
+	renew := !now.Before(told.dueAt)
+	for i, target := range service.Registrars(hash) {
+		if target == nil || target.ID() == a.config.Self {
+			continue
+		}
+		next := registrar{target.ID(), target.Incarnation()}
+		if !renew && slices.Contains(told.registrars[:], next) {
+			continue
+		}
+		told.registrars[i] = next
+		if batch[next.id] == nil {
+			batch[next.id] = &Registration{To: target}
+		}
+		batch[next.id].Flows = append(batch[next.id].Flows, hash)
+	}
+	told.membership = a.membership
+	if renew {
+		told.dueAt = now.Add(renewInterval)
+	}
+}
+
+// noteSearched has a flow registered again if a search for it has passed an agent that
+// should have known its owner.
+func (r *registration) noteSearched(visited []fleet.InstanceID) {
+	for _, told := range r.registrars {
+		if told.id != 0 && slices.Contains(visited, told.id) {
+			r.dueAt = time.Time{}
+		}
+	}
+}
+
+// refer passes a packet of a flow that this agent does not know to the registered owner,
+// once for each packet.
+func (a *Agent) refer(now time.Time, service *fleet.RoutedService, arrival *Arrival) (Action, bool) {
+	owner, known := a.directory.owner(now, arrival.Packet.Flow().Hash())
+	if !known || arrival.Referred || owner == a.config.Self || slices.Contains(arrival.Visited, owner) {
+		return nil, false
+	}
+	target := service.Target(owner)
+	if target == nil || !target.IsReachable() {
+		return nil, false
+	}
+	action := a.passedOn(target, ReferRegistered)
+	action.Referred = true
+	return action, true
+}
+
+// trailLifetime is how long a step of a search is remembered.
+const trailLifetime = 2 * time.Second
+
+// repeatAfter is the least time between a packet and its retransmission.
+const repeatAfter = 100 * time.Millisecond
+
+// step is where a search of a flow went from here.
+type step struct {
+	sequence uint32
+	next     fleet.InstanceID
+	at       time.Time
+}
+
+// trail remembers the steps of searches, so that a retransmission takes another way: the
+// one before has led nowhere, though nobody may have noticed why yet.
+type trail map[flow.ID]step
+
+// isFutile reports whether a packet was passed to a candidate before and is sent again.
+func (t trail) isFutile(now time.Time, packet flow.Packet, next fleet.InstanceID) bool {
+	last, known := t[packet.Flow()]
+	age := now.Sub(last.at)
+	return known && last.next == next && last.sequence == packet.Sequence() && age >= repeatAfter && age < trailLifetime
+}
+
+func (t trail) note(now time.Time, packet flow.Packet, next fleet.InstanceID, limit int) {
+	last, known := t[packet.Flow()]
+	if known && last.sequence != packet.Sequence() && now.Sub(last.at) < trailLifetime || !known && len(t) >= limit {
+		return
+	}
+	t[packet.Flow()] = step{sequence: packet.Sequence(), next: next, at: now}
+}
+
+func (t trail) sweep(now time.Time) {
+	for id, last := range t {
+		if now.Sub(last.at) >= trailLifetime {
+			delete(t, id)
+		}
+	}
+}
+
+// nextStep returns the next candidate of a search. It is another one than for the packet
+// of which this one is a retransmission, if there is one.
+func (a *Agent) nextStep(now time.Time, service *fleet.RoutedService, arrival *Arrival) fleet.Walk {
+	packet, visited := arrival.Packet, a.visitedWithSelf(arrival.Visited)
+	walk := service.NextCandidate(packet.Flow().Hash(), visited)
+	if walk.Next == nil {
+		return walk
+	}
+	if a.trail.isFutile(now, packet, walk.Next.ID()) {
+		other := service.NextCandidate(packet.Flow().Hash(), append(slices.Clone(visited), walk.Next.ID()))
+		if other.Next != nil {
+			walk = other
+		}
+	}
+	a.trail.note(now, packet, walk.Next.ID(), a.config.MaxFlows)
+	return walk
+}
--- /dev/null
+++ b/internal/core/agent/directory_test.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// register carries the registrations that are due to the agents they are for.
+func (r *rig) register(now time.Time) int {
+	sent := 0
+	for id, a := range r.agents {
+		for _, registration := range a.Registrations(now) {
+			r.agents[registration.To.ID()].Registered(now, id, registration.Flows)
+			sent += len(registration.Flows)
+		}
+	}
+	return sent
+}
+
+// later is when flows that were opened at the settled instant have been registered.
+var later = settled.Add(registerAfter)
+
+// The flows of entry instances that have failed come through others, to any agent.
+func TestRegisteredFlowIsFoundInTwoSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(t, rapid.IntRange(2, 40).Draw(t, "agents"))
+		ids := r.ids()
+		owner := r.open(t, rapid.SampledFrom(ids).Draw(t, "entry"), 4000)
+		r.register(later)
+		r.passes = 0
+		found, action := r.travel(t, rapid.SampledFrom(ids).Draw(t, "other entry"), arrival(4000, flow.Established, 77))
+		require.IsType(t, &Deliver{}, action)
+		require.Equal(t, owner, found)
+		require.LessOrEqual(t, r.passes, 2, "one step to a registrar, one to the owner")
+	})
+}
+
+func TestFlowIsRegisteredAgainWhenItsRegistrarsHaveRestarted(t *testing.T) {
+	r := newRig(t, 12)
+	ids := r.ids()
+	owner := r.open(t, ids[0], 4000)
+	require.Positive(t, r.register(later))
+	require.Zero(t, r.register(later.Add(time.Second)), "it is registered once")
+	for _, id := range ids {
+		if id != owner {
+			r.restart(id)
+		}
+	}
+	found, _ := r.travel(t, other(ids, owner), arrival(4000, flow.Established, 77))
+	require.Equal(t, owner, found)
+	require.Positive(t, r.register(later.Add(2*time.Second)))
+	r.passes = 0
+	r.travel(t, other(ids, owner), arrival(4000, flow.Established, 78))
+	require.LessOrEqual(t, r.passes, 2)
+}
+
+// A registrar fails, and the flow gets another one before it is looked for.
+func TestFlowIsRegisteredElsewhereWhenARegistrarFails(t *testing.T) {
+	r := newRig(t, 12)
+	owner := r.open(t, r.ids()[0], 4000)
+	r.register(later)
+	registrars := r.agents[owner].view.Service(fleet.ServiceIDOf("orders")).Registrars(flowOf(4000).Hash())
+	for _, gone := range registrars {
+		if gone.ID() != owner {
+			r.state.Peers().SetReachable(epoch, gone.ID(), false)
+		}
+	}
+	r.applyView()
+	require.Positive(t, r.register(later.Add(time.Second)))
+	r.passes = 0
+	found, _ := r.travel(t, other(r.ids(), owner, registrars[0].ID(), registrars[1].ID()), arrival(4000, flow.Established, 77))
+	require.Equal(t, owner, found)
+	require.LessOrEqual(t, r.passes, 2)
+}
+
+func TestWrongRegistrationOnlyCostsAStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(t, rapid.IntRange(2, 8).Draw(t, "agents"))
+		ids := r.ids()
+		owner := r.open(t, rapid.SampledFrom(ids).Draw(t, "entry"), 4000)
+		r.restart(owner)
+		for _, id := range ids {
+			named := rapid.SampledFrom(ids).Draw(t, "named")
+			r.agents[id].Registered(settled, named, []uint64{flowOf(4000).Hash()})
+		}
+		found, action := r.travel(t, rapid.SampledFrom(ids).Draw(t, "other entry"), arrival(4000, flow.Established, 77))
+		require.IsType(t, &Deliver{}, action)
+		require.Equal(t, owner, found)
+	})
+}
+
+func TestRegistrationsAreBounded(t *testing.T) {
+	r := newRig(t, 2)
+	a := r.agents[r.ids()[0]]
+	for hash := range uint64(10 * registeredPerFlow * a.config.MaxFlows) {
+		a.Registered(settled, r.ids()[1], []uint64{hash})
+	}
+	require.Len(t, a.directory.flows, registeredPerFlow*a.config.MaxFlows)
+	a.Registrations(settled.Add(registrationLifetime))
+	require.Empty(t, a.directory.flows)
+}
+
+// An agent has gone dark and nobody has noticed: the retransmission takes another way.
+func TestRetransmissionIsSearchedForByAnotherWay(t *testing.T) {
+	r := newRig(t, 6)
+	a := r.agents[r.ids()[0]]
+	search := func(now time.Time, sequence uint32) fleet.InstanceID {
+		packet := arrival(4000, flow.Established, 77)
+		packet.Packet = flow.NewPacket(packet.Packet.Flow(), flow.Established, sequence, 77, packet.Packet.Bytes())
+		a.Receive(now, packet)
+		return a.Bounced(now, packet).(*PassOn).Target.ID()
+	}
+	first := search(settled, 1)
+	require.Equal(t, first, search(settled.Add(time.Millisecond), 2), "another packet of the flow goes the same way")
+	second := search(settled.Add(200*time.Millisecond), 1)
+	require.NotEqual(t, first, second)
+	require.Equal(t, first, search(settled.Add(time.Minute), 1))
+}
+
+// other returns an agent that is none of those given.
+func other(ids []fleet.InstanceID, not ...fleet.InstanceID) fleet.InstanceID {
+	for _, id := range ids {
+		if !slices.Contains(not, id) {
+			return id
+		}
+	}
+	panic(fmt.Sprintf("all of %d agents are excluded", len(ids)))
+}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -146,6 +146,7 @@
 // because their service is gone or their data centre is out.
 func (a *Agent) ApplyView(view *fleet.View) []Owned {
 	a.view, a.together = view, siblingsIn(view, a.config.Self)
+	a.membership = view.Membership()
 	if backend := view.Backend(a.config.Self); backend != nil {
 		a.warmup.list(backend)
 	}
@@ -225,6 +226,7 @@
 // Sweep forgets hand-overs that have expired and returns the half-open flows
 // that have.
 func (a *Agent) Sweep(now time.Time) []Owned {
+	a.trail.sweep(now)
 	var expired []Owned
 	for id, known := range a.flows {
 		if known.expires.After(now) {
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -155,9 +155,25 @@
 			view.distinct = append(view.distinct, routed)
 		}
 	}
+	view.membership = membershipOf(view.distinct)
 	return view
 }
 
+// membershipOf stands for what decides which agents a flow is registered with. It is
+// never zero.
+func membershipOf(services []*RoutedService) uint64 {
+	digest := uint64(1)
+	for _, service := range services {
+		for i := range service.targets[:service.selected] {
+			target := &service.targets[i]
+			if target.reachable && !target.suspected && !target.leaving {
+				digest = mix(digest^target.incarnation, target.id)
+			}
+		}
+	}
+	return max(digest, 1)
+}
+
 func (s *State) backendsByID() map[InstanceID]*Backend {
 	backends := make(map[InstanceID]*Backend, len(s.backends.Backends))
 	for i := range s.backends.Backends {
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/flow"
@@ -171,6 +169,8 @@
 	backends  map[InstanceID]*Backend
 	draining  map[string]bool
 	settledAt time.Time
+
+	membership uint64
 }
 
 // Revisions holds the revision of each document.
@@ -202,6 +202,10 @@
 // same targets it holds one.
 func (v *View) Distinct() []*RoutedService { return v.distinct }
 
+// Membership returns a number that changes when agents come, go, restart or are found
+// to be gone.
+func (v *View) Membership() uint64 { return v.membership }
+
 // Node returns a node of the fleet, or nil.
 func (v *View) Node(id InstanceID) *Node { return v.nodes[id] }
 
@@ -221,145 +225,3 @@
 // SettledAt returns the instant from which the view counts as settled: every
 // process has had time to apply the change that led to it.
 func (v *View) SettledAt() time.Time { return v.settledAt }
-
-// score is the weighted rendezvous score of a target for a flow hash.
-func score(hash uint64, target *Target) float64 {
-	h := hash ^ uint64(target.id)*0x9E3779B97F4A7C15
-	h = (h ^ h>>32) * 0xd6e8feb86659fd93
-	h = (h ^ h>>32) * 0xd6e8feb86659fd93
-	h ^= h >> 32
-	uniform := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(target.weight) / math.Log(uniform)
-}
-
-// Primary returns the target that decides about a new flow: the first accepting
-// candidate. Where others suspect all of them, suspicion does not count, so that one
-// process with a broken path cannot empty a service. Primary returns nil if no target is
-// accepting.
-func (s *RoutedService) Primary(hash uint64) *Target {
-	if primary := s.best(hash, (*Target).IsAccepting); primary != nil {
-		return primary
-	}
-	return s.best(hash, func(target *Target) bool { return target.accepting })
-}
-
-// Home returns the first reachable candidate of an established flow, selected
-// targets before residual ones. It returns nil if none is reachable.
-func (s *RoutedService) Home(hash uint64) *Target {
-	if home := s.bestUnsuspected(hash, (*Target).IsReachable); home != nil {
-		return home
-	}
-	for i := s.selected; i < len(s.targets); i++ {
-		if s.targets[i].reachable {
-			return &s.targets[i]
-		}
-	}
-	return nil
-}
-
-// NextAccepting returns the first candidate of a new flow that is reachable and not
-// in visited, or nil.
-func (s *RoutedService) NextAccepting(hash uint64, visited []InstanceID) *Target {
-	return s.best(hash, func(target *Target) bool {
-		return target.IsAccepting() && !slices.Contains(visited, target.id)
-	})
-}
-
-// Relay returns a reachable target outside two data centres, or nil. It may have a
-// path where this process has none.
-func (s *RoutedService) Relay(hash uint64, here, there string) *Target {
-	return s.best(hash, func(target *Target) bool {
-		return target.reachable && target.dataCentre != here && target.dataCentre != there
-	})
-}
-
-// bestUnsuspected returns the first eligible target that nobody suspects, or else the
-// first eligible one.
-func (s *RoutedService) bestUnsuspected(hash uint64, eligible func(*Target) bool) *Target {
-	best := s.best(hash, func(target *Target) bool { return !target.suspected && eligible(target) })
-	if best != nil {
-		return best
-	}
-	return s.best(hash, eligible)
-}
-
-func (s *RoutedService) best(hash uint64, eligible func(*Target) bool) *Target {
-	var best *Target
-	highest := math.Inf(-1)
-	for i := range s.targets[:s.selected] {
-		target := &s.targets[i]
-		if !eligible(target) {
-			continue
-		}
-		if value := score(hash, target); value > highest {
-			best, highest = target, value
-		}
-	}
-	return best
-}
-
-// NthAccepting returns the target that a copy of an opening packet goes to: the first
-// accepting candidate, the second for the first copy, and so on. It returns nil if
-// no target is accepting.
-func (s *RoutedService) NthAccepting(hash uint64, copies uint32) *Target {
-	var visited [maxCopies]InstanceID
-	primary := s.Primary(hash)
-	target := primary
-	for n := range min(copies, maxCopies) {
-		if target == nil {
-			return primary
-		}
-		visited[n] = target.id
-		target = s.NextAccepting(hash, visited[:n+1])
-	}
-	if target == nil {
-		return primary
-	}
-	return target
-}
-
-// maxCopies is how many copies of an opening packet go to targets of their own.
-const maxCopies = 4
-
-// Walk is the next step of the search for the owner of a flow.
-type Walk struct {
-	// Next is the next candidate to ask, or nil if none is left.
-	Next *Target
-	// Skipped reports whether a candidate was passed over because it does not
-	// answer. The search is then not conclusive.
-	Skipped bool
-	// Leaving reports whether a candidate that was passed over has announced that it
-	// leaves.
-	Leaving bool
-	// SkippedIn is the data centre of a candidate that was passed over.
-	SkippedIn string
-}
-
-// NextCandidate returns the first reachable candidate that is not in visited: selected
-// targets in rendezvous order, those that are suspected last, then residual owners.
-func (s *RoutedService) NextCandidate(hash uint64, visited []InstanceID) Walk {
-	var walk Walk
-	unvisited := func(target *Target) bool {
-		if slices.Contains(visited, target.id) {
-			return false
-		}
-		if !target.reachable {
-			walk.Skipped = true
-			walk.Leaving = walk.Leaving || target.leaving
-			walk.SkippedIn = target.dataCentre
-			return false
-		}
-		return true
-	}
-	walk.Next = s.bestUnsuspected(hash, unvisited)
-	if walk.Next != nil {
-		return walk
-	}
-	for i := s.selected; i < len(s.targets); i++ {
-		if unvisited(&s.targets[i]) {
-			walk.Next = &s.targets[i]
-			return walk
-		}
-	}
-	return walk
-}
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -185,6 +185,7 @@
 			return nil
 		case <-sweep.C:
 			a.sweep(clock.Now())
+			reporter.register()
 			a.describe()
 		case <-report.C:
 			reporter.send()
--- a/internal/daemon/agent/report.go
+++ b/internal/daemon/agent/report.go
@@ -8,7 +8,7 @@
 	"github.com/radishmast/radishmast/internal/link/clock"
 )
 
-// reporter sends load reports to the agent's siblings.
+// reporter sends load reports to the agent's siblings, and registers its flows.
 type reporter struct {
 	agent  *Agent
 	sender *node.Sender
@@ -52,6 +52,14 @@
 	r.sendTo(report, siblings)
 }
 
+// register tells other agents of the flows that they do not know of yet.
+func (r *reporter) register() {
+	r.agent.mu.Lock()
+	registrations := r.agent.core.Registrations(clock.Now())
+	r.agent.mu.Unlock()
+	exchange.SendRegistrations(r.agent.node, r.sender, r.agent.logger, registrations)
+}
+
 func (r *reporter) sendTo(report core.Report, siblings []*fleet.Target) {
 	exchange.SendReport(r.agent.node, r.sender, r.agent.logger, report, siblings)
 }
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -38,6 +38,8 @@
 		t.handlePacket(header, body)
 	case datagram.Load:
 		t.handleLoad(header, body)
+	case datagram.Register:
+		t.handleRegistration(header, body)
 	default:
 		t.agent.counters.Add("drop_unexpected_kind", 1)
 	}
@@ -57,6 +59,17 @@
 	}
 }
 
+func (t *traffic) handleRegistration(header *datagram.Header, body []byte) {
+	flows, err := exchange.ReadRegistration(body)
+	if err != nil {
+		t.agent.counters.Add("drop_undecodable", 1)
+		return
+	}
+	t.agent.mu.Lock()
+	defer t.agent.mu.Unlock()
+	t.agent.core.Registered(clock.Now(), fleet.InstanceID(header.From), flows)
+}
+
 func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
 	now := clock.Now()
 	if !t.agent.node.IsValid(now) {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -201,7 +201,9 @@
 		case <-sweep.C:
 			c.mu.Lock()
 			c.core.SweepCarried(clock.Now())
+			registrations := c.core.Registrations(clock.Now())
 			c.mu.Unlock()
+			exchange.SendRegistrations(c.node, sender, c.logger, registrations)
 			c.describe()
 		case <-report.C:
 			c.report(sender)
--- a/internal/daemon/carrier/traffic.go
+++ b/internal/daemon/carrier/traffic.go
@@ -51,6 +51,8 @@
 		t.handlePacket(header, body)
 	case datagram.Load:
 		t.handleLoad(header, body)
+	case datagram.Register:
+		t.handleRegistration(header, body)
 	default:
 		t.carrier.counters.Add("drop_unexpected_kind", 1)
 	}
@@ -67,6 +69,17 @@
 	t.carrier.core.Heard(clock.Now(), fleet.InstanceID(header.From), report)
 }
 
+func (t *traffic) handleRegistration(header *datagram.Header, body []byte) {
+	flows, err := exchange.ReadRegistration(body)
+	if err != nil {
+		t.carrier.counters.Add("drop_undecodable", 1)
+		return
+	}
+	t.carrier.mu.Lock()
+	defer t.carrier.mu.Unlock()
+	t.carrier.core.Registered(clock.Now(), fleet.InstanceID(header.From), flows)
+}
+
 func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
 	now := clock.Now()
 	if !t.carrier.node.IsValid(now) {
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -1,5 +1,5 @@
 // Package exchange holds what both kinds of agent say to other processes: packets
-// passed on and load reports.
+// passed on, load reports and registrations of flows.
 package exchange
 
 import (
@@ -25,6 +25,8 @@
 	arrival.Placed = header.Flags&datagram.Placed != 0
 	arrival.Searched = header.Flags&datagram.Searched != 0
 	arrival.Relayed = header.Flags&datagram.Relayed != 0
+	arrival.Referred = header.Flags&datagram.Referred != 0
+	arrival.Passed = header.From != header.Origin
 	arrival.Visited = arrival.Visited[:0]
 	for _, id := range header.Visited {
 		arrival.Visited = append(arrival.Visited, fleet.InstanceID(id))
@@ -35,7 +37,7 @@
 // of visited, which must not be changed before the header is encoded.
 func PassOnHeader(n *node.Node, in *datagram.Header, action *core.PassOn, visited []uint64) datagram.Header {
 	visited = append(visited[:0], in.Visited...)
-	if self := uint64(n.ID()); !slices.Contains(visited, self) {
+	if self := uint64(n.ID()); !action.Referred && !slices.Contains(visited, self) {
 		visited = append(visited, self)
 	}
 	out := n.Header(datagram.Packet, action.Target.ID(), action.Target.Incarnation())
@@ -43,7 +45,7 @@
 	out.Revision = max(out.Revision, in.Revision)
 	out.Origin, out.Reply = in.Origin, in.Reply
 	out.Visited = visited
-	out.Flags = flagsOf(action) | in.Flags&datagram.Relayed
+	out.Flags = flagsOf(action) | in.Flags&(datagram.Relayed|datagram.Referred)
 	return out
 }
 
@@ -58,6 +60,9 @@
 	if action.Relayed {
 		flags |= datagram.Relayed
 	}
+	if action.Referred {
+		flags |= datagram.Referred
+	}
 	return flags
 }
 
@@ -84,6 +89,29 @@
 	sender.Flush()
 }
 
+// ReadRegistration decodes the hashes of flows that an agent registers.
+func ReadRegistration(body []byte) ([]uint64, error) {
+	var flows []uint64
+	if err := cbor.Unmarshal(body, &flows); err != nil {
+		return nil, fmt.Errorf("decode registration: %w", err)
+	}
+	return flows, nil
+}
+
+// SendRegistrations tells other agents of flows.
+func SendRegistrations(n *node.Node, sender *node.Sender, logger log.Interface, registrations []core.Registration) {
+	for _, registration := range registrations {
+		body, err := cbor.Marshal(registration.Flows)
+		if err != nil {
+			logger.WithError(fmt.Errorf("encode registration for %s: %w", registration.To.Name(), err)).Error("register")
+			continue
+		}
+		header := n.Header(datagram.Register, registration.To.ID(), registration.To.Incarnation())
+		sender.QueueControl(&header, body, registration.To.Data())
+	}
+	sender.Flush()
+}
+
 // RetryHeader returns the header that stands for how an opening packet came that is
 // handed on later.
 func RetryHeader(retry *core.Retry) datagram.Header {
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -23,9 +23,16 @@
 // MaxSize is the largest datagram sent or accepted, in bytes.
 const MaxSize = 4096
 
-// authenticatedBody is how many bytes of the body the tag covers: the IP and
-// transport headers of a packet, and the whole of every control body in use.
-const authenticatedBody = 64
+// authenticatedPacket is how many bytes of a packet the tag covers: its IP and transport
+// headers. Of other bodies it covers all.
+const authenticatedPacket = 64
+
+func authenticated(kind Kind, body []byte) []byte {
+	if kind == Packet {
+		return body[:min(len(body), authenticatedPacket)]
+	}
+	return body
+}
 
 // Kind tells what follows the header.
 type Kind uint8
@@ -42,6 +49,8 @@
 	ProbeAnswer
 	// Load carries an agent's load report to its siblings.
 	Load
+	// Register tells an agent of flows that the sender owns.
+	Register
 )
 
 // Flags qualify a carried packet.
@@ -55,6 +64,8 @@
 	// Relayed marks a packet whose sender could not reach the candidates that are
 	// left.
 	Relayed
+	// Referred marks a packet that was passed to the registered owner of its flow.
+	Referred
 )
 
 // Header precedes every datagram.
@@ -141,6 +152,7 @@
 // Prefix is an encoded header. Datagrams that differ only in their body share
 // one.
 type Prefix struct {
+	kind   Kind
 	bytes  []byte
 	digest uint64
 }
@@ -152,13 +164,13 @@
 	if err := c.encoder.MarshalToBuffer(header, &buffer); err != nil {
 		return Prefix{}, fmt.Errorf("encode header: %w", err)
 	}
-	return Prefix{bytes: buffer.Bytes(), digest: c.sign.digest(buffer.Bytes())}, nil
+	return Prefix{kind: header.Kind, bytes: buffer.Bytes(), digest: c.sign.digest(buffer.Bytes())}, nil
 }
 
 // AppendPrefixed writes the datagram of a prefix and a body to an empty buffer.
 func (c *Codec) AppendPrefixed(buffer *bytes.Buffer, prefix Prefix, body []byte) error {
 	buffer.Write(prefix.bytes)
-	return c.appendBody(buffer, prefix.digest, body)
+	return c.appendBody(buffer, prefix.digest, prefix.kind, body)
 }
 
 // AppendTo writes the datagram of a header and a body to an empty buffer.
@@ -167,11 +179,11 @@
 	if err := c.encoder.MarshalToBuffer(header, buffer); err != nil {
 		return fmt.Errorf("encode header: %w", err)
 	}
-	return c.appendBody(buffer, c.sign.digest(buffer.Bytes()), body)
+	return c.appendBody(buffer, c.sign.digest(buffer.Bytes()), header.Kind, body)
 }
 
-func (c *Codec) appendBody(buffer *bytes.Buffer, digest uint64, body []byte) error {
-	c.tag = c.sign.tag(digest, body)
+func (c *Codec) appendBody(buffer *bytes.Buffer, digest uint64, kind Kind, body []byte) error {
+	c.tag = c.sign.tag(digest, authenticated(kind, body))
 	if err := c.encoder.MarshalToBuffer(&c.tag, buffer); err != nil {
 		return fmt.Errorf("encode tag: %w", err)
 	}
@@ -202,7 +214,7 @@
 	if err != nil {
 		return nil, ErrDecode
 	}
-	if !c.isAuthentic(signed, body, tag) {
+	if !c.isAuthentic(signed, authenticated(header.Kind, body), tag) {
 		return nil, ErrTag
 	}
 	return body, nil
@@ -228,11 +240,11 @@
 	return siphash.Hash(k.k0, k.k1, header)
 }
 
-// tag computes the authentication tag from the header's digest and the start of
-// the body.
+// tag computes the authentication tag from the header's digest and the part of the body
+// that it covers.
 func (k Key) tag(digest uint64, body []byte) uint64 {
 	if !k.set {
 		return 0
 	}
-	return siphash.Hash(k.k0^digest, k.k1, body[:min(len(body), authenticatedBody)])
+	return siphash.Hash(k.k0^digest, k.k1, body)
 }
