Keep half-open flows for a minute, and log decisions of both kinds of agent

Ruled out: resets of the stack, of the data centre taken out, and the search (each step stands in the log). Change: a half-open flow lives 60 s where agents end flows, as callers go on sending that long. Both kinds of agent now share one dispatcher (packets, load reports, registrations, hints, decision lines), which also replaces the code that stood twice.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -17,8 +17,13 @@
 
 // Lifetimes of table entries.
 const (
-	handedLifetime  = 60 * time.Second
-	halfOpenTimeout = 10 * time.Second
+	handedLifetime = 60 * time.Second
+	// halfOpenTimeout is how long a flow may wait for the caller's confirmation. The
+	// caller takes it for open already and goes on sending through a partition.
+	halfOpenTimeout = 60 * time.Second
+	// carriedHalfOpenTimeout is the same where the backend server ends the flows itself
+	// and gives up sooner.
+	carriedHalfOpenTimeout = 10 * time.Second
 )
 
 // closingPerFlow bounds the flows that have ended but may still have to answer,
@@ -298,7 +303,7 @@
 		service:  service.ID(),
 		state:    statePending,
 		sequence: arrival.Packet.Sequence(),
-		expires:  now.Add(halfOpenTimeout),
+		expires:  now.Add(a.halfOpenTimeout()),
 		opening:  slices.Clone(arrival.Packet.Bytes()),
 		visited:  slices.Clone(arrival.Visited),
 	}
@@ -312,6 +317,13 @@
 	return &a.deliver
 }
 
+func (a *Agent) halfOpenTimeout() time.Duration {
+	if a.config.Carried {
+		return carriedHalfOpenTimeout
+	}
+	return halfOpenTimeout
+}
+
 func (a *Agent) rememberHandOver(now time.Time, service fleet.ServiceID, id flow.ID, owner fleet.InstanceID) {
 	if a.handed >= a.config.MaxHanded {
 		return
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -99,6 +99,21 @@
 	})
 }
 
+// The confirmation of a flow gets lost in a partition of half a minute. The caller takes
+// the flow for open.
+func TestHalfOpenFlowOutlivesAPartition(t *testing.T) {
+	all, view := agents(t, 2, HashOnly{})
+	home := view.Service(orders).Primary(flowOf(4000).Hash()).ID()
+	owner, _ := travel(t, all, home, arrival(4000, flow.Opening, 0))
+	all[owner].Answered(flowOf(4000), 42)
+	require.Empty(t, all[owner].Sweep(settled.Add(30*time.Second)))
+	_, action := travel(t, all, home, arrival(4000, flow.Established, 42))
+	require.IsType(t, &Deliver{}, action)
+	owner, _ = travel(t, all, home, arrival(4001, flow.Opening, 0))
+	all[owner].Answered(flowOf(4001), 42)
+	require.NotEmpty(t, all[owner].Sweep(settled.Add(halfOpenTimeout)))
+}
+
 func TestRetransmittedOpeningGetsTheSameDecision(t *testing.T) {
 	all, view := agents(t, 3, HandOverWhenFull{})
 	home := view.Service(orders).Primary(flowOf(4000).Hash()).ID()
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/radishmast/radishmast/internal/link/caller"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/link/fabric"
+	"github.com/radishmast/radishmast/internal/link/operator"
 )
 
 const (
@@ -55,6 +56,7 @@
 	// loadChanged wakes the reporter when a slot falls free or a request waits.
 	loadChanged chan struct{}
 	conns       map[flow.ID]*splice
+	decisions   *operator.Decisions
 }
 
 // Run serves until ctx is done, then drains: it takes no new flows and ends when
@@ -106,6 +108,7 @@
 		load:        load,
 		loadChanged: make(chan struct{}, 1),
 		conns:       make(map[flow.ID]*splice),
+		decisions:   operator.NewDecisions(logger, counters),
 	}
 	a.core = core.New(core.Config{
 		Self:       n.ID(),
@@ -148,14 +151,14 @@
 	if err != nil {
 		return err
 	}
-	traffic, err := newTraffic(a)
+	dispatcher, err := a.newDispatcher()
 	if err != nil {
 		return err
 	}
 	group.Go(func() error {
 		return a.node.Repeat(ctx, a.node.Socket(), func() error {
-			defer traffic.flush()
-			return receiver.Step(traffic.handle)
+			defer dispatcher.Flush()
+			return receiver.Step(dispatcher.Handle)
 		})
 	})
 	group.Go(func() error { return a.sendAnswers(ctx) })
@@ -268,8 +271,7 @@
 	}
 	a.mu.Unlock()
 	for _, owned := range expired {
-		a.counters.Add("refuse_handshake_timeout", 1)
-		a.cut(owned)
+		a.cut(owned, refuseHandshakeTimeout)
 	}
 }
 
@@ -290,7 +292,6 @@
 	cut := a.core.ApplyView(view)
 	a.mu.Unlock()
 	for _, owned := range cut {
-		a.counters.Add("reset_data_centre_out", 1)
 		a.cutAnswered(owned)
 	}
 }
@@ -306,17 +307,18 @@
 	s := a.conns[owned.Flow]
 	a.mu.Unlock()
 	if s == nil || s.attempt != owned.Attempt || !s.request.isUnanswered() {
-		a.cut(owned)
+		a.cut(owned, resetDataCentreOut)
 		return
 	}
 	a.mu.Lock()
 	a.core.Spare(owned, clock.Now().Add(answerGrace))
 	a.mu.Unlock()
-	time.AfterFunc(answerGrace, func() { a.cut(owned) })
+	time.AfterFunc(answerGrace, func() { a.cut(owned, resetDataCentreOut) })
 }
 
 // cut resets a flow, or makes one that is still opening fail.
-func (a *Agent) cut(owned core.Owned) {
+func (a *Agent) cut(owned core.Owned, reason core.Reason) {
+	a.recordEnd(owned.Flow, reason, nil)
 	a.mu.Lock()
 	a.core.Closed(owned.Flow, owned.Attempt)
 	s := a.conns[owned.Flow]
@@ -331,6 +333,27 @@
 	}
 }
 
+// Reasons for which the agent ends a flow that it owns.
+const (
+	refuseHandshakeTimeout core.Reason = "refuse_handshake_timeout"
+	resetDataCentreOut     core.Reason = "reset_data_centre_out"
+	resetBackendBroke      core.Reason = "reset_backend_broke"
+	cancelCallerGone       core.Reason = "cancel_caller_gone"
+)
+
+// recordEnd logs and counts that a flow ends before both sides have finished.
+func (a *Agent) recordEnd(id flow.ID, reason core.Reason, cause error) {
+	a.counters.Add(string(reason), 1)
+	a.decisions.Record(operator.Decision{
+		Event:    "end",
+		Flow:     id,
+		Reason:   string(reason),
+		Cause:    cause,
+		Revision: a.node.Revisions().Highest(),
+		Age:      a.node.Age(clock.Now()),
+	})
+}
+
 // clear removes what the stack keeps of an earlier flow with the same addresses
 // and ports.
 func (a *Agent) clear(id flow.ID) {
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -11,12 +11,10 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
-	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/link/backend"
 	"github.com/radishmast/radishmast/internal/link/caller"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/chunk"
-	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
 // splice joins a caller's flow with a connection to the backend server.
@@ -139,27 +137,14 @@
 }
 
 func (a *Agent) carryOut(retry *core.Retry) {
-	switch action := retry.Action.(type) {
-	case *core.Reset:
-		if packet, err := (ipv4.Format{}).Parse(retry.Opening); err == nil {
-			a.reset(packet, action.Reason)
-		}
-	case *core.PassOn:
-		a.counters.Add(string(action.Reason), 1)
-		a.sendRetry(retry, action)
-	}
-}
-
-func (a *Agent) sendRetry(retry *core.Retry, action *core.PassOn) {
-	sender, err := a.node.NewSender()
+	dispatcher, err := a.newDispatcher()
 	if err != nil {
 		a.counters.Add("drop_send_failed", 1)
+		a.logger.WithError(err).Error("retry")
 		return
 	}
-	in := exchange.RetryHeader(retry)
-	header := exchange.PassOnHeader(a.node, &in, action, nil)
-	sender.Queue(&header, retry.Opening, action.Target.Data())
-	sender.Flush()
+	dispatcher.Retry(retry)
+	dispatcher.Flush()
 }
 
 // run copies both directions until they end.
@@ -187,13 +172,14 @@
 			return
 		}
 		if err != nil {
-			s.agent.counters.Add("cancel_caller_gone", 1)
+			s.agent.recordEnd(s.id, cancelCallerGone, err)
 			s.backend.Abort()
 			return
 		}
 		s.request.start()
 		err = write(s.backend, data)
 		if err != nil {
+			s.agent.recordEnd(s.id, resetBackendBroke, err)
 			s.caller.Abort()
 			return
 		}
@@ -242,6 +228,7 @@
 	if errors.Is(err, syscall.ECONNRESET) {
 		s.agent.restarted()
 	}
+	s.agent.recordEnd(s.id, resetBackendBroke, err)
 	s.caller.Abort()
 }
 
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -1,149 +1,48 @@
 package agent
 
 import (
-	"encoding/binary"
 	"time"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/daemon/exchange"
-	"github.com/radishmast/radishmast/internal/daemon/node"
-	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 	"github.com/radishmast/radishmast/internal/wire/ipv4"
 )
 
-// traffic carries out decisions about the packets of one goroutine.
-type traffic struct {
-	agent   *Agent
-	sender  *node.Sender
-	arrival core.Arrival
-	out     datagram.Header
-	visited []uint64
-}
-
-func newTraffic(a *Agent) (*traffic, error) {
-	sender, err := a.node.NewSender()
-	if err != nil {
-		return nil, err
-	}
-	return &traffic{agent: a, sender: sender}, nil
-}
-
-// handle processes one datagram from a balancer or another agent.
-func (t *traffic) handle(header *datagram.Header, body []byte) {
-	switch header.Kind {
-	case datagram.Packet:
-		t.handlePacket(header, body)
-	case datagram.Load:
-		t.handleLoad(header, body)
-	case datagram.Register:
-		t.handleRegistration(header, body)
-	default:
-		t.agent.counters.Add("drop_unexpected_kind", 1)
-	}
-}
+// delivery hands packets to the agent's own stack. It implements exchange.Delivery.
+type delivery struct{ agent *Agent }
 
-func (t *traffic) handleLoad(header *datagram.Header, body []byte) {
-	report, err := exchange.ReadReport(body)
-	if err != nil {
-		t.agent.counters.Add("drop_undecodable", 1)
-		return
-	}
-	t.agent.mu.Lock()
-	defer t.agent.mu.Unlock()
-	sibling := fleet.InstanceID(header.From)
-	for _, ticket := range t.agent.core.Heard(clock.Now(), sibling, report) {
-		t.agent.gate.tell(ticket, core.Surrendered{To: sibling})
-	}
+func (a *Agent) newDispatcher() (*exchange.Dispatcher, error) {
+	return exchange.NewDispatcher(exchange.Config{
+		Node: a.node, Format: ipv4.Format{}, Delivery: delivery{a}, Mutex: &a.mu, Core: a.core,
+		Counters: a.counters, Decisions: a.decisions, Logger: a.logger,
+	})
 }
 
-func (t *traffic) handleRegistration(header *datagram.Header, body []byte) {
-	flows, err := exchange.ReadRegistration(body)
-	if err != nil {
-		t.agent.counters.Add("drop_undecodable", 1)
-		return
-	}
-	t.agent.mu.Lock()
-	defer t.agent.mu.Unlock()
-	t.agent.core.Registered(clock.Now(), fleet.InstanceID(header.From), flows)
-}
+// Tag returns nothing of use: the stack returns no packets.
+func (delivery) Tag(*datagram.Header) uint32 { return 0 }
 
-func (t *traffic) handlePacket(header *datagram.Header, body []byte) {
-	now := clock.Now()
-	if !t.agent.node.IsValid(now) {
-		t.agent.counters.Add("drop_view_expired", 1)
-		return
-	}
-	packet, err := ipv4.Format{}.Parse(body)
-	if err != nil {
-		t.agent.counters.Add("drop_malformed", 1)
-		return
+// Deliver hands a packet to the stack.
+func (d delivery) Deliver(packet flow.Packet, _ uint32, opens bool) {
+	if opens {
+		d.agent.clear(packet.Flow())
 	}
-	exchange.ReadArrival(&t.arrival, header, packet)
-	t.decide(now, header)
+	d.agent.stack.Inject(packet.Bytes())
 }
 
-func (t *traffic) decide(now time.Time, header *datagram.Header) {
-	t.agent.mu.Lock()
-	action := t.agent.core.Receive(now, &t.arrival)
-	switch a := action.(type) {
-	case *core.Deliver:
-		hint, opens := a.Hint, a.Opens
-		t.agent.mu.Unlock()
-		if opens {
-			t.agent.clear(t.arrival.Packet.Flow())
-		}
-		t.agent.stack.Inject(t.arrival.Packet.Bytes())
-		if hint {
-			t.sendHint(header)
-		}
-	case *core.PassOn:
-		passOn := *a
-		t.agent.mu.Unlock()
-		t.passOn(header, &passOn)
-	case *core.Reset:
-		reason := a.Reason
-		t.agent.mu.Unlock()
-		t.agent.reset(t.arrival.Packet, reason)
-	case *core.Drop:
-		reason := a.Reason
-		t.agent.mu.Unlock()
-		t.agent.counters.Add(string(reason), 1)
-	}
-}
-
-func (t *traffic) passOn(in *datagram.Header, action *core.PassOn) {
-	t.out = exchange.PassOnHeader(t.agent.node, in, action, t.visited)
-	t.visited = t.out.Visited
-	t.agent.counters.Add("packets_passed_on", 1)
-	if action.Reason != "" {
-		t.agent.counters.Add(string(action.Reason), 1)
-	}
-	t.sender.Queue(&t.out, t.arrival.Packet.Bytes(), action.Target.Data())
-}
-
-// sendHint tells the balancer that first received the packet who owns the flow.
-func (t *traffic) sendHint(in *datagram.Header) {
-	origin := t.agent.node.Load().Node(fleet.InstanceID(in.Origin))
-	if origin == nil {
-		return
+// Reset answers the caller with a reset.
+func (d delivery) Reset(packet flow.Packet) {
+	if answer := (ipv4.Format{}).Reset(packet); answer != nil {
+		d.agent.egress.Send(answer)
 	}
-	var body [8]byte
-	binary.BigEndian.PutUint64(body[:], t.arrival.Packet.Flow().Hash())
-	t.out = t.agent.node.Header(datagram.Hint, origin.ID(), 0)
-	t.sender.Queue(&t.out, body[:], origin.Data())
-	t.agent.counters.Add("hints_sent", 1)
 }
 
-func (t *traffic) flush() { t.sender.Flush() }
-
-// reset answers the caller with a reset.
-func (a *Agent) reset(packet flow.Packet, reason core.Reason) {
-	a.counters.Add(string(reason), 1)
-	if answer := (ipv4.Format{}).Reset(packet); answer != nil {
-		a.egress.Send(answer)
+// Heard takes a sibling's load report, and hands waiting requests to a sibling with room.
+func (d delivery) Heard(now time.Time, sibling fleet.InstanceID, report core.Report) {
+	for _, ticket := range d.agent.core.Heard(now, sibling, report) {
+		d.agent.gate.tell(ticket, core.Surrendered{To: sibling})
 	}
 }
 
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -81,10 +81,7 @@
 }
 
 func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, parts Parts, n *node.Node, counters *metrics.Counters, logger log.Interface) error {
-	var decisions *operator.Decisions
-	if parts.Core.Resets {
-		decisions = operator.NewDecisions(logger, counters)
-	}
+	decisions := operator.NewDecisions(logger, counters)
 	balancer := core.New(parts.Core, core.NewHints(s.Hints))
 	for range s.Readers {
 		in, err := listen.Retry(ctx, logger, func() (*net.UDPConn, error) {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -166,7 +166,7 @@
 	group.Go(func() error {
 		return c.node.Repeat(ctx, c.node.Socket(), func() error {
 			defer inward.flush()
-			return receiver.Step(inward.handle)
+			return receiver.Step(inward.Handle)
 		})
 	})
 	reader := peer.NewReader(c.outbound)
@@ -221,7 +221,7 @@
 	silent := c.core.IsSilent()
 	c.mu.Unlock()
 	for i := range retries {
-		traffic.retry(&retries[i])
+		traffic.Retry(&retries[i])
 	}
 	traffic.flush()
 	if silent != c.wasSilent {
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -1,5 +1,5 @@
-// Package exchange holds what both kinds of agent say to other processes: packets
-// passed on, load reports and registrations of flows.
+// Package exchange holds what both kinds of agent share: how a core's decisions about
+// packets are carried out, and what agents say to each other.
 package exchange
 
 import (
@@ -16,9 +16,9 @@
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
-// ReadArrival fills in a packet and what its header says of how it came, reusing the
+// readArrival fills in a packet and what its header says of how it came, reusing the
 // arrival's memory.
-func ReadArrival(arrival *core.Arrival, header *datagram.Header, packet flow.Packet) {
+func readArrival(arrival *core.Arrival, header *datagram.Header, packet flow.Packet) {
 	arrival.Packet = packet
 	arrival.Service = fleet.ServiceID(header.Service)
 	arrival.Revision = header.Revision
@@ -33,9 +33,9 @@
 	}
 }
 
-// PassOnHeader returns the header with which a packet is passed on. It uses the memory
+// passOnHeader returns the header with which a packet is passed on. It uses the memory
 // of visited, which must not be changed before the header is encoded.
-func PassOnHeader(n *node.Node, in *datagram.Header, action *core.PassOn, visited []uint64) datagram.Header {
+func passOnHeader(n *node.Node, in *datagram.Header, action *core.PassOn, visited []uint64) datagram.Header {
 	visited = append(visited[:0], in.Visited...)
 	if self := uint64(n.ID()); !action.Referred && !slices.Contains(visited, self) {
 		visited = append(visited, self)
@@ -66,8 +66,8 @@
 	return flags
 }
 
-// ReadReport decodes a load report.
-func ReadReport(body []byte) (core.Report, error) {
+// readReport decodes a load report.
+func readReport(body []byte) (core.Report, error) {
 	var report core.Report
 	if err := cbor.Unmarshal(body, &report); err != nil {
 		return report, fmt.Errorf("decode load report: %w", err)
@@ -89,8 +89,8 @@
 	sender.Flush()
 }
 
-// ReadRegistration decodes the hashes of flows that an agent registers.
-func ReadRegistration(body []byte) ([]uint64, error) {
+// readRegistration decodes the hashes of flows that an agent registers.
+func readRegistration(body []byte) ([]uint64, error) {
 	var flows []uint64
 	if err := cbor.Unmarshal(body, &flows); err != nil {
 		return nil, fmt.Errorf("decode registration: %w", err)
@@ -112,9 +112,9 @@
 	sender.Flush()
 }
 
-// RetryHeader returns the header that stands for how an opening packet came that is
+// retryHeader returns the header that stands for how an opening packet came that is
 // handed on later.
-func RetryHeader(retry *core.Retry) datagram.Header {
+func retryHeader(retry *core.Retry) datagram.Header {
 	header := datagram.Header{Service: uint64(retry.Service)}
 	for _, id := range retry.Visited {
 		header.Visited = append(header.Visited, uint64(id))
--- a/internal/link/operator/decisions.go
+++ b/internal/link/operator/decisions.go
@@ -34,6 +34,8 @@
 	// Peer is who gets the packet, if anybody does.
 	Peer   string
 	Reason string
+	// Cause is the error behind the decision, or nil.
+	Cause error
 	// Copies is how many copies of an opening packet came before.
 	Copies uint32
 	// Visited is how many agents had the packet before.
@@ -75,6 +77,9 @@
 	if decision.Reason != "" {
 		fields["reason"] = decision.Reason
 	}
+	if decision.Cause != nil {
+		fields["error"] = decision.Cause
+	}
 	if decision.Copies > 0 {
 		fields["copies"] = decision.Copies
 	}
