Notice a restart of the backend server before a flow reaches it

Ruled out: late answers of the start before (at most a slot's growth), the health endpoint's interval (0.5 s; the idle connection is earlier). Change: after each connect an agent looks, without waiting, whether the canary connection has ended; the old server has ended it before the new one accepts. If it has, the health endpoint is read once for all flows that wait, and flows admitted before the restart ask for a slot again.

--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -29,13 +29,10 @@
 	// handedPerFlow is how many hand-overs are remembered for each flow owned.
 	handedPerFlow  = 2
 	sweepInterval  = time.Second
-	healthInterval = 500 * time.Millisecond
-	// closingInterval is the least time between two idle connections.
-	closingInterval = 50 * time.Millisecond
-	reportInterval  = 500 * time.Millisecond
-	leaveTime       = 2 * time.Second
-	drainPoll       = 100 * time.Millisecond
-	maxDrain        = 24 * time.Hour
+	reportInterval = 500 * time.Millisecond
+	leaveTime      = 2 * time.Second
+	drainPoll      = 100 * time.Millisecond
+	maxDrain       = 24 * time.Hour
 )
 
 // Agent is a running agent.
@@ -57,6 +54,8 @@
 	loadChanged chan struct{}
 	conns       map[flow.ID]*splice
 	decisions   *operator.Decisions
+	// restarts is nil if the backend server has no health endpoint.
+	restarts *restartWatch
 }
 
 // Run serves until ctx is done, then drains: it takes no new flows and ends when
@@ -118,6 +117,11 @@
 		Placement:  placement(s.Placement),
 	}, n.Load(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	a.gate = newGate(a.core.Admission())
+	if s.Health != "" {
+		a.restarts = &restartWatch{
+			dialer: a.dialer, health: backend.NewHealth(s.Health), restarted: a.restarted, counters: counters, logger: a.logger,
+		}
+	}
 	a.stack, err = caller.New(a)
 	if err != nil {
 		return nil, err
@@ -165,7 +169,7 @@
 	group.Go(func() error { return a.maintain(ctx) })
 	if a.settings.Health != "" {
 		group.Go(func() error {
-			a.watchHealth(ctx)
+			a.restarts.run(ctx)
 			return nil
 		})
 	}
@@ -201,49 +205,6 @@
 	}
 }
 
-// watchClosing reports each time that the backend server closes an idle
-// connection.
-func (a *Agent) watchClosing(ctx context.Context, closed chan<- struct{}) {
-	for ctx.Err() == nil {
-		if err := a.dialer.WaitClosed(ctx); err == nil {
-			closed <- struct{}{}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(closingInterval):
-		}
-	}
-}
-
-// watchHealth takes the backend server as cold when its health endpoint shows
-// another start time. It is read at intervals, and at once when an idle
-// connection closes. That it cannot be read means nothing, unless a connection has
-// just been closed.
-func (a *Agent) watchHealth(ctx context.Context) {
-	health := backend.NewHealth(a.settings.Health)
-	closed := make(chan struct{}, 1)
-	go a.watchClosing(ctx, closed)
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		wasClosed := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-closed:
-			wasClosed = true
-		}
-		restarted, err := health.HasRestarted(ctx)
-		if err != nil {
-			a.counters.Add("health_unreadable", 1)
-		}
-		if restarted || (wasClosed && err != nil) {
-			a.restarted()
-		}
-	}
-}
-
 // describe tells peers of the agent's state and of the services whose flows it
 // keeps although it is not selected for them.
 func (a *Agent) describe() {
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -39,28 +39,25 @@
 		request.Abandon()
 		return
 	}
-	limited := id.Protocol() != flow.UDP
-	hasSlot := false
-	if limited {
-		switch outcome := a.admit(id.Caller().Addr(), pending.Patience).(type) {
-		case core.Admitted:
-			hasSlot = outcome.HasSlot
-		case core.Expired:
-			request.Abandon()
-			a.failed(id, pending.Attempt, core.RetryWait, core.RefuseWait)
+	s := &splice{agent: a, id: id, attempt: pending.Attempt}
+	s.request.agent, s.request.member = a, id.Caller().Addr()
+	for {
+		restarts := a.restartCount()
+		if id.Protocol() != flow.UDP && !a.awaitSlot(s, request, pending.Patience) {
 			return
-		case core.Surrendered:
-			request.Abandon()
-			a.surrendered(id, pending.Attempt, outcome.To)
+		}
+		if !a.dial(s, request) {
+			s.request.ended()
 			return
 		}
+		if a.restartCount() == restarts {
+			break
+		}
+		// The slot was that of a warm backend server.
+		s.request.ended()
+		s.backend.Abort()
 	}
-	s := &splice{agent: a, id: id, attempt: pending.Attempt}
-	s.request.agent, s.request.member = a, id.Caller().Addr()
-	if limited {
-		s.request.open(clock.Now(), hasSlot)
-	}
-	if !a.connect(s, request) {
+	if !a.accept(s, request) {
 		s.request.ended()
 		return
 	}
@@ -68,9 +65,36 @@
 	go s.run()
 }
 
-// connect joins the flow with the backend server. It reports false if the flow
-// was handed on or refused.
-func (a *Agent) connect(s *splice, request *caller.Request) bool {
+// restartCount returns how often the backend server has restarted, as far as its
+// connections and its health endpoint tell by now.
+func (a *Agent) restartCount() uint64 {
+	if a.restarts == nil {
+		return 0
+	}
+	return a.restarts.check(context.Background())
+}
+
+// awaitSlot waits until a new flow may connect to the backend server. It reports false
+// if the flow was handed on or refused.
+func (a *Agent) awaitSlot(s *splice, request *caller.Request, patience core.Patience) bool {
+	switch outcome := a.admit(s.id.Caller().Addr(), patience).(type) {
+	case core.Expired:
+		request.Abandon()
+		a.failed(s.id, s.attempt, core.RetryWait, core.RefuseWait)
+		return false
+	case core.Surrendered:
+		request.Abandon()
+		a.surrendered(s.id, s.attempt, outcome.To)
+		return false
+	case core.Admitted:
+		s.request.open(clock.Now(), outcome.HasSlot)
+	}
+	return true
+}
+
+// dial connects to the backend server. It reports false if the flow was handed on or
+// refused.
+func (a *Agent) dial(s *splice, request *caller.Request) bool {
 	upstream, err := a.dialer.Dial(context.Background(), s.id.Protocol())
 	if err != nil {
 		request.Abandon()
@@ -79,14 +103,21 @@
 		a.failed(s.id, s.attempt, core.RetryDial, core.RefuseDial)
 		return false
 	}
+	s.backend = upstream
+	return true
+}
+
+// accept answers the caller's handshake. It reports false if the caller or the flow is
+// gone.
+func (a *Agent) accept(s *splice, request *caller.Request) bool {
 	conn, err := request.Accept()
 	if err != nil {
-		upstream.Abort()
+		s.backend.Abort()
 		a.counters.Add("refuse_handshake", 1)
 		a.forget(s)
 		return false
 	}
-	s.backend, s.caller = upstream, conn
+	s.caller = conn
 	if !a.opened(s) {
 		s.abort()
 		return false
--- a/internal/link/backend/canary.go
+++ b/internal/link/backend/canary.go
@@ -4,21 +4,53 @@
 	"context"
 	"fmt"
 	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
-// WaitClosed opens a connection that carries nothing and returns when the backend
-// server closes it, which a restart does at once. It fails if no connection can be
-// opened.
-func (d *Dialer) WaitClosed(ctx context.Context) error {
+// Canary is a connection to the backend server that carries nothing. Its end shows that
+// the backend server may have restarted.
+type Canary struct {
+	conn net.Conn
+	raw  syscall.RawConn
+}
+
+// OpenCanary connects a canary.
+func (d *Dialer) OpenCanary(ctx context.Context) (*Canary, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", d.address.String())
 	if err != nil {
-		return fmt.Errorf("watch backend server %s: %w", d.address, err)
+		return nil, fmt.Errorf("watch backend server %s: %w", d.address, err)
 	}
-	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer release()
-	// The backend server has nothing to say; any end of the wait is a close.
-	_, _ = conn.Read(make([]byte, 1))
-	_ = conn.Close()
-	return nil
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("watch backend server %s: %w", d.address, err)
+	}
+	return &Canary{conn: conn, raw: raw}, nil
+}
+
+// Wait returns when the connection has ended.
+func (c *Canary) Wait() {
+	// The backend server has nothing to say; any end of the wait is an end of the
+	// connection.
+	_, _ = c.conn.Read(make([]byte, 1))
+}
+
+// HasEnded reports whether the connection has ended, without waiting. A backend server
+// that has restarted has ended it before it takes new connections.
+func (c *Canary) HasEnded() bool {
+	ended := true
+	err := c.raw.Control(func(fd uintptr) {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = err != unix.EAGAIN && err != unix.EINTR
+	})
+	return ended || err != nil
+}
+
+// Close ends the connection.
+func (c *Canary) Close() {
+	// An error means that the connection has ended already.
+	_ = c.conn.Close()
 }
--- a/internal/link/backend/health.go
+++ b/internal/link/backend/health.go
@@ -5,16 +5,19 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
 const healthTimeout = 400 * time.Millisecond
 
 // Health reads a backend server's health endpoint. The endpoint may lag or
-// mislead; only a change of the start time is believed.
+// mislead; only a change of the start time is believed. It is safe for concurrent use.
 type Health struct {
-	url     string
-	client  *http.Client
+	url    string
+	client *http.Client
+
+	mu      sync.Mutex
 	started time.Time
 }
 
@@ -41,6 +44,8 @@
 	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
 		return false, fmt.Errorf("decode health of %s: %w", h.url, err)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	restarted := !h.started.IsZero() && !body.Started.Equal(h.started)
 	h.started = body.Started
 	return restarted, nil
