Let agents that have left for good block no reset

Trace: of the candidates passed over one (10.1.0.28) had announced to leave, had left 15 s before and was gone, yet it stayed a residual owner by its last record, and a search that passes over a leaving agent never ends in a reset. Ruled out: the third data centre's path (none in this cut) and kinds of requests (it was the idempotent one). Change: an agent that is not listed any more and does not answer is no candidate, however its last record names it. The new test fails before.

--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -275,6 +275,30 @@
 	}
 }
 
+// A server was replaced a while ago. Later a data centre is cut off, and the callers of
+// its flows must hear of it.
+func TestAgentThatHasLeftForGoodBlocksNoReset(t *testing.T) {
+	r := newRig(t, 3)
+	ids := r.ids()
+	r.withIdempotent(t, true)
+	r.state.Peers().Merge(epoch, fleet.PeerRecord{
+		ID: ids[2], Incarnation: 1, State: fleet.PeerLeaving, Residual: []fleet.ServiceID{fleet.ServiceIDOf("orders")},
+	})
+	_, backends, instances := r.state.Documents()
+	for _, document := range []fleet.Document{
+		&fleet.InstancesDocument{Revision: 2, Instances: instances.Instances[:2]},
+		&fleet.BackendsDocument{Revision: 2, Backends: backends.Backends[:2]},
+	} {
+		_, err := r.state.Apply(epoch, document)
+		require.NoError(t, err)
+	}
+	r.state.Peers().SetReachable(epoch, ids[2], false)
+	r.state.Peers().SetReachable(epoch, ids[1], false)
+	r.applyViewAt(epoch.Add(fleet.LapseGrace))
+	_, action := r.travel(t, ids[0], arrival(4000, flow.Established, 1))
+	require.Equal(t, &Reset{Reason: ResetOwnerLost}, action)
+}
+
 func TestRequestsInFlightAreCountedFromWhatIsCarried(t *testing.T) {
 	r := newRig(t, 1)
 	id := r.ids()[0]
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -70,11 +70,17 @@
 	return first, !first.IsZero()
 }
 
+// hasGone reports whether an agent is not listed any more and does not answer either.
+func (s *State) hasGone(id InstanceID) bool {
+	_, departed := s.departed[id]
+	return departed && s.peers.unreachable[id]
+}
+
 // departedNodes returns the agents that are not listed any more but still answer.
 func (s *State) departedNodes(now time.Time) []server {
 	var nodes []server
 	for id, d := range s.departed {
-		if now.After(d.until) || d.isLapsed(now) || s.peers.unreachable[id] {
+		if now.After(d.until) || d.isLapsed(now) || s.hasGone(id) {
 			continue
 		}
 		nodes = append(nodes, server{&d.backend, nodeOf(&d.instance)})
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -287,7 +287,7 @@
 	owners := make(map[ServiceID][]*Node)
 	for id, record := range s.peers.records {
 		node := nodes[id]
-		if node == nil {
+		if node == nil || s.hasGone(id) {
 			continue
 		}
 		for _, service := range record.Residual {
