Look up the owner of a flow by one round of questions

Change: a packet whose owner neither a hint nor a registration names is held, and all candidates are asked in one round for up to 64 flows together. Agents that know all flows of their server (it started with them or later, by the list) deny with certainty; only the others are visited with the packet. Lookups, packets held and time are bounded; late answers end in a visit. Ruled out: the machine's uptime as a sign that both started together (the clock starts at a random value).

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -2,7 +2,7 @@
 
 import "github.com/radishmast/radishmast/internal/core/fleet"
 
-// Action is what to do with a packet: one of *Deliver, *PassOn, *Reset, *Drop.
+// Action is what to do with a packet: one of *Deliver, *PassOn, *Hold, *Reset, *Drop.
 type Action interface{ isAction() }
 
 // Deliver hands the packet to the agent's own stack.
@@ -88,4 +88,5 @@
 	RetryBounced        Reason = "retry_bounced"
 	HandOverRemembers   Reason = "handover_remembered"
 	ReferRegistered     Reason = "refer_registered"
+	ReferAsked          Reason = "refer_asked"
 )
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -82,6 +82,9 @@
 	Relayed bool
 	// Referred tells that the packet was passed to the registered owner of its flow.
 	Referred bool
+	// Asked tells that the flow has been looked up. The agents that know all flows of
+	// their backend servers are among the visited ones.
+	Asked bool
 	// Passed tells that the sender is another agent.
 	Passed  bool
 	Visited []fleet.InstanceID
@@ -133,6 +136,12 @@
 	budget    retryBudget
 	directory directory
 	trail     trail
+	lookups   lookups
+	// startedAt is when this process started.
+	startedAt time.Time
+	// complete tells that all flows of the backend server were opened through this
+	// process.
+	complete bool
 	// membership stands for the agents in view by which registrars are chosen.
 	membership uint64
 
@@ -141,6 +150,7 @@
 
 	// Actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
+	hold    Hold
 	passOn  PassOn
 	reset   Reset
 	drop    Drop
@@ -160,6 +170,7 @@
 		siblings:  make(map[fleet.InstanceID]siblingReport),
 		directory: newDirectory(registeredPerFlow * config.MaxFlows),
 		trail:     make(trail),
+		lookups:   newLookups(),
 
 		membership: view.Membership(),
 	}
@@ -362,6 +373,9 @@
 // search passes a packet of a flow this agent does not own to the next
 // candidate. When all have said that they do not own it, the caller gets a reset.
 func (a *Agent) search(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	if a.lookUp(now, service, arrival) {
+		return &a.hold
+	}
 	walk := a.nextStep(now, service, arrival)
 	switch {
 	case walk.Next != nil:
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -71,6 +71,9 @@
 	at := start
 	for range 2 * len(all) {
 		action := all[at].Receive(settled, a)
+		if _, held := action.(*Hold); held {
+			action = lookUp(t, all, at, a)
+		}
 		passOn, ok := action.(*PassOn)
 		if !ok {
 			return at, action
@@ -83,6 +86,24 @@
 	return 0, nil
 }
 
+// lookUp carries the questions about a packet that is held and the answers, and returns
+// what becomes of the packet.
+func lookUp(t require.TestingT, all map[fleet.InstanceID]*Agent, at fleet.InstanceID, a *Arrival) Action {
+	var resolutions []Resolution
+	due, _ := all[at].QuestionsDue(settled)
+	for _, question := range all[at].Questions(due) {
+		testimony := all[question.To.ID()].Asked(settled, question.Round, question.Flows)
+		resolutions = append(resolutions, all[at].Told(question.To.ID(), testimony)...)
+	}
+	require.Len(t, resolutions, 1)
+	a.Asked = true
+	a.Visited = append(a.Visited, resolutions[0].Denied...)
+	if resolutions[0].Owner != nil {
+		return all[at].Found(resolutions[0].Owner)
+	}
+	return all[at].Resume(settled, a)
+}
+
 func TestPacketsFindTheOwnerFromAnyAgent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all, view := agents(t, rapid.IntRange(1, 8).Draw(t, "agents"), HashOnly{})
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -28,10 +28,7 @@
 		return a.carryOpening(now, service, known, arrival)
 	}
 	if known == nil {
-		if action, found := a.refer(now, service, arrival); found {
-			return action
-		}
-		return a.offered()
+		return a.carryUnknown(now, service, arrival)
 	}
 	opened := false
 	switch known.state {
@@ -62,6 +59,17 @@
 	return &a.deliver
 }
 
+// carryUnknown decides about a packet of a flow that this agent does not know.
+func (a *Agent) carryUnknown(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	if action, found := a.refer(now, service, arrival); found {
+		return action
+	}
+	if a.knowsAllFlows(now) {
+		return a.search(now, service, arrival)
+	}
+	return a.offered()
+}
+
 // searchBeyond decides about a packet when only candidates are left that this agent
 // cannot reach. An agent in a third data centre may have a path to them. If it has
 // none either, the caller is told, so that it can repeat its request elsewhere; a
@@ -154,7 +162,10 @@
 }
 
 // Begin starts the time of an agent that carries flows.
-func (a *Agent) Begin(now time.Time) { a.warmup = newWarmup(now) }
+func (a *Agent) Begin(now time.Time) {
+	a.warmup = newWarmup(now)
+	a.startedAt = now
+}
 
 // Bounced decides about a packet that the backend server has returned, since it
 // does not take the new flow or does not hold the flow.
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -99,6 +99,8 @@
 			packet.Placed, packet.Relayed = a.Placed, packet.Relayed || a.Relayed
 			at = a.Target.ID()
 			action = r.agents[at].Receive(settled, packet)
+		case *Hold:
+			action = lookUp(t, r.agents, at, packet)
 		default:
 			return at, action
 		}
--- a/internal/core/agent/directory_test.go
+++ b/internal/core/agent/directory_test.go
@@ -115,6 +115,7 @@
 	search := func(now time.Time, sequence uint32) fleet.InstanceID {
 		packet := arrival(4000, flow.Established, 77)
 		packet.Packet = flow.NewPacket(packet.Packet.Flow(), flow.Established, sequence, 77, packet.Packet.Bytes())
+		packet.Asked = true
 		a.Receive(now, packet)
 		return a.Bounced(now, packet).(*PassOn).Target.ID()
 	}
--- /dev/null
+++ b/internal/core/agent/lookup_test.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// withStarts says when the backend servers have started.
+func (r *rig) withStarts(t require.TestingT, at time.Time) {
+	_, backends, _ := r.state.Documents()
+	next := &fleet.BackendsDocument{Revision: backends.Revision + 1}
+	for _, backend := range backends.Backends {
+		backend.StartedAt = at
+		next.Backends = append(next.Backends, backend)
+	}
+	_, err := r.state.Apply(epoch, next)
+	require.NoError(t, err)
+	r.applyView()
+}
+
+// begin starts the time of all agents.
+func (r *rig) begin(at time.Time) {
+	for _, a := range r.agents {
+		a.Begin(at)
+	}
+}
+
+// Everything has restarted, and the packets of many flows come that nobody owns.
+func TestFlowsThatNobodyOwnsAreResetAfterOneRound(t *testing.T) {
+	const targets, flows = 40, 200
+	r := newRig(t, targets)
+	r.begin(epoch)
+	r.withStarts(t, epoch.Add(time.Second))
+	a := r.agents[r.ids()[0]]
+	for port := range uint16(flows) {
+		require.IsType(t, &Hold{}, a.Receive(settled, arrival(1024+port, flow.Established, 1)))
+	}
+	due, pending := a.QuestionsDue(settled)
+	require.True(t, pending)
+	questions := a.Questions(due)
+	require.Len(t, questions, (targets-1)*((flows+maxQuestion-1)/maxQuestion), "one for each agent and group of flows")
+	var resolutions []Resolution
+	for _, question := range questions {
+		testimony := r.agents[question.To.ID()].Asked(due, question.Round, question.Flows)
+		require.True(t, testimony.Complete)
+		resolutions = append(resolutions, a.Told(question.To.ID(), testimony)...)
+	}
+	require.Len(t, resolutions, flows)
+	for _, resolution := range resolutions {
+		packet := arrival(resolution.Flow.Caller().Port(), flow.Established, 1)
+		packet.Asked, packet.Visited = true, resolution.Denied
+		require.Equal(t, &Reset{Reason: ResetUnowned}, a.Resume(settled, packet))
+	}
+	_, pending = a.QuestionsDue(settled)
+	require.False(t, pending)
+}
+
+func TestAgentKnowsAllFlowsOfAServerThatStartedWithIt(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		started time.Duration
+		knows   bool
+	}{
+		{"long before the agent", -time.Minute, false},
+		{"a little before the agent", -startTolerance / 2, true},
+		{"after the agent", time.Second, true},
+		{"in the future, since the clock has stepped", time.Hour, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, 1)
+			a := r.agents[r.ids()[0]]
+			r.begin(settled)
+			require.False(t, a.knowsAllFlows(settled), "the list does not tell")
+			r.withStarts(t, settled.Add(test.started))
+			require.Equal(t, test.knows, a.knowsAllFlows(settled.Add(2*time.Second)))
+		})
+	}
+}
+
+// An agent does not answer a question. The flow is found by visiting.
+func TestLateAnswersEndInAVisit(t *testing.T) {
+	r := newRig(t, 3)
+	r.begin(epoch)
+	r.withStarts(t, epoch.Add(time.Second))
+	ids := r.ids()
+	owner := r.open(t, ids[0], 4000)
+	asker := r.agents[other(ids, owner)]
+	packet := arrival(4000, flow.Established, 77)
+	require.IsType(t, &Hold{}, asker.Receive(settled, packet))
+	due, _ := asker.QuestionsDue(settled)
+	for _, question := range asker.Questions(due) {
+		if question.To.ID() != owner {
+			testimony := r.agents[question.To.ID()].Asked(due, question.Round, question.Flows)
+			require.Empty(t, asker.Told(question.To.ID(), testimony))
+		}
+	}
+	require.Empty(t, asker.OverdueLookups(due.Add(lookupTimeout-time.Millisecond)))
+	resolutions := asker.OverdueLookups(due.Add(lookupTimeout))
+	require.Len(t, resolutions, 1)
+	require.Nil(t, resolutions[0].Owner)
+	require.Len(t, resolutions[0].Denied, 1)
+	packet.Asked, packet.Visited = true, resolutions[0].Denied
+	require.Equal(t, owner, asker.Resume(settled, packet).(*PassOn).Target.ID())
+}
+
+// Copies of an opening packet wait at two servers, and a packet confirms neither.
+func TestTwoHalfOpenFlowsEndTheSearch(t *testing.T) {
+	r := newRig(t, 3)
+	r.begin(epoch)
+	r.withStarts(t, epoch.Add(time.Second))
+	for _, id := range r.ids()[:2] {
+		packet := arrival(4000, flow.Opening, 0)
+		packet.Placed = true
+		_, action := r.travel(t, id, packet)
+		require.IsType(t, &Deliver{}, action)
+	}
+	for _, id := range r.ids() {
+		_, action := r.travel(t, id, arrival(4000, flow.Established, 9999))
+		require.Equal(t, &Reset{Reason: ResetUnowned}, action)
+	}
+}
+
+func TestLookupsAreBounded(t *testing.T) {
+	r := newRig(t, 2)
+	r.begin(epoch)
+	r.withStarts(t, epoch.Add(time.Second))
+	a := r.agents[r.ids()[0]]
+	for port := range uint16(maxLookups) {
+		require.IsType(t, &Hold{}, a.Receive(settled, arrival(1024+port, flow.Established, 1)))
+	}
+	require.IsType(t, &PassOn{}, a.Receive(settled, arrival(1023, flow.Established, 1)), "it is visited instead")
+}
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -114,6 +114,9 @@
 	Labels     map[string]string `json:"labels"`
 	// Boot names the start of the backend server, if the platform tells.
 	Boot string `json:"boot,omitempty"`
+	// StartedAt is when it started by its own instance's wall clock, if the platform
+	// tells.
+	StartedAt time.Time `json:"startedAt,omitzero"`
 	// Slots is the number of requests it runs at once, if the platform tells.
 	Slots int `json:"slots,omitempty"`
 	// Warming is how much longer its cold start lasted when it last reported. It
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -48,6 +48,9 @@
 // IsReachable reports whether this process gets answers from the agent.
 func (t *Target) IsReachable() bool { return t.reachable }
 
+// IsSuspected reports whether others get no answers from the agent.
+func (t *Target) IsSuspected() bool { return t.suspected }
+
 // IsResidual reports whether the target is no longer selected and only keeps
 // the flows it already owns.
 func (t *Target) IsResidual() bool { return t.residual }
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -15,6 +15,7 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/daemon/exchange"
 	"github.com/radishmast/radishmast/internal/daemon/metrics"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/daemon/settings"
@@ -54,6 +55,7 @@
 	loadChanged chan struct{}
 	conns       map[flow.ID]*splice
 	decisions   *operator.Decisions
+	lookups     *exchange.Lookups
 	// restarts is nil if the backend server has no health endpoint.
 	restarts *restartWatch
 }
@@ -108,6 +110,7 @@
 		loadChanged: make(chan struct{}, 1),
 		conns:       make(map[flow.ID]*splice),
 		decisions:   operator.NewDecisions(logger, counters),
+		lookups:     exchange.NewLookups(),
 	}
 	a.core = core.New(core.Config{
 		Self:       n.ID(),
@@ -165,6 +168,14 @@
 			return receiver.Step(dispatcher.Handle)
 		})
 	})
+	asker, err := a.newDispatcher()
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		asker.RunLookups(ctx)
+		return nil
+	})
 	group.Go(func() error { return a.sendAnswers(ctx) })
 	group.Go(func() error { return a.maintain(ctx) })
 	if a.settings.Health != "" {
--- a/internal/daemon/agent/traffic.go
+++ b/internal/daemon/agent/traffic.go
@@ -12,20 +12,29 @@
 )
 
 // delivery hands packets to the agent's own stack. It implements exchange.Delivery.
-type delivery struct{ agent *Agent }
+type delivery struct {
+	agent      *Agent
+	dispatcher *exchange.Dispatcher
+}
 
 func (a *Agent) newDispatcher() (*exchange.Dispatcher, error) {
-	return exchange.NewDispatcher(exchange.Config{
-		Node: a.node, Format: ipv4.Format{}, Delivery: delivery{a}, Mutex: &a.mu, Core: a.core,
+	d := &delivery{agent: a}
+	var err error
+	d.dispatcher, err = exchange.NewDispatcher(exchange.Config{
+		Node: a.node, Format: ipv4.Format{}, Delivery: d, Mutex: &a.mu, Core: a.core, Lookups: a.lookups,
 		Counters: a.counters, Decisions: a.decisions, Logger: a.logger,
 	})
+	return d.dispatcher, err
 }
 
+// Flush sends what was queued. The stack takes packets at once.
+func (d *delivery) Flush() { d.dispatcher.Flush() }
+
 // Tag returns nothing of use: the stack returns no packets.
-func (delivery) Tag(*datagram.Header) uint32 { return 0 }
+func (*delivery) Tag(*datagram.Header) uint32 { return 0 }
 
 // Deliver hands a packet to the stack.
-func (d delivery) Deliver(packet flow.Packet, _ uint32, opens bool) {
+func (d *delivery) Deliver(packet flow.Packet, _ uint32, opens bool) {
 	if opens {
 		d.agent.clear(packet.Flow())
 	}
@@ -33,14 +42,14 @@
 }
 
 // Reset answers the caller with a reset.
-func (d delivery) Reset(packet flow.Packet) {
+func (d *delivery) Reset(packet flow.Packet) {
 	if answer := (ipv4.Format{}).Reset(packet); answer != nil {
 		d.agent.egress.Send(answer)
 	}
 }
 
 // Heard takes a sibling's load report, and hands waiting requests to a sibling with room.
-func (d delivery) Heard(now time.Time, sibling fleet.InstanceID, report core.Report) {
+func (d *delivery) Heard(now time.Time, sibling fleet.InstanceID, report core.Report) {
 	for _, ticket := range d.agent.core.Heard(now, sibling, report) {
 		d.agent.gate.tell(ticket, core.Surrendered{To: sibling})
 	}
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -74,6 +74,7 @@
 	// wasSilent is whether peers were told last that the backend server is silent.
 	wasSilent bool
 	decisions *operator.Decisions
+	lookups   *exchange.Lookups
 }
 
 // Run serves until ctx is done, then leaves.
@@ -127,6 +128,7 @@
 		load:      load,
 		offered:   newOffered(),
 		decisions: operator.NewDecisions(logger, counters),
+		lookups:   exchange.NewLookups(),
 	}
 	c.core = core.New(core.Config{
 		Self:       n.ID(),
@@ -163,16 +165,24 @@
 	if err != nil {
 		return err
 	}
+	asker, err := newTraffic(c)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		asker.RunLookups(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		return c.node.Repeat(ctx, c.node.Socket(), func() error {
-			defer inward.flush()
+			defer inward.Flush()
 			return receiver.Step(inward.Handle)
 		})
 	})
 	reader := peer.NewReader(c.outbound)
 	group.Go(func() error {
 		return c.node.Repeat(ctx, c.outbound, func() error {
-			defer outward.flush()
+			defer outward.Flush()
 			return outward.step(reader)
 		})
 	})
@@ -223,7 +233,7 @@
 	for i := range retries {
 		traffic.Retry(&retries[i])
 	}
-	traffic.flush()
+	traffic.Flush()
 	if silent != c.wasSilent {
 		c.wasSilent = silent
 		c.logger.WithField("silent", silent).Warn("backend server")
--- a/internal/daemon/carrier/traffic.go
+++ b/internal/daemon/carrier/traffic.go
@@ -34,7 +34,7 @@
 	}
 	var err error
 	t.Dispatcher, err = exchange.NewDispatcher(exchange.Config{
-		Node: c.node, Format: c.format, Delivery: t, Mutex: &c.mu, Core: c.core,
+		Node: c.node, Format: c.format, Delivery: t, Mutex: &c.mu, Core: c.core, Lookups: c.lookups,
 		Counters: c.counters, Decisions: c.decisions, Logger: c.logger,
 	})
 	return t, err
@@ -123,8 +123,9 @@
 	t.Decide(now, &header, data, t.carrier.core.Bounced)
 }
 
-func (t *traffic) flush() {
-	t.Flush()
+// Flush sends what was queued.
+func (t *traffic) Flush() {
+	t.Dispatcher.Flush()
 	for _, writer := range []*peer.Writer{t.callers, t.backend} {
 		if err := writer.Flush(); err != nil {
 			t.carrier.counters.Add("drop_send_failed", 1)
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -28,6 +31,8 @@
 	Deliver(packet flow.Packet, tag uint32, opens bool)
 	// Reset answers the caller with a reset.
 	Reset(packet flow.Packet)
+	// Flush sends what was queued.
+	Flush()
 	// Heard takes a sibling's load report. It is called with the core's mutex held.
 	Heard(now time.Time, sibling fleet.InstanceID, report core.Report)
 }
@@ -38,8 +43,10 @@
 	Format   flow.Format
 	Delivery Delivery
 	// Mutex guards Core.
-	Mutex     *sync.Mutex
-	Core      *core.Agent
+	Mutex *sync.Mutex
+	Core  *core.Agent
+	// Lookups is shared by the dispatchers of an agent.
+	Lookups   *Lookups
 	Counters  *metrics.Counters
 	Decisions *operator.Decisions
 	Logger    log.Interface
@@ -73,6 +80,10 @@
 		d.handleLoad(header, body)
 	case datagram.Register:
 		d.handleRegistration(header, body)
+	case datagram.Ask:
+		d.handleQuestion(header, body)
+	case datagram.Tell:
+		d.handleTestimony(header, body)
 	default:
 		d.Counters.Add("drop_unexpected_kind", 1)
 	}
@@ -81,6 +92,17 @@
 // Flush sends what is queued to other processes.
 func (d *Dispatcher) Flush() { d.sender.Flush() }
 
+// sendControl queues a datagram with a body that is encoded.
+func (d *Dispatcher) sendControl(header *datagram.Header, body any, to netip.AddrPort) {
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		d.Counters.Add("drop_send_failed", 1)
+		d.Logger.WithError(fmt.Errorf("encode datagram for %s: %w", to, err)).Error("exchange")
+		return
+	}
+	d.sender.QueueControl(header, data, to)
+}
+
 func (d *Dispatcher) handleLoad(header *datagram.Header, body []byte) {
 	report, err := readReport(body)
 	if err != nil {
@@ -136,6 +158,12 @@
 		passOn := *action
 		d.Mutex.Unlock()
 		d.passOn(header, &passOn)
+	case *core.Hold:
+		kept := d.Lookups.hold(header, packet)
+		d.Mutex.Unlock()
+		if !kept {
+			d.Counters.Add("drop_lookup_full", 1)
+		}
 	case *core.Reset:
 		reason := action.Reason
 		d.Mutex.Unlock()
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -26,6 +26,7 @@
 	arrival.Searched = header.Flags&datagram.Searched != 0
 	arrival.Relayed = header.Flags&datagram.Relayed != 0
 	arrival.Referred = header.Flags&datagram.Referred != 0
+	arrival.Asked = header.Flags&datagram.Asked != 0
 	arrival.Passed = header.From != header.Origin
 	arrival.Visited = arrival.Visited[:0]
 	for _, id := range header.Visited {
@@ -45,7 +46,7 @@
 	out.Revision = max(out.Revision, in.Revision)
 	out.Origin, out.Reply = in.Origin, in.Reply
 	out.Visited = visited
-	out.Flags = flagsOf(action) | in.Flags&(datagram.Relayed|datagram.Referred)
+	out.Flags = flagsOf(action) | in.Flags&(datagram.Relayed|datagram.Referred|datagram.Asked)
 	return out
 }
 
--- /dev/null
+++ b/internal/daemon/exchange/lookups.go
@@ -0,0 +1,169 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/link/clock"
+	"github.com/radishmast/radishmast/internal/wire/datagram"
+)
+
+// maxHeld bounds the packets of one flow that wait for its lookup.
+const maxHeld = 8
+
+// held is a packet that waits for the lookup of its flow.
+type held struct {
+	header datagram.Header
+	body   []byte
+}
+
+// Lookups holds the packets whose flows are looked up, for all dispatchers of an agent.
+type Lookups struct {
+	// packets is guarded by the core's mutex.
+	packets map[flow.ID][]held
+	wake    chan struct{}
+}
+
+// NewLookups returns an empty store.
+func NewLookups() *Lookups {
+	return &Lookups{packets: make(map[flow.ID][]held), wake: make(chan struct{}, 1)}
+}
+
+// hold keeps a copy of a packet. It reports false if too many wait. It is called with the
+// core's mutex held.
+func (l *Lookups) hold(header *datagram.Header, packet flow.Packet) bool {
+	waiting := l.packets[packet.Flow()]
+	if len(waiting) >= maxHeld {
+		return false
+	}
+	kept := held{header: *header, body: bytes.Clone(packet.Bytes())}
+	kept.header.Visited = append([]uint64(nil), header.Visited...)
+	l.packets[packet.Flow()] = append(waiting, kept)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// question is the body of a datagram that asks who owns flows.
+type question struct {
+	_     struct{} `cbor:",toarray"`
+	Round uint32
+	// Flows holds the IDs one after the other.
+	Flows []byte
+}
+
+// RunLookups sends questions about flows and ends lookups that take too long, until ctx is
+// done.
+func (d *Dispatcher) RunLookups(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Lookups.wake:
+		}
+		for d.runRound(ctx) {
+		}
+	}
+}
+
+// runRound waits until something is due and does it. It reports false if nothing is.
+func (d *Dispatcher) runRound(ctx context.Context) bool {
+	d.Mutex.Lock()
+	due, pending := d.Core.QuestionsDue(clock.Now())
+	d.Mutex.Unlock()
+	if !pending {
+		return false
+	}
+	timer := time.NewTimer(due.Sub(clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	now := clock.Now()
+	d.Mutex.Lock()
+	questions := d.Core.Questions(now)
+	resolutions := d.Core.OverdueLookups(now)
+	d.Mutex.Unlock()
+	for i := range questions {
+		d.sendQuestion(&questions[i])
+	}
+	d.resume(now, resolutions)
+	d.Delivery.Flush()
+	return true
+}
+
+func (d *Dispatcher) sendQuestion(q *core.Question) {
+	flows := make([]byte, 0, len(q.Flows)*len(flow.ID{}))
+	for _, id := range q.Flows {
+		flows = append(flows, id[:]...)
+	}
+	header := d.Node.Header(datagram.Ask, q.To.ID(), q.To.Incarnation())
+	header.Reply = datagram.PackEndpoint(d.Node.Data())
+	d.sendControl(&header, question{Round: q.Round, Flows: flows}, q.To.Data())
+}
+
+// handleQuestion answers which of some flows this agent owns.
+func (d *Dispatcher) handleQuestion(header *datagram.Header, body []byte) {
+	var q question
+	to, known := datagram.UnpackEndpoint(header.Reply)
+	if err := cbor.Unmarshal(body, &q); err != nil || !known || len(q.Flows)%len(flow.ID{}) != 0 {
+		d.Counters.Add("drop_undecodable", 1)
+		return
+	}
+	var flows []flow.ID
+	for at := 0; at < len(q.Flows); at += len(flow.ID{}) {
+		flows = append(flows, flow.ID(q.Flows[at:]))
+	}
+	d.Mutex.Lock()
+	testimony := d.Core.Asked(clock.Now(), q.Round, flows)
+	d.Mutex.Unlock()
+	answer := d.Node.Header(datagram.Tell, fleet.InstanceID(header.From), header.FromIncarnation)
+	d.sendControl(&answer, testimony, to)
+}
+
+// handleTestimony takes the answer to a question.
+func (d *Dispatcher) handleTestimony(header *datagram.Header, body []byte) {
+	var testimony core.Testimony
+	if err := cbor.Unmarshal(body, &testimony); err != nil {
+		d.Counters.Add("drop_undecodable", 1)
+		return
+	}
+	d.Mutex.Lock()
+	resolutions := d.Core.Told(fleet.InstanceID(header.From), testimony)
+	d.Mutex.Unlock()
+	d.resume(clock.Now(), resolutions)
+}
+
+// resume goes on with the packets whose lookups have ended.
+func (d *Dispatcher) resume(now time.Time, resolutions []core.Resolution) {
+	for i := range resolutions {
+		resolution := &resolutions[i]
+		d.Mutex.Lock()
+		packets := d.Lookups.packets[resolution.Flow]
+		delete(d.Lookups.packets, resolution.Flow)
+		d.Mutex.Unlock()
+		for j := range packets {
+			header := &packets[j].header
+			header.Flags |= datagram.Asked
+			for _, id := range resolution.Denied {
+				header.Visited = append(header.Visited, uint64(id))
+			}
+			d.Decide(now, header, packets[j].body, func(now time.Time, arrival *core.Arrival) core.Action {
+				if resolution.Owner != nil {
+					return d.Core.Found(resolution.Owner)
+				}
+				return d.Core.Resume(now, arrival)
+			})
+		}
+	}
+}
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -51,6 +51,10 @@
 	Load
 	// Register tells an agent of flows that the sender owns.
 	Register
+	// Ask asks an agent which of some flows it owns.
+	Ask
+	// Tell answers an Ask.
+	Tell
 )
 
 // Flags qualify a carried packet.
@@ -66,6 +70,8 @@
 	Relayed
 	// Referred marks a packet that was passed to the registered owner of its flow.
 	Referred
+	// Asked marks a packet whose flow has been looked up.
+	Asked
 )
 
 // Header precedes every datagram.
