Learn the work of a request under load, and assume one before the first answer

Cause: after a restart of everything an agent's idea of how long a request takes rested on its first answer (73 and 91 ms of 30, one sample for a second and a half), since every later one queued; and before that answer it admitted whatever came. Ruled out: idle slots (5 and more requests were outstanding at two slots throughout). Change: while all slots are taken, the time between two answers tells the work; before the first answer a request is taken to need a quarter of its service's objective.

--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -242,7 +242,7 @@
 		return
 	}
 	known.askedAt = now
-	known.queued = a.load.isQueueing()
+	known.queued = a.load.isFull()
 	a.load.start(now)
 }
 
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -42,10 +42,15 @@
 	running int
 	// latency is the average time to answer, in nanoseconds.
 	latency float64
-	// work is the average time to answer a request that did not queue, in nanoseconds.
+	// work is the average time to answer a request, without the time that it queues, in
+	// nanoseconds.
 	work float64
 	// worked is the number of requests that the average rests on.
 	worked int
+	// fullSince is since when all slots have been taken, or zero.
+	fullSince time.Time
+	// finishedAt is when the last request was answered.
+	finishedAt time.Time
 
 	// busy is the time integral of the used share of slots since sampledAt.
 	busy        time.Duration
@@ -92,17 +97,24 @@
 func (l *Load) start(now time.Time) {
 	l.integrate(now)
 	l.running++
+	if l.fullSince.IsZero() && l.isFull() {
+		l.fullSince = now
+	}
 }
 
 // cancel takes back a request that is not waited for any more.
 func (l *Load) cancel(now time.Time) {
 	l.integrate(now)
 	l.running = max(l.running-1, 0)
+	if !l.isFull() {
+		l.fullSince = time.Time{}
+	}
 }
 
 // finish counts an answer and adjusts the limit: additive increase for one that
 // came in time, multiplicative decrease for a late one.
 func (l *Load) finish(now time.Time, latency time.Duration) {
+	l.noteRate(now)
 	l.cancel(now)
 	late := l.latency > 0 && latency > latencyFloor && float64(latency) > slowFactor*l.latency
 	if l.latency == 0 {
@@ -132,6 +144,18 @@
 	l.work += gain * (float64(latency) - l.work)
 }
 
+// noteRate counts an answer while all slots are taken: then a request takes as long as
+// the time between two answers for each slot. Under overload no request is without a
+// queue, and what was learned of the first ones would stay.
+func (l *Load) noteRate(now time.Time) {
+	since := l.finishedAt
+	l.finishedAt = now
+	if l.fullSince.IsZero() || since.Before(l.fullSince) {
+		return
+	}
+	l.noteWork(time.Duration(l.slots * float64(now.Sub(since))))
+}
+
 // minWorked is the number of requests after which their average counts.
 const minWorked = 10
 
@@ -144,15 +168,20 @@
 	return time.Duration(l.work)
 }
 
-// isQueueing reports whether one more request would wait for a slot.
-func (l *Load) isQueueing() bool { return float64(l.running) >= l.slots }
+// isFull reports whether all slots are taken, so that one more request would wait.
+func (l *Load) isFull() bool { return float64(l.running) >= l.slots }
 
-// expected returns how long one more request would take.
-func (l *Load) expected() time.Duration {
-	if !l.isQueueing() {
-		return time.Duration(l.work)
+// expected returns how long one more request would take. usual is how long one is taken
+// to need that does not queue, as long as none has been answered.
+func (l *Load) expected(usual time.Duration) time.Duration {
+	work := l.work
+	if work == 0 {
+		work = float64(usual)
+	}
+	if !l.isFull() {
+		return time.Duration(work)
 	}
-	return time.Duration(l.work * float64(l.running+1) / l.slots)
+	return time.Duration(work * float64(l.running+1) / l.slots)
 }
 
 // Restarted puts the limit back to cold. A backend server that fell while it
--- a/internal/core/agent/overload_test.go
+++ b/internal/core/agent/overload_test.go
@@ -17,8 +17,16 @@
 	work      time.Duration
 	queue     int
 	objective time.Duration
+	// trip is the time from the opening packet to the request.
+	trip time.Duration
+	// slowStart is how long requests take that begin within startTime of the start, if
+	// that is longer.
+	slowStart time.Duration
 }
 
+// startTime is how long a server is slow after its start.
+const startTime = 50 * time.Millisecond
+
 // play offers the load for some seconds and returns how many requests were answered in
 // time and how many late.
 func (o *overload) play(t *testing.T, controlled bool) (inTime, late int) {
@@ -72,11 +80,12 @@
 				slot = i
 			}
 		}
-		begin := now
-		if free[slot].After(now) {
-			begin = free[slot]
+		begin := latest(now.Add(o.trip), free[slot])
+		work := o.work
+		if begin.Before(settled.Add(startTime)) {
+			work = max(work, o.slowStart)
 		}
-		free[slot] = begin.Add(o.work)
+		free[slot] = begin.Add(work)
 		answers = append(answers, answer{free[slot], now, port})
 	}
 	return inTime, late
@@ -92,6 +101,33 @@
 	require.Greater(t, inTime+late, (inTimeBefore+lateBefore)*9/10, "nothing is refused that could be served")
 }
 
+// The first requests after a restart take three times as long as the others, and all that
+// follow queue.
+func TestOverloadLeavesNoSlotIdleAfterASlowStart(t *testing.T) {
+	load := &overload{perSecond: 160, work: 30 * time.Millisecond, queue: 8, objective: 200 * time.Millisecond, trip: 15 * time.Millisecond, slowStart: 91 * time.Millisecond}
+	inTime, late := load.play(t, true)
+	served := slots * int(8*time.Second/load.work)
+	require.Greater(t, inTime, served*9/10, "%d late", late)
+}
+
+// Nothing is known of a server that has just started, and more comes than it can do.
+func TestOverloadIsBoundedBeforeTheFirstAnswer(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.agents[r.ids()[0]]
+	a.config.Placement = HandOverWhenFull{}
+	services, _, _ := r.state.Documents()
+	services.Services[0].Objective = 250 * time.Millisecond
+	r.applyView()
+	taken := 0
+	for port := range uint16(100) {
+		if _, delivered := a.Receive(settled, arrival(1024+port, flow.Opening, 0)).(*Deliver); delivered {
+			taken++
+		}
+	}
+	require.LessOrEqual(t, taken, 10)
+	require.GreaterOrEqual(t, taken, slots)
+}
+
 func TestWithoutOverloadNothingIsRefused(t *testing.T) {
 	load := &overload{perSecond: 20, work: 48 * time.Millisecond, queue: 8, objective: 250 * time.Millisecond}
 	inTime, late := load.play(t, true)
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -109,13 +109,19 @@
 // up. The rest is for the way.
 const objectiveShare = 0.8
 
+// usualShare is the part of a service's objective that a request is taken to need while
+// nothing is known of the backend server.
+const usualShare = 0.25
+
 // takeInTime takes a new flow if its first request can be answered within the service's
 // objective, and else refuses it at once. The load pattern it answers: more requests
 // than slots for seconds, as when all servers return cold. Whatever the queue lets in
 // is served at the same rate, but behind a long queue nothing is in time.
 func (a *Agent) takeInTime(service *fleet.RoutedService) verdict {
-	limit := time.Duration(objectiveShare * float64(service.Objective()))
-	if limit > 0 && a.config.Carried && a.load.isQueueing() && a.load.expected() > limit {
+	objective := service.Objective()
+	limit := time.Duration(objectiveShare * float64(objective))
+	usual := time.Duration(usualShare * float64(objective))
+	if limit > 0 && a.config.Carried && a.load.isFull() && a.load.expected(usual) > limit {
 		return refuse{RefuseWait}
 	}
 	return take{}
