Place a flow among its first six candidates, and ask a registrar where a hint is missing

Ruled out: asking all agents first for each packet without a hint (122 questions a second at each agent in calm operation, as the confirmation of a new flow comes before its owner's hint). Change: a flow is placed on one of its first six candidates in an order that weights do not move, the primary by weight among them, hand-overs by room among them first. Searches ask these first. A balancer remembers where an opening packet went until the owner's hint, and sends packets without any hint to the flow's first registrar.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -373,6 +373,9 @@
 // search passes a packet of a flow this agent does not own to the next
 // candidate. When all have said that they do not own it, the caller gets a reset.
 func (a *Agent) search(now time.Time, service *fleet.RoutedService, arrival *Arrival) Action {
+	if registrar := a.registrar(now, service, arrival); registrar != nil {
+		return a.passedOn(registrar, "")
+	}
 	if a.lookUp(now, service, arrival) {
 		return &a.hold
 	}
--- a/internal/core/agent/directory.go
+++ b/internal/core/agent/directory.go
@@ -165,6 +165,24 @@
 	return action, true
 }
 
+// registrar returns the agent that should know the owner of a packet's flow, unless it is
+// this one or has been asked.
+func (a *Agent) registrar(now time.Time, service *fleet.RoutedService, arrival *Arrival) *fleet.Target {
+	if arrival.Asked || arrival.Referred || arrival.Relayed {
+		return nil
+	}
+	for _, target := range service.Registrars(arrival.Packet.Flow().Hash()) {
+		if target == nil || target.ID() == a.config.Self || slices.Contains(arrival.Visited, target.ID()) {
+			return nil
+		}
+		if !a.trail.isFutile(now, arrival.Packet, target.ID()) {
+			a.trail.note(now, arrival.Packet, target.ID(), a.config.MaxFlows)
+			return target
+		}
+	}
+	return nil
+}
+
 // trailLifetime is how long a step of a search is remembered.
 const trailLifetime = 2 * time.Second
 
--- a/internal/core/agent/directory_test.go
+++ b/internal/core/agent/directory_test.go
@@ -135,3 +135,39 @@
 	}
 	panic(fmt.Sprintf("all of %d agents are excluded", len(ids)))
 }
+
+// All processes restart: registrations, hints and learned weights are gone, and the flows
+// were placed by weights and load.
+func TestFlowPlacedByWeightAndLoadIsFoundAmongItsChoices(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(t, 40)
+		ids := r.ids()
+		for _, id := range ids {
+			weight := rapid.Uint16Range(uint16(fleet.DefaultWeight/2), uint16(2*fleet.DefaultWeight)).Draw(t, "weight")
+			r.state.Peers().Merge(epoch, fleet.PeerRecord{ID: id, Incarnation: 1, Weight: fleet.Weight(weight)})
+		}
+		r.applyView()
+		service := r.agents[ids[0]].view.Service(fleet.ServiceIDOf("orders"))
+		primary := r.agents[service.Primary(flowOf(4000).Hash()).ID()]
+		primary.config.Placement = HandOverWhenFull{}
+		for range slots {
+			primary.load.start(settled)
+		}
+		for _, id := range ids {
+			primary.Heard(settled, id, Report{Limit: slots, MaxOpen: 9, Running: rapid.Uint32Range(0, slots).Draw(t, "running")})
+		}
+		owner := r.open(t, primary.config.Self, 4000)
+		for _, id := range ids {
+			r.state.Peers().Merge(epoch, fleet.PeerRecord{ID: id, Incarnation: 2})
+			r.restart(id)
+		}
+		r.applyView()
+		r.passes = 0
+		packet := arrival(4000, flow.Established, 77)
+		packet.Asked = true
+		found, action := r.travel(t, service.Registrars(flowOf(4000).Hash())[0].ID(), packet)
+		require.IsType(t, &Deliver{}, action)
+		require.Equal(t, owner, found)
+		require.LessOrEqual(t, r.passes, fleet.Choices)
+	})
+}
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"iter"
 	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
 // Placement is the policy by which the primary of a new flow decides who serves
@@ -93,9 +95,9 @@
 func (a *Agent) placeWhenFull(now time.Time, service *fleet.RoutedService, arrival *Arrival) verdict {
 	visited := a.visitedWithSelf(arrival.Visited)
 	if a.admission.HasRoom() {
-		return a.placeEvenly(now, service, visited)
+		return a.placeEvenly(now, service, arrival.Packet.Flow(), visited)
 	}
-	sibling := a.roomiest(now, service, visited)
+	sibling := a.roomiest(now, service, arrival.Packet.Flow(), visited)
 	if sibling == nil {
 		return a.takeInTime(service)
 	}
@@ -129,12 +131,12 @@
 
 // placeEvenly hands a share of flows to the least utilised sibling while this
 // backend server is busier than the mean.
-func (a *Agent) placeEvenly(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) verdict {
+func (a *Agent) placeEvenly(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) verdict {
 	share := a.shift(now)
 	if share == 0 || a.random.Float64() >= share {
 		return take{}
 	}
-	sibling := a.idlest(now, service, visited)
+	sibling := a.idlest(now, service, id, visited)
 	if sibling == nil {
 		return take{}
 	}
@@ -154,17 +156,25 @@
 	return handOver{walk.Next, HandOverFull}
 }
 
-// roomiest returns the sibling with the most room by its latest report, or nil
-// if none is known to have any.
-func (a *Agent) roomiest(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) *fleet.Target {
+// roomiest returns the sibling with the most room by its latest report, or nil if none
+// is known to have any. The flow's choices go before all others.
+func (a *Agent) roomiest(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
+	best := a.leastUsed(now, slices.Values(service.Choices(id.Hash())), visited)
+	if best == nil {
+		best = a.leastUsed(now, service.All(), visited)
+	}
+	a.reserve(best)
+	return best
+}
+
+func (a *Agent) leastUsed(now time.Time, targets iter.Seq[*fleet.Target], visited []fleet.InstanceID) *fleet.Target {
 	var best *fleet.Target
 	lowest := 1.0
-	a.eachRoomy(now, service, visited, func(target *fleet.Target, report Report) {
+	a.eachRoomy(now, targets, visited, func(target *fleet.Target, report Report) {
 		if usage := report.usage(); usage < lowest {
 			best, lowest = target, usage
 		}
 	})
-	a.reserve(best)
 	return best
 }
 
@@ -174,9 +184,8 @@
 }
 
 // eachRoomy visits the accepting targets whose latest report shows room.
-func (a *Agent) eachRoomy(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID, visit func(*fleet.Target, Report)) {
-	for i := range service.Targets() {
-		target := &service.Targets()[i]
+func (a *Agent) eachRoomy(now time.Time, targets iter.Seq[*fleet.Target], visited []fleet.InstanceID, visit func(*fleet.Target, Report)) {
+	for target := range targets {
 		if !isOpen(target, visited) {
 			continue
 		}
--- a/internal/core/agent/weight.go
+++ b/internal/core/agent/weight.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
 // Parameters of the weight that an agent learns. The weight that is spread to
@@ -119,12 +121,12 @@
 	return min(maxShift, 1-mean/a.utilisation)
 }
 
-// idlest returns the accepting sibling with room that is least utilised, if it is
-// less utilised than this agent.
-func (a *Agent) idlest(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) *fleet.Target {
+// idlest returns the flow's choice with room that is least utilised, if it is less
+// utilised than this agent.
+func (a *Agent) idlest(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
 	var best *fleet.Target
 	lowest := a.utilisation
-	a.eachRoomy(now, service, visited, func(target *fleet.Target, report Report) {
+	a.eachRoomy(now, slices.Values(service.Choices(id.Hash())), visited, func(target *fleet.Target, report Report) {
 		if u := report.utilisation(); u < lowest {
 			best, lowest = target, u
 		}
--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -38,6 +38,9 @@
 	// CountsCopies tells that opening packets count their copies, so that each copy
 	// can go to a target of its own.
 	CountsCopies bool
+	// AsksRegistrars tells that the packets of a flow come to one balancer as long as it
+	// stays. A flow without a hint then comes from another one, and has been registered.
+	AsksRegistrars bool
 	// Resets tells callers at once what cannot be served.
 	Resets bool
 }
@@ -80,18 +83,22 @@
 		decision.Reset = b.config.Resets
 		return decision
 	}
-	if copies := packet.Confirms(); b.config.CountsCopies && copies > 0 {
+	if !b.config.CountsCopies {
+		return decision
+	}
+	if copies := packet.Confirms(); copies > 0 {
 		decision.Suspect = service.NthAccepting(hash, copies-1)
 		decision.Target = service.NthAccepting(hash, copies)
-		b.hints.Put(hash, decision.Target.ID())
 	}
+	// The target knows where the flow has gone until its owner sends a hint.
+	b.hints.Put(hash, decision.Target.ID())
 	return decision
 }
 
 // continueFlow sends a packet to the first candidate that answers, which passes on
 // what it does not own.
 func (b *Balancer) continueFlow(service *fleet.RoutedService, hash uint64) Decision {
-	decision := Decision{Service: service, Target: service.Home(hash)}
+	decision := Decision{Service: service, Target: b.first(service, hash)}
 	switch {
 	case decision.Target != nil:
 	case len(service.Targets()) == 0:
@@ -102,6 +109,16 @@
 	return decision
 }
 
+// first returns the target to ask for the owner of a flow.
+func (b *Balancer) first(service *fleet.RoutedService, hash uint64) *fleet.Target {
+	if b.config.AsksRegistrars {
+		if registrar := service.Registrars(hash)[0]; registrar != nil {
+			return registrar
+		}
+	}
+	return service.Home(hash)
+}
+
 // Learn remembers the owner of a flow, as told by the owner.
 func (b *Balancer) Learn(hash uint64, owner fleet.InstanceID) {
 	b.hints.Put(hash, owner)
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// A flow opens, and its next packets come before the owner's hint. Later another balancer
+// takes its packets over.
+func TestPacketsWithoutAHintGoToARegistrar(t *testing.T) {
+	view := newState(t, 12).View(epoch)
+	service := view.ServiceAt(address)
+	config := Config{CountsCopies: true, AsksRegistrars: true}
+	opener, other := New(config, NewHints(16)), New(config, NewHints(16))
+	opening := opener.Forward(view, packet(address, flow.Opening, 0))
+	next := opener.Forward(view, packet(address, flow.Established, 1))
+	require.Equal(t, opening.Target.ID(), next.Target.ID())
+	taken := other.Forward(view, packet(address, flow.Established, 1))
+	require.Equal(t, service.Registrars(packet(address, flow.Established, 1).Flow().Hash())[0].ID(), taken.Target.ID())
+}
+
 func TestHintsAreForgottenWhenAFlowOpensAnew(t *testing.T) {
 	view := newState(t, 3).View(epoch)
 	b := New(Config{CountsCopies: true}, NewHints(16))
--- a/internal/core/fleet/candidates.go
+++ b/internal/core/fleet/candidates.go
@@ -19,8 +19,50 @@
 	return -float64(target.weight) / math.Log(uniform)
 }
 
+// Choices is the number of candidates that a flow is placed on, as long as one of them has
+// room. A search asks them first, however weights and load have changed since.
+const Choices = 6
+
+// ranking holds the eligible targets that come first for a flow, in an order that weights
+// do not move.
+type ranking struct {
+	targets [Choices]*Target
+	values  [Choices]uint64
+	count   int
+}
+
+func (r *ranking) add(target *Target, value uint64) {
+	at := r.count
+	for at > 0 && r.values[at-1] < value {
+		at--
+	}
+	if at == Choices {
+		return
+	}
+	r.count = min(r.count+1, Choices)
+	copy(r.targets[at+1:r.count], r.targets[at:])
+	copy(r.values[at+1:r.count], r.values[at:])
+	r.targets[at], r.values[at] = target, value
+}
+
+func (s *RoutedService) rank(hash uint64, eligible func(*Target) bool) ranking {
+	var ranked ranking
+	for i := range s.targets[:s.selected] {
+		if target := &s.targets[i]; eligible(target) {
+			ranked.add(target, mix(hash, target.id))
+		}
+	}
+	return ranked
+}
+
+// Choices returns the accepting targets on which a flow is placed.
+func (s *RoutedService) Choices(hash uint64) []*Target {
+	ranked := s.rank(hash, (*Target).IsAccepting)
+	return slices.Clone(ranked.targets[:ranked.count])
+}
+
 // Primary returns the target that decides about a new flow: the first accepting
-// candidate. Where others suspect all of them, suspicion does not count, so that one
+// candidate by weight. Where others suspect all of them, suspicion does not count, so that one
 // process with a broken path cannot empty a service. Primary returns nil if no target is
 // accepting.
 func (s *RoutedService) Primary(hash uint64) *Target {
@@ -70,14 +112,12 @@
 	return s.best(hash, eligible)
 }
 
+// best returns the first by weight of the eligible targets that come first for a flow.
 func (s *RoutedService) best(hash uint64, eligible func(*Target) bool) *Target {
 	var best *Target
 	highest := math.Inf(-1)
-	for i := range s.targets[:s.selected] {
-		target := &s.targets[i]
-		if !eligible(target) {
-			continue
-		}
+	ranked := s.rank(hash, eligible)
+	for _, target := range ranked.targets[:ranked.count] {
 		if value := score(hash, target); value > highest {
 			best, highest = target, value
 		}
@@ -156,9 +196,8 @@
 	SkippedIn string
 }
 
-// NextCandidate returns the first reachable candidate that is not in visited: the
-// registrars of the flow, other selected targets in rendezvous order, those that are
-// suspected last, then residual owners.
+// NextCandidate returns the first reachable candidate that is not in visited: selected
+// targets in rendezvous order, those that are suspected last, then residual owners.
 func (s *RoutedService) NextCandidate(hash uint64, visited []InstanceID) Walk {
 	var walk Walk
 	unvisited := func(target *Target) bool {
@@ -173,12 +212,6 @@
 		}
 		return true
 	}
-	for _, registrar := range s.Registrars(hash) {
-		if registrar != nil && !slices.Contains(visited, registrar.id) {
-			walk.Next = registrar
-			return walk
-		}
-	}
 	walk.Next = s.bestUnsuspected(hash, unvisited)
 	if walk.Next != nil {
 		return walk
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"iter"
 	"net/netip"
 	"time"
 
@@ -87,6 +88,17 @@
 // Targets returns the selected targets, then the residual ones.
 func (s *RoutedService) Targets() []Target { return s.targets }
 
+// All yields the targets.
+func (s *RoutedService) All() iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		for i := range s.targets {
+			if !yield(&s.targets[i]) {
+				return
+			}
+		}
+	}
+}
+
 // Target returns the target served by an instance, or nil.
 func (s *RoutedService) Target(id InstanceID) *Target { return s.target(id) }
 
