Compute what the documents say once, and views at most every 40 ms

Ruled out: the store (its answer was in after 0.3 s) and the links (the queue of inputs held 34 small records). Change: the table of services, the listed nodes and backend servers are built once for each document and shared by views; a service meets its targets when it is first asked for; views follow each other by at least 40 ms once there is one to route by.

--- a/internal/core/agent/overload_test.go
+++ b/internal/core/agent/overload_test.go
@@ -116,7 +116,10 @@
 	a := r.agents[r.ids()[0]]
 	a.config.Placement = HandOverWhenFull{}
 	services, _, _ := r.state.Documents()
-	services.Services[0].Objective = 250 * time.Millisecond
+	next := &fleet.ServicesDocument{Revision: 2, Services: services.Services}
+	next.Services[0].Objective = 250 * time.Millisecond
+	_, err := r.state.Apply(epoch, next)
+	require.NoError(t, err)
 	r.applyView()
 	taken := 0
 	for port := range uint16(100) {
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -222,6 +222,7 @@
 	}))
 	require.False(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(other).IsAccepting())
 	c.Answered(now.Add(10*time.Millisecond), other, 1)
+	c.Tick(now.Add(viewInterval))
 	require.True(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(other).IsAccepting(), "its answer outweighs the suspicion")
 }
 
@@ -243,3 +244,41 @@
 		require.ElementsMatch(t, []netip.AddrPort{first, second}, dialled)
 	}
 }
+
+// After a start of the whole fleet each peer's first record comes by itself.
+func TestRecordsThatComeTogetherLeadToOneView(t *testing.T) {
+	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer}, rand.New(rand.NewPCG(1, 0)))
+	backends, instances := &fleet.BackendsDocument{Revision: 1}, &fleet.InstancesDocument{Revision: 1}
+	for i := range 40 {
+		name := fmt.Sprintf("b%d", i)
+		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
+		instances.Instances = append(instances.Instances, fleet.Instance{
+			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
+		})
+	}
+	services := &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}},
+	}}}
+	for _, document := range []fleet.Document{backends, instances, services} {
+		c.Document(epoch, document)
+	}
+	require.True(t, c.View().CanRoute(), "the first picture is not kept waiting")
+	c.LinkUp(epoch, 1, false)
+	views := 0
+	count := func(outputs []Output) {
+		for _, output := range outputs {
+			if _, isView := output.(Publish); isView {
+				views++
+			}
+		}
+	}
+	now := epoch
+	for i := range 40 {
+		now = now.Add(time.Millisecond)
+		record := fleet.PeerRecord{ID: fleet.InstanceIDOf(fmt.Sprintf("b%d", i)), Incarnation: 1}
+		count(c.Message(now, 1, &Message{Records: []fleet.PeerRecord{record}}))
+	}
+	count(c.Tick(epoch.Add(2 * viewInterval)))
+	require.LessOrEqual(t, views, 2)
+	require.NotZero(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(fleet.InstanceIDOf("b39")).Incarnation())
+}
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -25,7 +25,10 @@
 	linkRotation    = 60 * time.Second
 	dialInterval    = 500 * time.Millisecond
 	weightViewDelay = time.Second
-	pauseThreshold  = time.Second
+	// viewInterval is the least time between two views, once there is one to route by.
+	// After a start of the whole fleet each peer's first record would ask for one.
+	viewInterval   = 40 * time.Millisecond
+	pauseThreshold = time.Second
 	// lateTick is the delay between two ticks from which this process, and not its
 	// peers, may be what is slow.
 	lateTick         = 2 * TickInterval
@@ -73,6 +76,8 @@
 	outputs []Output
 	viewAt  time.Time
 	viewDue bool
+	// viewFrom is the instant from which the next view may be published.
+	viewFrom time.Time
 	// rerouted tells that the view that is due changes where packets may go.
 	rerouted  bool
 	view      *fleet.View
@@ -195,7 +200,7 @@
 }
 
 func (c *Controller) publish(now time.Time) {
-	if !c.viewDue || now.Before(c.viewAt) {
+	if !c.viewDue || now.Before(c.viewAt) || now.Before(c.viewFrom) {
 		return
 	}
 	if c.rerouted {
@@ -204,6 +209,9 @@
 		c.view = c.state.ViewSettledAt(now, c.view.SettledAt())
 	}
 	c.viewDue, c.rerouted = false, false
+	if c.view.CanRoute() {
+		c.viewFrom = now.Add(viewInterval)
+	}
 	c.prober.setPeers(c.peersToProbe())
 	c.rankReaders()
 	c.emit(Publish{View: c.view})
--- a/internal/core/fleet/capacity_test.go
+++ b/internal/core/fleet/capacity_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+// BenchmarkViewOfManyServices is the cost of computing a view of 48 targets, by number of
+// services with the same selectors.
+func BenchmarkViewOfManyServices(b *testing.B) {
+	for _, services := range []int{10, 400, 1500} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			state := benchmarkState(b, 48)
+			document := &ServicesDocument{Revision: 2}
+			for i := range services {
+				document.Services = append(document.Services, Service{
+					Name: fmt.Sprint(i), Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250+1), Protocol: "tcp",
+					Selectors: map[string]Selector{AnyDataCentre: {"app": {"service-0", "service-1"}}},
+				})
+			}
+			if _, err := state.Apply(epoch, document); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				state.View(epoch)
+			}
+		})
+	}
+}
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -30,11 +30,10 @@
 			delete(s.departed, id)
 		}
 	}
-	backends := s.backendsByID()
 	for i := range s.instances.Instances {
 		instance := s.instances.Instances[i]
 		id := InstanceIDOf(instance.Name)
-		backend := backends[id]
+		backend := s.servers[id]
 		if instance.Role != RoleAgent || backend == nil || isNamed(id) {
 			continue
 		}
--- /dev/null
+++ b/internal/core/fleet/routes.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// route is what the services document says of a service. Views share it.
+type route struct {
+	id      ServiceID
+	name    string
+	address flow.Address
+	// pool is the number of the pool of targets, the same for services with the same
+	// selectors.
+	pool int
+	// selectors holds a selector for each data centre that is in the service.
+	selectors map[string]Selector
+	coldRate  float64
+	repeats   bool
+	objective time.Duration
+}
+
+// selector returns the selector for a data centre: its own, or the one for any.
+func (r *route) selector(dataCentre string) (Selector, bool) {
+	if selector, present := r.selectors[dataCentre]; present {
+		return selector, true
+	}
+	selector, present := r.selectors[AnyDataCentre]
+	return selector, present
+}
+
+// isPresent reports whether the data centre has a selector for the service.
+func (r *route) isPresent(dataCentre string) bool {
+	_, present := r.selector(dataCentre)
+	return present
+}
+
+// selects reports whether a backend server with these labels may serve the service in a
+// data centre.
+func (r *route) selects(dataCentre string, labels map[string]string) bool {
+	selector, present := r.selector(dataCentre)
+	return present && selector.Matches(labels)
+}
+
+// routeTable holds the routes of one services document. An operator may publish thousands,
+// most of them for the same servers, so that it is computed once for all views.
+type routeTable struct {
+	routes    []route
+	byAddress map[flow.Address]int
+	byID      map[ServiceID]int
+	// first holds the first route of each pool.
+	first []int
+}
+
+func newRouteTable(document *ServicesDocument) *routeTable {
+	table := &routeTable{
+		routes:    make([]route, len(document.Services)),
+		byAddress: make(map[flow.Address]int, len(document.Services)),
+		byID:      make(map[ServiceID]int, len(document.Services)),
+	}
+	pools := make(map[string]int)
+	for i := range document.Services {
+		service := &document.Services[i]
+		address, _ := service.address()
+		key := selectorsKey(service.Selectors)
+		pool, known := pools[key]
+		if !known {
+			pool = len(table.first)
+			pools[key] = pool
+			table.first = append(table.first, i)
+		}
+		table.routes[i] = route{
+			id:        ServiceIDOf(service.Name),
+			name:      service.Name,
+			address:   address,
+			pool:      pool,
+			selectors: service.Selectors,
+			coldRate:  service.ColdRate,
+			repeats:   service.Idempotent,
+			objective: service.Objective,
+		}
+		table.byAddress[address] = i
+		table.byID[table.routes[i].id] = i
+	}
+	return table
+}
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
-
-	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
 // settleTime is how long a change of the view needs to reach every process.
@@ -18,16 +18,24 @@
 	services  ServicesDocument
 	backends  BackendsDocument
 	instances InstancesDocument
-	// poolKeys holds a key for the selectors of each service, in the same order.
-	poolKeys []string
-	peers    *Peers
+	// routes, servers and listed hold what the documents say. Views share them.
+	routes  *routeTable
+	servers map[InstanceID]*Backend
+	listed  map[InstanceID]*Node
+	peers   *Peers
 	// departed holds the agents that are no longer listed but may still own flows.
 	departed map[InstanceID]departure
 }
 
 // NewState returns a state without documents.
 func NewState() *State {
-	return &State{peers: NewPeers(), departed: make(map[InstanceID]departure)}
+	return &State{
+		routes:   newRouteTable(&ServicesDocument{}),
+		servers:  make(map[InstanceID]*Backend),
+		listed:   make(map[InstanceID]*Node),
+		peers:    NewPeers(),
+		departed: make(map[InstanceID]departure),
+	}
 }
 
 // Peers returns the peer table.
@@ -65,10 +73,7 @@
 	switch d := document.(type) {
 	case *ServicesDocument:
 		s.services = *d
-		s.poolKeys = make([]string, len(d.Services))
-		for i := range d.Services {
-			s.poolKeys[i] = selectorsKey(d.Services[i].Selectors)
-		}
+		s.routes = newRouteTable(d)
 	case *BackendsDocument:
 		named := make(map[InstanceID]bool, len(d.Backends))
 		for i := range d.Backends {
@@ -76,6 +81,10 @@
 		}
 		s.noteDepartures(now, func(id InstanceID) bool { return named[id] })
 		s.backends = *d
+		s.servers = make(map[InstanceID]*Backend, len(d.Backends))
+		for i := range s.backends.Backends {
+			s.servers[InstanceIDOf(d.Backends[i].Name)] = &s.backends.Backends[i]
+		}
 	case *InstancesDocument:
 		s.applyInstances(now, d)
 	}
@@ -110,6 +119,11 @@
 		delete(s.departed, id)
 	}
 	s.instances = *next
+	s.listed = make(map[InstanceID]*Node, len(next.Instances))
+	for i := range next.Instances {
+		node := nodeOf(&next.Instances[i])
+		s.listed[node.id] = node
+	}
 	s.peers.Forget(func(id InstanceID) bool {
 		_, departed := s.departed[id]
 		return listed[id] || departed
@@ -126,37 +140,39 @@
 func (s *State) ViewSettledAt(now, settledAt time.Time) *View {
 	view := &View{
 		revisions: s.Revisions(),
-		services:  make(map[flow.Address]*RoutedService, len(s.services.Services)),
-		byID:      make(map[ServiceID]*RoutedService, len(s.services.Services)),
+		routes:    s.routes,
+		services:  make([]atomic.Pointer[RoutedService], len(s.routes.routes)),
 		nodes:     s.nodes(now),
-		backends:  s.backendsByID(),
+		backends:  s.backendsWithLapsed(now),
 		draining:  make(map[string]bool, len(s.services.Draining)),
 		settledAt: settledAt,
 	}
 	for _, dataCentre := range s.services.Draining {
 		view.draining[dataCentre] = true
 	}
-	for id, d := range s.departed {
-		if d.isLapsed(now) && view.backends[id] == nil {
-			view.backends[id] = &d.backend
-		}
+	s.fillPools(now, view)
+	view.membership = membershipOf(view.distinct)
+	return view
+}
+
+// fillPools computes the targets of all services: once for those with the same selectors,
+// and for each one with residual owners.
+func (s *State) fillPools(now time.Time, view *View) {
+	builder := poolBuilder{state: s, now: now, servers: indexServers(view.nodes, view.backends), departed: s.departedNodes(now)}
+	for _, at := range s.routes.first {
+		view.pools = append(view.pools, builder.build(&s.routes.routes[at], nil))
+		view.distinct = append(view.distinct, view.service(at))
 	}
-	servers := s.servers(view.nodes, view.backends)
-	residual := s.residualOwners(view.nodes)
-	builder := poolBuilder{state: s, now: now, servers: servers, departed: s.departedNodes(now), pools: make(map[string]*pool)}
-	for i := range s.services.Services {
-		service := &s.services.Services[i]
-		known := len(builder.pools)
-		routed := s.route(service)
-		routed.pool = builder.pool(routed, s.poolKeys[i], residual[routed.id])
-		view.services[routed.address] = routed
-		view.byID[routed.id] = routed
-		if len(builder.pools) > known || len(residual[routed.id]) > 0 {
-			view.distinct = append(view.distinct, routed)
+	view.own = make(map[int]*pool)
+	for id, owners := range s.residualOwners(view.nodes) {
+		if at, known := s.routes.byID[id]; known {
+			view.own[at] = builder.build(&s.routes.routes[at], owners)
+			view.services[at].Store(nil)
 		}
 	}
-	view.membership = membershipOf(view.distinct)
-	return view
+	for _, at := range slices.Sorted(maps.Keys(view.own)) {
+		view.distinct = append(view.distinct, view.service(at))
+	}
 }
 
 // membershipOf stands for what decides which agents a flow is registered with. It is
@@ -174,35 +190,45 @@
 	return max(digest, 1)
 }
 
-func (s *State) backendsByID() map[InstanceID]*Backend {
-	backends := make(map[InstanceID]*Backend, len(s.backends.Backends))
-	for i := range s.backends.Backends {
-		backend := &s.backends.Backends[i]
-		backends[InstanceIDOf(backend.Name)] = backend
-	}
-	return backends
-}
-
 // server is a backend server together with the node of its agent.
 type server struct {
 	backend *Backend
 	node    *Node
 }
 
+// nodes returns the listed nodes and those that have departed.
 func (s *State) nodes(now time.Time) map[InstanceID]*Node {
-	nodes := make(map[InstanceID]*Node, len(s.instances.Instances))
+	if len(s.departed) == 0 {
+		return s.listed
+	}
+	nodes := maps.Clone(s.listed)
 	for id, d := range s.departed {
+		if s.listed[id] != nil {
+			continue
+		}
 		node := nodeOf(&d.instance)
 		node.leaving = !d.isLapsed(now)
 		nodes[id] = node
 	}
-	for i := range s.instances.Instances {
-		node := nodeOf(&s.instances.Instances[i])
-		nodes[node.id] = node
-	}
 	return nodes
 }
 
+// backendsWithLapsed returns the listed backend servers and those whose entries have
+// lapsed.
+func (s *State) backendsWithLapsed(now time.Time) map[InstanceID]*Backend {
+	backends := s.servers
+	for id, d := range s.departed {
+		if !d.isLapsed(now) || s.servers[id] != nil {
+			continue
+		}
+		if len(backends) == len(s.servers) {
+			backends = maps.Clone(s.servers)
+		}
+		backends[id] = &d.backend
+	}
+	return backends
+}
+
 func nodeOf(instance *Instance) *Node {
 	data, _ := netip.ParseAddrPort(instance.Data)
 	control, _ := netip.ParseAddrPort(instance.Control)
@@ -265,8 +291,8 @@
 	return servers
 }
 
-// servers indexes the backend servers with a listed agent by data centre.
-func (s *State) servers(nodes map[InstanceID]*Node, backends map[InstanceID]*Backend) map[string]*serverIndex {
+// indexServers indexes the backend servers with a listed agent by data centre.
+func indexServers(nodes map[InstanceID]*Node, backends map[InstanceID]*Backend) map[string]*serverIndex {
 	servers := make(map[string]*serverIndex)
 	for id, backend := range backends {
 		node := nodes[id]
@@ -297,19 +323,6 @@
 	return owners
 }
 
-func (s *State) route(service *Service) *RoutedService {
-	address, _ := service.address()
-	return &RoutedService{
-		id:        ServiceIDOf(service.Name),
-		name:      service.Name,
-		address:   address,
-		selectors: service.Selectors,
-		coldRate:  service.ColdRate,
-		repeats:   service.Idempotent,
-		objective: service.Objective,
-	}
-}
-
 func (s *State) target(node *Node, now time.Time) Target {
 	record, known := s.peers.Record(node.id)
 	weight := DefaultWeight
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/flow"
@@ -65,15 +66,8 @@
 
 // RoutedService is a service with its targets.
 type RoutedService struct {
-	id      ServiceID
-	name    string
-	address flow.Address
+	*route
 	*pool
-	// selectors holds a selector for each data centre that is in the service.
-	selectors map[string]Selector
-	coldRate  float64
-	repeats   bool
-	objective time.Duration
 }
 
 // ID returns the service's identifier.
@@ -112,25 +106,12 @@
 }
 
 // IsPresent reports whether the data centre has a selector for the service.
-func (s *RoutedService) IsPresent(dataCentre string) bool {
-	_, present := s.selector(dataCentre)
-	return present
-}
-
-// selector returns the selector for a data centre: its own, or the one for any.
-func (s *RoutedService) selector(dataCentre string) (Selector, bool) {
-	if selector, present := s.selectors[dataCentre]; present {
-		return selector, true
-	}
-	selector, present := s.selectors[AnyDataCentre]
-	return selector, present
-}
+func (s *RoutedService) IsPresent(dataCentre string) bool { return s.isPresent(dataCentre) }
 
 // Selects reports whether a backend server with these labels may serve the service
 // in a data centre.
 func (s *RoutedService) Selects(dataCentre string, labels map[string]string) bool {
-	selector, present := s.selector(dataCentre)
-	return present && selector.Matches(labels)
+	return s.selects(dataCentre, labels)
 }
 
 // IsIdempotent reports whether callers may repeat any request of the service.
@@ -176,8 +157,13 @@
 // and never change it.
 type View struct {
 	revisions Revisions
-	services  map[flow.Address]*RoutedService
-	byID      map[ServiceID]*RoutedService
+	routes    *routeTable
+	// pools holds the targets of each pool of the routes.
+	pools []*pool
+	// own holds the targets of the routes that have some of their own, by number.
+	own map[int]*pool
+	// services holds the routes that have been asked for with their targets, by number.
+	services []atomic.Pointer[RoutedService]
 	// distinct holds a service of each pool of targets.
 	distinct  []*RoutedService
 	nodes     map[InstanceID]*Node
@@ -205,13 +191,52 @@
 func (v *View) Revisions() Revisions { return v.revisions }
 
 // ServiceAt returns the service with an address, or nil.
-func (v *View) ServiceAt(address flow.Address) *RoutedService { return v.services[address] }
+func (v *View) ServiceAt(address flow.Address) *RoutedService {
+	if at, known := v.routes.byAddress[address]; known {
+		return v.service(at)
+	}
+	return nil
+}
 
 // Service returns the service with an ID, or nil.
-func (v *View) Service(id ServiceID) *RoutedService { return v.byID[id] }
+func (v *View) Service(id ServiceID) *RoutedService {
+	if at, known := v.routes.byID[id]; known {
+		return v.service(at)
+	}
+	return nil
+}
 
-// Services returns all services in no particular order.
-func (v *View) Services() map[ServiceID]*RoutedService { return v.byID }
+// service returns the service of a route. Most routes see no traffic, so that it is put
+// together when it is first asked for.
+func (v *View) service(at int) *RoutedService {
+	if known := v.services[at].Load(); known != nil {
+		return known
+	}
+	route := &v.routes.routes[at]
+	targets := v.pools[route.pool]
+	if own := v.own[at]; own != nil {
+		targets = own
+	}
+	service := &RoutedService{route, targets}
+	v.services[at].Store(service)
+	return service
+}
+
+// CanRoute reports whether the view holds a document of each kind.
+func (v *View) CanRoute() bool {
+	return v.revisions.Services > 0 && v.revisions.Backends > 0 && v.revisions.Instances > 0
+}
+
+// Services yields all services.
+func (v *View) Services() iter.Seq[*RoutedService] {
+	return func(yield func(*RoutedService) bool) {
+		for at := range v.routes.routes {
+			if !yield(v.service(at)) {
+				return
+			}
+		}
+	}
+}
 
 // Distinct returns services that together have all targets: of services with the
 // same targets it holds one.
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -83,7 +83,7 @@
 		Valid:       n.IsValid(clock.Now()),
 		Nodes:       len(view.Nodes()),
 	}
-	for _, service := range view.Services() {
+	for service := range view.Services() {
 		status.Services = append(status.Services, operator.DescribeService(service))
 	}
 	return status.Sorted()
