Serve the documents in force, histograms of latencies, and the part of each candidate

Cause: on the users' platform the client's services, backends, explain and watch had nobody to ask, since the platform publishes in another form; and latencies were not measured. HdrHistogram summaries of opening, answer and lookup latencies are published with the counters, at the control and the readiness endpoint. explain tells what each candidate does for a flow and knows selectors for any data centre. The test of a flow's choices said nothing of the case that all of them are full, in which the flow may go anywhere; it now keeps one of them idle.

--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -39,7 +39,8 @@
 		ShortUsage: "radishmast explain --platform URL [--caller ADDR] SERVICE",
 		ShortHelp:  "Tell which backend servers a service selects and why, or which candidates a flow has.",
 		LongHelp: "Examples:\n  radishmast explain --platform http://10.0.0.1:8500 orders\n" +
-			"  radishmast explain --platform http://10.0.0.1:8500 --caller 10.1.0.1:40000 orders",
+			"  radishmast explain --platform http://10.0.0.1:8500 --caller 10.1.0.1:40000 orders\n" +
+			"A daemon's control endpoint can stand for the platform:\n  radishmast explain --platform http://10.0.0.7:7001 orders",
 		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
@@ -103,7 +104,7 @@
 
 func explainBackend(service *fleet.Service, backend *fleet.Backend, states map[string]fleet.InstanceState) reason {
 	r := reason{Name: backend.Name, DataCentre: backend.DataCentre}
-	selector, present := service.Selectors[backend.DataCentre]
+	selector, present := service.SelectorFor(backend.DataCentre)
 	state, listed := states[backend.Name]
 	mismatch := selector.Mismatch(backend.Labels)
 	switch {
@@ -128,6 +129,27 @@
 	Name       string `json:"name"`
 	DataCentre string `json:"dataCentre"`
 	Accepting  bool   `json:"accepting"`
+	// Part is what the candidate does for the flow beyond being asked for it.
+	Part string `json:"part,omitempty"`
+}
+
+// partOf tells why a candidate comes first for a flow.
+func partOf(service *fleet.RoutedService, hash uint64, target *fleet.Target) string {
+	var parts []string
+	if primary := service.Primary(hash); primary != nil && primary.ID() == target.ID() {
+		parts = append(parts, "decides about it")
+	}
+	for _, choice := range service.Choices(hash) {
+		if choice.ID() == target.ID() {
+			parts = append(parts, "may be given it")
+		}
+	}
+	for _, registrar := range service.Registrars(hash) {
+		if registrar != nil && registrar.ID() == target.ID() {
+			parts = append(parts, "is told who owns it")
+		}
+	}
+	return strings.Join(parts, ", ")
 }
 
 func explainFlow(opts *Options, documents *cmdutil.Documents, caller netip.AddrPort) error {
@@ -141,11 +163,14 @@
 	candidates := []candidate{}
 	for walk := service.NextCandidate(hash, visited); walk.Next != nil; walk = service.NextCandidate(hash, visited) {
 		visited = append(visited, walk.Next.ID())
-		candidates = append(candidates, candidate{len(visited), walk.Next.Name(), walk.Next.DataCentre(), walk.Next.IsAccepting()})
+		candidates = append(candidates, candidate{
+			Order: len(visited), Name: walk.Next.Name(), DataCentre: walk.Next.DataCentre(),
+			Accepting: walk.Next.IsAccepting(), Part: partOf(service, hash, walk.Next),
+		})
 	}
-	table := cmdutil.Table{Header: []string{"ORDER", "BACKEND SERVER", "DATA CENTRE", "TAKES NEW FLOWS"}}
+	table := cmdutil.Table{Header: []string{"ORDER", "BACKEND SERVER", "DATA CENTRE", "TAKES NEW FLOWS", "PART"}}
 	for _, c := range candidates {
-		table.Rows = append(table.Rows, []string{fmt.Sprint(c.Order), c.Name, c.DataCentre, strconv.FormatBool(c.Accepting)})
+		table.Rows = append(table.Rows, []string{fmt.Sprint(c.Order), c.Name, c.DataCentre, strconv.FormatBool(c.Accepting), c.Part})
 	}
 	return opts.Factory.Streams.Print(table, candidates, opts.JSON)
 }
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -102,11 +102,30 @@
 	// Carried tells that the backend server ends the flows itself. The agent then
 	// learns from its answers which flows it holds.
 	Carried bool
+	// Observer is told how long things take. It may be nil.
+	Observer Observer
 	// Labels are the labels of the agent's own backend server. They count where
 	// flows are carried.
 	Labels map[string]string
 }
 
+// Observer measures what callers wait for. Its methods must not block.
+type Observer interface {
+	// ObserveOpening is told how long the backend server took to answer an opening packet.
+	ObserveOpening(latency time.Duration)
+	// ObserveAnswer is told how long the backend server took to answer a request.
+	ObserveAnswer(latency time.Duration)
+	// ObserveLookup is told how long the lookup of a flow's owner took.
+	ObserveLookup(latency time.Duration)
+}
+
+// unobserved ignores all measurements.
+type unobserved struct{}
+
+func (unobserved) ObserveOpening(time.Duration) {}
+func (unobserved) ObserveAnswer(time.Duration)  {}
+func (unobserved) ObserveLookup(time.Duration)  {}
+
 // Agent decides about packets.
 type Agent struct {
 	config Config
@@ -158,6 +177,9 @@
 
 // New returns an agent that owns no flows.
 func New(config Config, view *fleet.View, load *Load, random *rand.Rand) *Agent {
+	if config.Observer == nil {
+		config.Observer = unobserved{}
+	}
 	return &Agent{
 		config:    config,
 		view:      view,
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -93,7 +93,7 @@
 	due, _ := all[at].QuestionsDue(settled)
 	for _, question := range all[at].Questions(due) {
 		testimony := all[question.To.ID()].Asked(settled, question.Round, question.Flows)
-		resolutions = append(resolutions, all[at].Told(question.To.ID(), testimony)...)
+		resolutions = append(resolutions, all[at].Told(due, question.To.ID(), testimony)...)
 	}
 	require.Len(t, resolutions, 1)
 	a.Asked = true
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -207,6 +207,9 @@
 	known.expires = now.Add(carriedLifetime)
 	switch {
 	case answer.Opens && (known.state == statePending || known.state == stateHalfOpen):
+		if known.state == statePending {
+			a.config.Observer.ObserveOpening(now.Sub(known.askedAt))
+		}
 		known.state = stateHalfOpen
 		known.token = answer.Token
 	case answer.Ends:
@@ -251,6 +254,7 @@
 		return
 	}
 	latency := now.Sub(known.askedAt)
+	a.config.Observer.ObserveAnswer(latency)
 	a.load.finish(now, latency)
 	if !known.queued {
 		a.load.noteWork(latency)
--- a/internal/core/agent/directory_test.go
+++ b/internal/core/agent/directory_test.go
@@ -153,8 +153,14 @@
 		for range slots {
 			primary.load.start(settled)
 		}
+		choices := slices.DeleteFunc(service.Choices(flowOf(4000).Hash()), func(target *fleet.Target) bool { return target.ID() == primary.config.Self })
+		idle := choices[rapid.IntRange(0, len(choices)-1).Draw(t, "idle")].ID()
 		for _, id := range ids {
-			primary.Heard(settled, id, Report{Limit: slots, MaxOpen: 9, Running: rapid.Uint32Range(0, slots).Draw(t, "running")})
+			running := rapid.Uint32Range(0, slots).Draw(t, "running")
+			if id == idle {
+				running = 0
+			}
+			primary.Heard(settled, id, Report{Limit: slots, MaxOpen: 9, Running: running})
 		}
 		owner := r.open(t, primary.config.Self, 4000)
 		for _, id := range ids {
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -63,6 +63,7 @@
 // lookup is the search for the owner of one flow.
 type lookup struct {
 	service  fleet.ServiceID
+	begun    time.Time
 	asked    bool
 	waiting  []fleet.InstanceID
 	denied   []fleet.InstanceID
@@ -118,7 +119,7 @@
 	if len(a.lookups.flows) >= maxLookups || len(a.questionable(service, arrival.Visited)) == 0 {
 		return false
 	}
-	a.lookups.flows[id] = &lookup{service: service.ID(), deadline: now.Add(questionInterval + lookupTimeout)}
+	a.lookups.flows[id] = &lookup{service: service.ID(), begun: now, deadline: now.Add(questionInterval + lookupTimeout)}
 	a.lookups.unasked++
 	return true
 }
@@ -219,7 +220,7 @@
 }
 
 // Told takes an answer to a question and returns the lookups that it ends.
-func (a *Agent) Told(from fleet.InstanceID, testimony Testimony) []Resolution {
+func (a *Agent) Told(now time.Time, from fleet.InstanceID, testimony Testimony) []Resolution {
 	asked, known := a.lookups.rounds[testimony.Round]
 	if !known {
 		return nil
@@ -231,7 +232,7 @@
 			continue
 		}
 		owned := slices.Contains(testimony.Owned, uint16(i))
-		if resolution, ended := a.hear(id, l, from, owned, testimony.Complete); ended {
+		if resolution, ended := a.hear(now, id, l, from, owned, testimony.Complete); ended {
 			resolutions = append(resolutions, resolution)
 		}
 	}
@@ -239,7 +240,7 @@
 }
 
 // hear takes what one agent says of one flow.
-func (a *Agent) hear(id flow.ID, l *lookup, from fleet.InstanceID, owned, complete bool) (Resolution, bool) {
+func (a *Agent) hear(now time.Time, id flow.ID, l *lookup, from fleet.InstanceID, owned, complete bool) (Resolution, bool) {
 	at := slices.Index(l.waiting, from)
 	if at < 0 {
 		return Resolution{}, false
@@ -247,7 +248,7 @@
 	l.waiting = slices.Delete(l.waiting, at, at+1)
 	if owned {
 		if service := a.view.Service(l.service); service != nil {
-			return a.resolve(id, l, service.Target(from)), true
+			return a.resolve(now, id, l, service.Target(from)), true
 		}
 	}
 	if complete {
@@ -256,10 +257,11 @@
 	if len(l.waiting) > 0 {
 		return Resolution{}, false
 	}
-	return a.resolve(id, l, nil), true
+	return a.resolve(now, id, l, nil), true
 }
 
-func (a *Agent) resolve(id flow.ID, l *lookup, owner *fleet.Target) Resolution {
+func (a *Agent) resolve(now time.Time, id flow.ID, l *lookup, owner *fleet.Target) Resolution {
+	a.config.Observer.ObserveLookup(now.Sub(l.begun))
 	delete(a.lookups.flows, id)
 	return Resolution{Flow: id, Owner: owner, Denied: l.denied}
 }
@@ -269,7 +271,7 @@
 	var resolutions []Resolution
 	for id, l := range a.lookups.flows {
 		if l.asked && !now.Before(l.deadline) {
-			resolutions = append(resolutions, a.resolve(id, l, nil))
+			resolutions = append(resolutions, a.resolve(now, id, l, nil))
 		}
 	}
 	for number, r := range a.lookups.rounds {
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -55,7 +55,7 @@
 	for _, question := range questions {
 		testimony := r.agents[question.To.ID()].Asked(due, question.Round, question.Flows)
 		require.True(t, testimony.Complete)
-		resolutions = append(resolutions, a.Told(question.To.ID(), testimony)...)
+		resolutions = append(resolutions, a.Told(due, question.To.ID(), testimony)...)
 	}
 	require.Len(t, resolutions, flows)
 	for _, resolution := range resolutions {
@@ -103,7 +103,7 @@
 	for _, question := range asker.Questions(due) {
 		if question.To.ID() != owner {
 			testimony := r.agents[question.To.ID()].Asked(due, question.Round, question.Flows)
-			require.Empty(t, asker.Told(question.To.ID(), testimony))
+			require.Empty(t, asker.Told(due, question.To.ID(), testimony))
 		}
 	}
 	require.Empty(t, asker.OverdueLookups(due.Add(lookupTimeout-time.Millisecond)))
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -108,6 +108,19 @@
 	Idempotent bool `json:"idempotent,omitempty"`
 }
 
+// SelectorFor returns the selector for a data centre: its own, or the one for any.
+func (s *Service) SelectorFor(dataCentre string) (Selector, bool) {
+	return selectorFor(s.Selectors, dataCentre)
+}
+
+func selectorFor(selectors map[string]Selector, dataCentre string) (Selector, bool) {
+	if selector, present := selectors[dataCentre]; present {
+		return selector, true
+	}
+	selector, present := selectors[AnyDataCentre]
+	return selector, present
+}
+
 // Backend is a published backend server with its labels.
 type Backend struct {
 	_          struct{}          `cbor:",toarray"`
--- a/internal/core/fleet/routes.go
+++ b/internal/core/fleet/routes.go
@@ -23,11 +23,7 @@
 
 // selector returns the selector for a data centre: its own, or the one for any.
 func (r *route) selector(dataCentre string) (Selector, bool) {
-	if selector, present := r.selectors[dataCentre]; present {
-		return selector, true
-	}
-	selector, present := r.selectors[AnyDataCentre]
-	return selector, present
+	return selectorFor(r.selectors, dataCentre)
 }
 
 // isPresent reports whether the data centre has a selector for the service.
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -147,6 +147,7 @@
 		draining:  make(map[string]bool, len(s.services.Draining)),
 		settledAt: settledAt,
 	}
+	view.documents.services, view.documents.backends, view.documents.instances = s.services, s.backends, s.instances
 	for _, dataCentre := range s.services.Draining {
 		view.draining[dataCentre] = true
 	}
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -170,6 +170,11 @@
 	backends  map[InstanceID]*Backend
 	draining  map[string]bool
 	settledAt time.Time
+	documents struct {
+		services  ServicesDocument
+		backends  BackendsDocument
+		instances InstancesDocument
+	}
 
 	membership uint64
 }
@@ -222,6 +227,12 @@
 	return service
 }
 
+// Documents returns the documents that the view was computed from. They must not be
+// changed.
+func (v *View) Documents() (*ServicesDocument, *BackendsDocument, *InstancesDocument) {
+	return &v.documents.services, &v.documents.backends, &v.documents.instances
+}
+
 // CanRoute reports whether the view holds a document of each kind.
 func (v *View) CanRoute() bool {
 	return v.revisions.Services > 0 && v.revisions.Backends > 0 && v.revisions.Instances > 0
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -118,6 +118,7 @@
 		MaxFlows:   s.Connections,
 		MaxHanded:  s.Connections * handedPerFlow,
 		Placement:  placement(s.Placement),
+		Observer:   exchange.NewObserver(counters),
 	}, n.Load(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	a.gate = newGate(a.core.Admission())
 	if s.Health != "" {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -137,6 +137,7 @@
 		MaxHanded:  s.Connections * handedPerFlow,
 		Placement:  core.HandOverWhenFull{},
 		Carried:    true,
+		Observer:   exchange.NewObserver(counters),
 		Labels:     s.Labels,
 	}, n.Load(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	c.core.Begin(clock.Now())
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -139,9 +139,10 @@
 		return
 	}
 	d.Mutex.Lock()
-	resolutions := d.Core.Told(fleet.InstanceID(header.From), testimony)
+	now := clock.Now()
+	resolutions := d.Core.Told(now, fleet.InstanceID(header.From), testimony)
 	d.Mutex.Unlock()
-	d.resume(clock.Now(), resolutions)
+	d.resume(now, resolutions)
 }
 
 // resume goes on with the packets whose lookups have ended.
--- /dev/null
+++ b/internal/daemon/exchange/observer.go
@@ -0,0 +1,31 @@
+package exchange
+
+import (
+	"time"
+
+	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/daemon/metrics"
+)
+
+// observer publishes what an agent's core measures.
+type observer struct {
+	opening, answer, lookup *metrics.Latency
+}
+
+// NewObserver returns an observer that publishes histograms.
+func NewObserver(counters *metrics.Counters) core.Observer {
+	return &observer{
+		opening: counters.Latency("opening_latency_us"),
+		answer:  counters.Latency("answer_latency_us"),
+		lookup:  counters.Latency("lookup_latency_us"),
+	}
+}
+
+// ObserveOpening implements core.Observer.
+func (o *observer) ObserveOpening(latency time.Duration) { o.opening.Observe(latency) }
+
+// ObserveAnswer implements core.Observer.
+func (o *observer) ObserveAnswer(latency time.Duration) { o.answer.Observe(latency) }
+
+// ObserveLookup implements core.Observer.
+func (o *observer) ObserveLookup(latency time.Duration) { o.lookup.Observe(latency) }
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net/http"
 	"time"
@@ -13,8 +14,12 @@
 	"github.com/radishmast/radishmast/internal/link/listen"
 )
 
-// ReadyPath is the path of the readiness endpoint.
-const ReadyPath = "/ready"
+const (
+	// ReadyPath is the path of the readiness endpoint.
+	ReadyPath = "/ready"
+	// MetricsPath is the path of the metrics, at the control and the readiness endpoint.
+	MetricsPath = "/debug/vars"
+)
 
 // Leave makes the node say that it is not ready any more.
 func (n *Node) Leave() { n.leaving.Store(true) }
@@ -36,6 +41,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.Handle(MetricsPath, expvar.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -30,8 +30,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.Path, n.acceptLink)
-	mux.Handle("/debug/vars", expvar.Handler())
+	mux.Handle(MetricsPath, expvar.Handler())
 	mux.Handle("/status", operator.NewHandler(n.Status))
+	mux.Handle(operator.DocumentsPattern, operator.NewDocumentsHandler(n.Load))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return n.Run(ctx) })
 	group.Go(func() error {
--- /dev/null
+++ b/internal/link/operator/documents.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/link/platform"
+)
+
+// DocumentsPattern is the pattern of the requests that NewDocumentsHandler answers.
+const DocumentsPattern = "GET /v1/{name}"
+
+const (
+	// maxDocumentWait bounds how long a read waits for a change.
+	maxDocumentWait = 30 * time.Second
+	// documentPoll is how often a read that waits looks for a change.
+	documentPoll = 100 * time.Millisecond
+)
+
+// NewDocumentsHandler serves the documents that a daemon has in force, by the protocol by
+// which the platform publishes them. The operators' client can so ask a daemon where it
+// would ask the platform, also in an installation whose platform publishes in another form.
+func NewDocumentsHandler(view func() *fleet.View) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name := platform.Name(r.PathValue("name"))
+		after, wait, err := readQuery(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if documentOf(view(), name) == nil {
+			http.Error(w, fmt.Sprintf("document %q is not one of %v", name, platform.Names()), http.StatusNotFound)
+			return
+		}
+		document := awaitDocument(r.Context(), view, name, after, wait)
+		if document == nil {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A client that has gone needs no answer.
+		_ = json.NewEncoder(w).Encode(document)
+	})
+}
+
+func readQuery(r *http.Request) (after uint64, wait time.Duration, err error) {
+	query := r.URL.Query()
+	if text := query.Get("after"); text != "" {
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, fmt.Errorf("after %q is not a revision", text)
+		}
+	}
+	if text := query.Get("wait"); text != "" {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil || seconds < 0 {
+			return 0, 0, fmt.Errorf("wait %q is not a number of seconds", text)
+		}
+		wait = min(time.Duration(seconds*float64(time.Second)), maxDocumentWait)
+	}
+	return after, wait, nil
+}
+
+// awaitDocument returns the document as soon as its revision is higher than after, or nil
+// when the wait is over.
+func awaitDocument(ctx context.Context, view func() *fleet.View, name platform.Name, after uint64, wait time.Duration) fleet.Document {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	poll := time.NewTicker(documentPoll)
+	defer poll.Stop()
+	for {
+		if document := documentOf(view(), name); revisionOf(document) > after {
+			return document
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timeout.C:
+			return nil
+		case <-poll.C:
+		}
+	}
+}
+
+func documentOf(view *fleet.View, name platform.Name) fleet.Document {
+	services, backends, instances := view.Documents()
+	switch name {
+	case platform.Services:
+		return services
+	case platform.Backends:
+		return backends
+	case platform.Instances:
+		return instances
+	}
+	return nil
+}
+
+func revisionOf(document fleet.Document) uint64 {
+	switch d := document.(type) {
+	case *fleet.ServicesDocument:
+		return d.Revision
+	case *fleet.BackendsDocument:
+		return d.Revision
+	case *fleet.InstancesDocument:
+		return d.Revision
+	}
+	return 0
+}
