--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -63,27 +63,18 @@
 // Run serves until ctx is done, then drains: it takes no new flows and ends when
 // the last one has.
 func Run(ctx context.Context, s *settings.Agent, logger log.Interface) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	a, err := newAgent(serving, s, logger)
-	if err != nil {
-		return fmt.Errorf("start agent %s: %w", s.Name, err)
-	}
-	group, serving := errgroup.WithContext(serving)
-	if err := a.start(serving, group); err != nil {
-		return fmt.Errorf("start agent %s: %w", s.Name, err)
-	}
-	logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			a.drain(serving)
-			stop()
-		case <-serving.Done():
+	var a *Agent
+	err := node.Serve(ctx, func(ctx context.Context, group *errgroup.Group) error {
+		var err error
+		if a, err = newAgent(ctx, s, logger); err == nil {
+			err = a.start(ctx, group)
+		}
+		if err != nil {
+			return fmt.Errorf("start agent %s: %w", s.Name, err)
 		}
+		a.logger.WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
 		return nil
-	})
-	err = group.Wait()
+	}, func(ctx context.Context) { a.drain(ctx) })
 	logger.WithField("instance", s.Name).Info("stopped")
 	return err
 }
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -41,35 +41,18 @@
 // Run serves until ctx is done, then leaves without losing packets on the way.
 func Run(ctx context.Context, s *settings.Balancer, parts Parts, logger log.Interface) error {
 	counters := metrics.New()
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	n, err := node.New(serving, &s.Common, fleet.RoleBalancer, parts.Node, counters, logger)
-	if err != nil {
-		return fmt.Errorf("start balancer %s: %w", s.Name, err)
-	}
-	group, serving := errgroup.WithContext(serving)
-	if err := n.Start(serving, group); err != nil {
-		return fmt.Errorf("start balancer %s: %w", s.Name, err)
-	}
-	if err := start(serving, group, s, parts, n, counters, logger); err != nil {
-		return fmt.Errorf("start balancer %s: %w", s.Name, err)
-	}
-	logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("fabric", s.Fabric).Info("started")
-	if s.Ready != "" {
-		if err := n.ServeReady(serving, group, s.Ready); err != nil {
-			return fmt.Errorf("start balancer %s: %w", s.Name, err)
+	var n *node.Node
+	err := node.Serve(ctx, func(ctx context.Context, group *errgroup.Group) error {
+		var err error
+		if n, err = node.New(ctx, &s.Common, fleet.RoleBalancer, parts.Node, counters, logger); err == nil {
+			err = start(ctx, group, s, parts, n, counters, logger)
 		}
-	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			leave(n)
-			stop()
-		case <-serving.Done():
+		if err != nil {
+			return fmt.Errorf("start balancer %s: %w", s.Name, err)
 		}
+		logger.WithField("instance", s.Name).WithField("data", s.Data).WithField("fabric", s.Fabric).Info("started")
 		return nil
-	})
-	err = group.Wait()
+	}, func(context.Context) { leave(n) })
 	logger.WithField("instance", s.Name).Info("stopped")
 	return err
 }
@@ -81,6 +64,9 @@
 }
 
 func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, parts Parts, n *node.Node, counters *metrics.Counters, logger log.Interface) error {
+	if err := n.Start(ctx, group); err != nil {
+		return err
+	}
 	decisions := operator.NewDecisions(logger, counters)
 	balancer := core.New(parts.Core, core.NewHints(s.Hints))
 	for range s.Readers {
@@ -119,7 +105,10 @@
 			})
 		})
 	})
-	return nil
+	if s.Ready == "" {
+		return nil
+	}
+	return n.ServeReady(ctx, group, s.Ready)
 }
 
 func learn(balancer *core.Balancer, header *datagram.Header, body []byte) {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -79,29 +79,20 @@
 
 // Run serves until ctx is done, then leaves.
 func Run(ctx context.Context, s *settings.Carrier, watcher *settings.Watcher[*settings.Carrier], parts Parts, logger log.Interface) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	c, err := newCarrier(serving, s, parts, logger)
-	if err != nil {
-		return fmt.Errorf("start agent %s: %w", s.Name, err)
-	}
-	group, serving := errgroup.WithContext(serving)
-	if err := c.start(serving, group); err != nil {
-		return fmt.Errorf("start agent %s: %w", s.Name, err)
-	}
-	go watcher.Run(serving, c.applySettings)
-	c.logger.WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			c.leave()
-			stop()
-		case <-serving.Done():
+	var c *Carrier
+	err := node.Serve(ctx, func(ctx context.Context, group *errgroup.Group) error {
+		var err error
+		if c, err = newCarrier(ctx, s, parts, logger); err == nil {
+			err = c.start(ctx, group)
 		}
+		if err != nil {
+			return fmt.Errorf("start agent %s: %w", s.Name, err)
+		}
+		go watcher.Run(ctx, c.applySettings)
+		c.logger.WithField("data", s.Data).WithField("backend", s.Backend).Info("started")
 		return nil
-	})
-	err = group.Wait()
-	c.logger.Info("stopped")
+	}, func(context.Context) { c.leave() })
+	logger.WithField("instance", s.Name).Info("stopped")
 	return err
 }
 
