--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -24,6 +24,8 @@
 	linkTimeout     = 2500 * time.Millisecond
 	linkRotation    = 60 * time.Second
 	dialInterval    = 500 * time.Millisecond
+	// firstDialInterval is the mean time between two dials while nothing is known.
+	firstDialInterval = 100 * time.Millisecond
 	weightViewDelay = time.Second
 	// viewInterval is the least time between two views, once there is one to route by.
 	// After a start of the whole fleet each peer's first record would ask for one.
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -48,7 +48,11 @@
 	if dialled >= wantedLinks || now.Before(c.dialAt) {
 		return
 	}
-	c.dialAt = now.Add(dialInterval/2 + time.Duration(c.random.Int64N(int64(dialInterval))))
+	interval := dialInterval
+	if !c.view.CanRoute() {
+		interval = firstDialInterval
+	}
+	c.dialAt = now.Add(interval/2 + time.Duration(c.random.Int64N(int64(interval))))
 	if endpoint, found := c.randomPeer(); found {
 		c.emit(OpenLink{Control: endpoint})
 	}
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -33,7 +33,9 @@
 // last ran. A process that was paused finds it expired.
 const validity = time.Second
 
-const connectTimeout = 2 * time.Second
+// connectTimeout bounds the time to connect to the platform or a peer. What does not answer
+// may be back a moment later, long before the kernel would try again.
+const connectTimeout = 500 * time.Millisecond
 
 // gcPercent makes a daemon collect garbage early: its memory is mostly state that
 // lives long, beside bursts of garbage from documents and views.
