Let agents announce servers that nobody lists after a start

The store is back 0.2 s after the machines, but most servers are listed a second later, and nobody remembers the entries that have lapsed: 475 of 815 requests failed in the two seconds from 36 s. Change: an agent tells its peers what is beside it, once for each start, in its own record. A process that has just started, or that knows the platform to be away, takes an agent that is not listed for one whose entry has lapsed: it gets new flows for 2 s more, and longer only while the platform is away. Agents that leave or are suspected are not taken so, nor are new ones in calm operation. An agent's own server is among its picture from its start.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -282,3 +282,74 @@
 	require.LessOrEqual(t, views, 2)
 	require.NotZero(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(fleet.InstanceIDOf("b39")).Incarnation())
 }
+
+// Everything has restarted after the platform has lost its leases. What is published names
+// no agent, but an agent says what is beside it.
+func TestAgentsThatAnnounceThemselvesServeUntilTheyAreListed(t *testing.T) {
+	labels := map[string]string{"app": "orders"}
+	announcement := &fleet.Announcement{Name: "b0", DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", Labels: labels}
+	record := fleet.PeerRecord{ID: fleet.InstanceIDOf("b0"), Incarnation: 1, Announcement: announcement}
+	publish := func(c *Controller, now time.Time) {
+		c.Document(now, &fleet.BackendsDocument{Revision: 1})
+		c.Document(now, &fleet.InstancesDocument{Revision: 1, Leased: true})
+		c.Document(now, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+			Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: selectorOf(labels)},
+		}}})
+	}
+	accepts := func(c *Controller, now time.Time) bool {
+		for at := now; !at.After(now.Add(2 * viewInterval)); at = at.Add(TickInterval) {
+			c.Tick(at)
+		}
+		target := c.View().Service(fleet.ServiceIDOf("orders")).Target(record.ID)
+		return target != nil && target.IsAccepting()
+	}
+	start := func() *Controller {
+		c := New(epoch, Config{Self: fleet.InstanceIDOf("e0"), Incarnation: 1, Role: fleet.RoleBalancer}, rand.New(rand.NewPCG(1, 0)))
+		c.LinkUp(epoch, 1, false)
+		return c
+	}
+	t.Run("after a start", func(t *testing.T) {
+		c := start()
+		c.Message(epoch, 1, &Message{Records: []fleet.PeerRecord{record}})
+		publish(c, epoch.Add(time.Second))
+		require.True(t, accepts(c, epoch.Add(time.Second)))
+		for at := epoch.Add(time.Second); at.Before(epoch.Add(4 * time.Second)); at = at.Add(500 * time.Millisecond) {
+			c.Confirm(at)
+			c.Tick(at)
+		}
+		require.False(t, accepts(c, epoch.Add(4*time.Second)), "the platform has been back for long")
+	})
+	t.Run("in calm operation", func(t *testing.T) {
+		c := start()
+		publish(c, epoch)
+		now := epoch.Add(startGrace)
+		c.Confirm(now)
+		c.Message(now, 1, &Message{Records: []fleet.PeerRecord{record}})
+		require.False(t, accepts(c, now), "it is new, and will be listed")
+	})
+	t.Run("while the platform is away", func(t *testing.T) {
+		c := start()
+		publish(c, epoch)
+		now := epoch.Add(time.Minute)
+		c.Message(now, 1, &Message{Records: []fleet.PeerRecord{record}})
+		require.True(t, accepts(c, now))
+		require.True(t, accepts(c, now.Add(time.Minute)))
+	})
+	t.Run("one that others suspect", func(t *testing.T) {
+		c := start()
+		publish(c, epoch)
+		gone := record
+		gone.State = fleet.PeerSuspect
+		c.Message(epoch, 1, &Message{Records: []fleet.PeerRecord{gone}})
+		require.False(t, accepts(c, epoch))
+	})
+}
+
+// selectorOf returns the selector that wants just these labels.
+func selectorOf(labels map[string]string) fleet.Selector {
+	selector := make(fleet.Selector)
+	for key, value := range labels {
+		selector[key] = []string{value}
+	}
+	return selector
+}
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -26,7 +26,7 @@
 	dialInterval    = 500 * time.Millisecond
 	// firstDialInterval is the mean time between two dials while nothing is known.
 	firstDialInterval = 100 * time.Millisecond
-	weightViewDelay = time.Second
+	weightViewDelay   = time.Second
 	// viewInterval is the least time between two views, once there is one to route by.
 	// After a start of the whole fleet each peer's first record would ask for one.
 	viewInterval   = 40 * time.Millisecond
@@ -45,6 +45,9 @@
 	Incarnation uint64
 	Role        fleet.Role
 	DataCentre  string
+	// Announcement is what an agent says of its backend server, or nil where the platform's
+	// list does not lapse.
+	Announcement *fleet.Announcement
 	// Control is the process's own control endpoint.
 	Control netip.AddrPort
 	// Seeds are control endpoints to learn from when nothing is known yet. The process's
@@ -87,6 +90,7 @@
 	dialAt    time.Time
 	// nextSeed counts the seeds that were dialled.
 	nextSeed    int
+	startedAt   time.Time
 	lastTick    time.Time
 	confirmBy   time.Time
 	unconfirmed bool
@@ -110,13 +114,16 @@
 		links:       make(map[LinkID]*link),
 		prober:      newProber(),
 		changed:     make(map[fleet.InstanceID]fleet.PeerRecord),
+		startedAt:   now,
 		lastTick:    now,
 		confirmBy:   now.Add(confirmTimeout),
 		unconfirmed: true,
 		nextSeed:    random.IntN(max(1, len(config.Seeds))),
 		fresh:       freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(firstReadDelay))))},
 	}
+	c.own.Announcement = config.Announcement
 	c.state.Peers().Merge(now, c.own)
+	c.state.NoteAnnouncement(now, c.own)
 	c.view = c.state.View(now)
 	return c
 }
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -86,6 +86,16 @@
 // awayAfter is the age of the picture from which the platform counts as away.
 const awayAfter = 2 * time.Second
 
+// startGrace is how long after its start a process may lack entries that others remember.
+const startGrace = 3 * time.Second
+
+// mayHaveLapsed reports whether an agent that is not listed may have been: this process has
+// just started, or the platform is away. At other times an agent that is not listed is new.
+func (c *Controller) mayHaveLapsed(now time.Time) bool {
+	age, known := c.Age(now)
+	return now.Before(c.startedAt.Add(startGrace)) || known && age > awayAfter
+}
+
 // keepLapsed lets agents whose entries have gone without notice serve on while the
 // platform is away, and ends that in time after its return.
 func (c *Controller) keepLapsed(now time.Time) {
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -16,6 +16,7 @@
 		shedAt:   now.Add(shedTime),
 	}
 	c.emit(Send{Link: id, Message: c.summary(now)})
+	c.emit(Send{Link: id, Message: &Message{Records: []fleet.PeerRecord{c.own}}})
 	return c.take()
 }
 
@@ -98,12 +99,17 @@
 		linked[l.peer] = true
 	}
 	var candidates []netip.AddrPort
+	others := 0
 	for id, node := range c.view.Nodes() {
-		if id != c.config.Self && !linked[id] {
+		if id == c.config.Self {
+			continue
+		}
+		others++
+		if !linked[id] {
 			candidates = append(candidates, node.Control())
 		}
 	}
-	if len(c.view.Nodes()) == 0 && len(c.config.Seeds) > 0 {
+	if others == 0 && len(c.config.Seeds) > 0 {
 		c.nextSeed++
 		return c.config.Seeds[c.nextSeed%len(c.config.Seeds)], true
 	}
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -21,6 +21,9 @@
 		return
 	}
 	c.changed[record.ID] = record
+	if c.mayHaveLapsed(now) && c.state.NoteAnnouncement(now, record) {
+		c.reroute(now)
+	}
 	if record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect {
 		c.probeAtOnce(now, record.ID)
 	}
@@ -54,7 +57,12 @@
 func (c *Controller) spreadOwn(now time.Time) {
 	old, _ := c.state.Peers().Record(c.own.ID)
 	c.state.Peers().Merge(now, c.own)
-	c.changed[c.own.ID] = c.own
+	own := c.own
+	if old.Incarnation == own.Incarnation {
+		// Peers keep the announcement from the first record.
+		own.Announcement = nil
+	}
+	c.changed[c.own.ID] = own
 	if isRouting(old, c.own) {
 		c.reroute(now)
 	} else {
@@ -116,6 +124,9 @@
 	fixed = binary.LittleEndian.AppendUint64(fixed, uint64(record.ID))
 	fixed = binary.LittleEndian.AppendUint64(fixed, record.Incarnation)
 	fixed = append(fixed, byte(record.State))
+	if record.Announcement != nil {
+		fixed = append(fixed, 1)
+	}
 	for _, service := range record.Residual {
 		fixed = binary.LittleEndian.AppendUint64(fixed, uint64(service))
 	}
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// NoteAnnouncement takes an agent that the platform does not list for one whose entry has
+// lapsed, if it has just started. Nobody may remember its entry: the load pattern it answers
+// is a start of everything while the platform is away or has lost its leases. It reports
+// whether that changes where packets may go.
+func (s *State) NoteAnnouncement(now time.Time, record PeerRecord) bool {
+	announced := record.Announcement
+	_, departed := s.departed[record.ID]
+	if announced == nil || departed || s.listed[record.ID] != nil || record.State != PeerAlive {
+		return false
+	}
+	instance := Instance{
+		Name: announced.Name, Role: RoleAgent, DataCentre: announced.DataCentre,
+		Data: announced.Data, Control: announced.Control, State: StateLeaving,
+	}
+	if InstanceIDOf(announced.Name) != record.ID || instance.check() != nil {
+		return false
+	}
+	s.departed[record.ID] = departure{
+		instance:    instance,
+		backend:     Backend{Name: announced.Name, DataCentre: announced.DataCentre, Labels: announced.Labels},
+		until:       now.Add(departedLifetime),
+		acceptUntil: now.Add(LapseGrace),
+	}
+	return true
+}
+
 // ExtendLapses gives the agents whose entries have gone without notice until an instant
 // to be listed again, since the platform is away.
 func (s *State) ExtendLapses(until time.Time) {
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -23,6 +23,17 @@
 	PeerSilent
 )
 
+// Announcement is what an agent says of the backend server beside it, for the time in which
+// the platform does not list it.
+type Announcement struct {
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	DataCentre string
+	Data       string
+	Control    string
+	Labels     map[string]string
+}
+
 // PeerRecord is what one process says of itself, or others suspect of it. The
 // record with the higher (Incarnation, Sequence) wins; at the same pair a
 // suspicion wins, and only the peer itself can raise its sequence to refute it.
@@ -34,6 +45,9 @@
 	State       PeerState
 	Weight      Weight
 	Residual    []ServiceID
+	// Announcement is set by an agent whose entry in the platform's list can lapse. It is
+	// sent once for each incarnation.
+	Announcement *Announcement
 }
 
 // supersedes reports whether r replaces old.
@@ -71,8 +85,17 @@
 // Merge applies a record and reports whether it changed the table.
 func (p *Peers) Merge(now time.Time, record PeerRecord) bool {
 	old, known := p.records[record.ID]
+	sameStart := known && record.Incarnation == old.Incarnation
 	if known && !record.supersedes(old) {
-		return false
+		if !sameStart || old.Announcement != nil || record.Announcement == nil {
+			return false
+		}
+		old.Announcement = record.Announcement
+		p.records[record.ID] = old
+		return true
+	}
+	if sameStart && record.Announcement == nil {
+		record.Announcement = old.Announcement
 	}
 	p.records[record.ID] = record
 	if record.State == PeerSuspect {
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -88,6 +88,9 @@
 type Parts struct {
 	// Source returns the reader of published documents.
 	Source func(common *settings.Common, transport http.RoundTripper, counters *metrics.Counters, logger log.Interface) (Source, error)
+	// Announces are the labels of the backend server that an agent announces to its peers,
+	// or nil where the platform's list does not lapse.
+	Announces map[string]string
 	// AnyStart accepts datagrams that were meant for an earlier start of this
 	// process. Flows outlive a process that only carries their packets.
 	AnyStart bool
@@ -149,7 +152,9 @@
 		Role:        role,
 		DataCentre:  n.dataCentre,
 		Control:     n.control,
-		Seeds:       seeds(common.Peers),
+
+		Announcement: announcement(common, parts.Announces),
+		Seeds:        seeds(common.Peers),
 	}, rand.New(rand.NewPCG(uint64(n.id), n.incarnation)))
 	n.view.Store(n.controller.View())
 	prober, err := newProbeSender(ctx, n)
@@ -160,6 +165,16 @@
 	return n, nil
 }
 
+// announcement returns what an agent says of its backend server, or nil.
+func announcement(common *settings.Common, labels map[string]string) *fleet.Announcement {
+	if labels == nil {
+		return nil
+	}
+	return &fleet.Announcement{
+		Name: common.Name, DataCentre: common.DataCentre, Data: common.Data, Control: common.Control, Labels: labels,
+	}
+}
+
 // newHTTPClient returns a client that connects from the instance's own address.
 func newHTTPClient(address netip.Addr) *http.Client {
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: address.AsSlice()}, Timeout: connectTimeout}
