Judge servers by the answers they give, and give failing ones no new flows

Ruled out: reading the answers' status (the flows' bytes belong to their two ends) and health probes (they lie here). Change: an agent counts requests that the server breaks off, leaves unanswered for a second, or answers in less than a fifth of the time that its siblings need. Its share of those is compared with its siblings' in the load reports, so that what a service does by nature is no failure; with 0.25 more it gets no new flows but trials, with 0.1 it gets them again; at most a third of a service at once. Open flows stay.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -66,6 +66,8 @@
 	requestedAt time.Time
 	// queued tells that it had to wait for a slot.
 	queued bool
+	// hung tells that it was counted as failed, since no answer came.
+	hung bool
 	// ended tells that the backend server sends nothing more on the flow.
 	ended        bool
 	registration registration
@@ -146,6 +148,7 @@
 	weight    weightLearner
 	warmup    warmup
 	silence   silence
+	judge     judge
 	// utilisation is the load's average as of the last report.
 	utilisation float64
 	// offerAt is the instant from which room may be offered again.
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -215,6 +215,9 @@
 		known.token = answer.Token
 		a.silence.refusals = 0
 	case answer.Ends:
+		if answer.Resets && !known.requestedAt.IsZero() && !known.hung {
+			a.noteOutcome(now, 0, false)
+		}
 		a.releaseSlot(now, known)
 		known.ended = true
 		known.expires = now.Add(endedLifetime)
@@ -272,11 +275,15 @@
 	if known.requestedAt.IsZero() {
 		return
 	}
+	took := now.Sub(known.requestedAt)
 	if !known.queued {
-		a.load.noteWork(now.Sub(known.requestedAt))
+		a.load.noteWork(took)
+	}
+	if !known.hung {
+		a.noteOutcome(now, took, true)
 	}
 	a.load.end(now, true)
-	known.requestedAt = time.Time{}
+	known.requestedAt, known.hung = time.Time{}, false
 }
 
 func (a *Agent) releaseSlot(now time.Time, known *entry) {
@@ -287,7 +294,7 @@
 	known.askedAt = time.Time{}
 	if !known.requestedAt.IsZero() {
 		a.load.end(now, false)
-		known.requestedAt = time.Time{}
+		known.requestedAt, known.hung = time.Time{}, false
 	}
 }
 
@@ -301,6 +308,10 @@
 func (a *Agent) SweepCarried(now time.Time) {
 	a.trail.sweep(now)
 	for id, known := range a.flows {
+		if a.isHung(now, known) {
+			known.hung = true
+			a.noteOutcome(now, 0, false)
+		}
 		if !known.askedAt.IsZero() && now.Sub(known.askedAt) > answerTimeout {
 			a.releaseSlot(now, known)
 		}
--- /dev/null
+++ b/internal/core/agent/judge.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"slices"
+	"time"
+)
+
+// Whether the backend server fails what it takes. The load pattern it answers: some of the
+// servers of a service fail a part of their requests, or all, while their health endpoints
+// say that all is well; those that fail at once look idle and draw even more flows. Only
+// what answers show counts, and only against the siblings: a service may be such that many
+// answers are short.
+const (
+	// judgeGain is the weight of one request in the average.
+	judgeGain = 1.0 / 16
+	// minJudged is the number of requests after which the average counts.
+	minJudged = 12
+	// failingExcess is the share of failed requests beyond the siblings' from which the
+	// server gets no new flows, and healthyExcess the one under which it gets them again.
+	failingExcess = 0.25
+	healthyExcess = 0.1
+	// fastShare is the part of the siblings' work that a request takes at least. A shorter
+	// one has most likely been turned down.
+	fastShare = 0.2
+	// hungAfter is how long a request may take, and hungFactor how many times the siblings'
+	// work, before it counts as failed.
+	hungAfter  = time.Second
+	hungFactor = 10
+	// minSiblings is the number of siblings whose reports are needed for a comparison.
+	minSiblings = 2
+	// maxAside is the part of a service's servers that may be without new flows at once for
+	// failing, as a divisor.
+	maxAside = 3
+)
+
+// judge follows how many of the backend server's requests fail.
+type judge struct {
+	failing float64
+	judged  int
+	// aside tells that the server gets no new flows for failing.
+	aside bool
+}
+
+func (j *judge) note(failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	j.judged++
+	j.failing += judgeGain * (sample - j.failing)
+}
+
+// noteOutcome judges a request that was answered after a time, or ended without an answer.
+func (a *Agent) noteOutcome(now time.Time, took time.Duration, answered bool) {
+	work, known := a.siblingsWork(now)
+	a.judge.note(!answered || known && took < time.Duration(fastShare*float64(work)))
+}
+
+// isHung reports whether a request without an answer counts as failed.
+func (a *Agent) isHung(now time.Time, known *entry) bool {
+	if known.requestedAt.IsZero() || known.hung {
+		return false
+	}
+	work, _ := a.siblingsWork(now)
+	return now.Sub(known.requestedAt) > max(hungAfter, hungFactor*work)
+}
+
+// siblingsWork returns how long a request usually takes at the siblings.
+func (a *Agent) siblingsWork(now time.Time) (time.Duration, bool) {
+	var works []uint32
+	for _, sibling := range a.Siblings() {
+		if report, found := a.report(now, sibling.ID()); found && report.Work > 0 {
+			works = append(works, report.Work)
+		}
+	}
+	if len(works) < minSiblings {
+		return 0, false
+	}
+	return time.Duration(median(works)) * time.Microsecond, true
+}
+
+func median[T uint16 | uint32](values []T) T {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// judgeServer decides whether the backend server gets new flows, by how many of its
+// requests fail against its siblings'.
+func (a *Agent) judgeServer(now time.Time) {
+	var failing []uint16
+	asides := 0
+	for _, sibling := range a.Siblings() {
+		report, found := a.report(now, sibling.ID())
+		if !found {
+			continue
+		}
+		failing = append(failing, report.Failing)
+		if report.Aside {
+			asides++
+		}
+	}
+	if len(failing) < minSiblings || a.judge.judged < minJudged {
+		return
+	}
+	excess := a.judge.failing - float64(median(failing))/perMille
+	switch {
+	case a.judge.aside:
+		a.judge.aside = excess > healthyExcess
+	case excess > failingExcess:
+		a.judge.aside = (asides+1)*maxAside <= len(a.Siblings())+1
+	}
+}
+
+// IsFailing reports whether the backend server gets no new flows for failing what it takes.
+func (a *Agent) IsFailing() bool { return a.judge.aside }
--- /dev/null
+++ b/internal/core/agent/judge_test.go
@@ -0,0 +1,160 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// outcome is how a request ends at the server.
+type outcome uint8
+
+const (
+	answers outcome = iota
+	answersAtOnce
+	resets
+	hangs
+)
+
+// usualWork is how long a request takes at a healthy server.
+const usualWork = 30 * time.Millisecond
+
+// service is a set of agents, each beside a server that fails a share of its requests.
+type service struct {
+	*rig
+	now  time.Time
+	port uint16
+}
+
+func newService(t *testing.T, servers int) *service {
+	s := &service{rig: newRig(t, servers), now: settled, port: 1024}
+	for _, a := range s.agents {
+		for range minWorked {
+			a.load.noteWork(usualWork)
+		}
+	}
+	s.report()
+	return s
+}
+
+// report carries the load reports of all agents.
+func (s *service) report() {
+	for id, a := range s.agents {
+		report := a.Report(s.now)
+		for other, sibling := range s.agents {
+			if other != id {
+				sibling.Heard(s.now, id, report)
+			}
+		}
+	}
+}
+
+// request sends one request to a server.
+func (s *service) request(id fleet.InstanceID, o outcome) {
+	s.port++
+	a := s.agents[id]
+	packet := arrival(s.port, flow.Opening, 0)
+	packet.Placed = true
+	if _, delivered := a.Receive(s.now, packet).(*Deliver); !delivered {
+		return
+	}
+	a.Sent(s.now, flow.Answer{Flow: flowOf(s.port), Token: 1, Opens: true})
+	ask := arrival(s.port, flow.Established, 1)
+	ask.Packet = ask.Packet.WithPayload(100)
+	a.Receive(s.now, ask)
+	switch o {
+	case answers:
+		a.Sent(s.now.Add(usualWork), flow.Answer{Flow: flowOf(s.port), Payload: 500})
+	case answersAtOnce:
+		a.Sent(s.now.Add(time.Millisecond), flow.Answer{Flow: flowOf(s.port), Payload: 90})
+	case resets:
+		a.Sent(s.now.Add(time.Millisecond), flow.Answer{Flow: flowOf(s.port), Ends: true, Resets: true})
+	}
+	a.Sent(s.now.Add(usualWork), flow.Answer{Flow: flowOf(s.port), Ends: true})
+}
+
+// play sends requests to all servers for a while. Those named fail two in five.
+func (s *service) play(failing map[fleet.InstanceID]bool, o outcome, duration time.Duration) {
+	for end := s.now.Add(duration); s.now.Before(end); s.now = s.now.Add(50 * time.Millisecond) {
+		for _, id := range s.ids() {
+			ends := answers
+			if failing[id] && s.port%5 < 2 {
+				ends = o
+			}
+			s.request(id, ends)
+			s.agents[id].SweepCarried(s.now)
+		}
+		s.report()
+	}
+}
+
+func TestServerThatFailsAPartOfItsRequestsGetsNoNewFlows(t *testing.T) {
+	for name, o := range map[string]outcome{"answers at once": answersAtOnce, "resets": resets} {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t, 7)
+			failing := map[fleet.InstanceID]bool{s.ids()[2]: true}
+			s.play(failing, o, 3*time.Second)
+			for _, id := range s.ids() {
+				require.Equal(t, failing[id], s.agents[id].IsFailing())
+			}
+			s.play(nil, o, 30*time.Second)
+			require.False(t, s.agents[s.ids()[2]].IsFailing(), "it has healed")
+		})
+	}
+}
+
+func TestServerThatHangsGetsNoNewFlows(t *testing.T) {
+	s := newService(t, 4)
+	id := s.ids()[0]
+	a := s.agents[id]
+	for range 2 * minJudged {
+		s.port++
+		packet := arrival(s.port, flow.Opening, 0)
+		packet.Placed = true
+		a.Receive(s.now, packet)
+		a.Sent(s.now, flow.Answer{Flow: flowOf(s.port), Token: 1, Opens: true})
+		ask := arrival(s.port, flow.Established, 1)
+		ask.Packet = ask.Packet.WithPayload(100)
+		a.Receive(s.now, ask)
+	}
+	s.now = s.now.Add(hungAfter + time.Millisecond)
+	a.SweepCarried(s.now)
+	s.report()
+	require.True(t, a.IsFailing())
+	judged := a.judge.judged
+	a.SweepCarried(s.now.Add(time.Second))
+	require.Equal(t, judged, a.judge.judged, "a request counts once")
+}
+
+func TestWhatAllServersDoIsNoFailure(t *testing.T) {
+	s := newService(t, 7)
+	all := make(map[fleet.InstanceID]bool)
+	for _, id := range s.ids() {
+		all[id] = true
+	}
+	s.play(all, answersAtOnce, 5*time.Second)
+	for _, id := range s.ids() {
+		require.False(t, s.agents[id].IsFailing())
+	}
+}
+
+func TestOnlyAPartOfAServiceIsWithoutNewFlows(t *testing.T) {
+	s := newService(t, 9)
+	failing := make(map[fleet.InstanceID]bool)
+	for _, id := range s.ids()[:4] {
+		failing[id] = true
+	}
+	s.play(failing, resets, 5*time.Second)
+	aside := 0
+	for _, id := range s.ids() {
+		if s.agents[id].IsFailing() {
+			require.True(t, failing[id])
+			aside++
+		}
+	}
+	require.Equal(t, 9/maxAside, aside)
+}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -27,6 +27,11 @@
 	// Work is how long a request takes that does not queue, in microseconds, or zero if
 	// that is not known yet.
 	Work uint32
+	// Failing is the average share of requests that the backend server fails, in
+	// thousandths.
+	Failing uint16
+	// Aside tells that it gets no new flows for that.
+	Aside bool
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
@@ -169,6 +174,7 @@
 // Report returns the agent's own report.
 func (a *Agent) Report(now time.Time) Report {
 	a.utilisation = a.load.Utilisation(now)
+	a.judgeServer(now)
 	report := Report{
 		Running:     uint32(a.load.Running() + a.admission.Waiting()),
 		Limit:       uint32(a.load.Limit()),
@@ -177,6 +183,8 @@
 		Utilisation: uint16(a.utilisation * perMille),
 		Cold:        a.load.IsCold(),
 		Work:        uint32(a.load.knownWork().Microseconds()),
+		Failing:     uint16(a.judge.failing * perMille),
+		Aside:       a.judge.aside,
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/core/agent/silence.go
+++ b/internal/core/agent/silence.go
@@ -73,10 +73,11 @@
 // before it is taken for one that has left.
 const maxRefusals = 2
 
-// IsSilent reports whether the backend server has stopped answering, or takes no flows
-// although only its agent says that it is there.
+// IsSilent reports whether the backend server gets no new flows but trials: it has stopped
+// answering, fails what it takes, or takes no flows although only its agent says that it is
+// there.
 func (a *Agent) IsSilent() bool {
-	return a.silence.isSilent() || a.hasLeft()
+	return a.silence.isSilent() || a.hasLeft() || a.judge.aside
 }
 
 // hasLeft reports whether a backend server that is not listed returns what it is given.
--- a/internal/core/flow/format.go
+++ b/internal/core/flow/format.go
@@ -18,6 +18,8 @@
 	Opens bool
 	// Ends reports whether the sender sends nothing more on the flow.
 	Ends bool
+	// Resets reports whether it breaks the flow off.
+	Resets bool
 	// Payload is the number of bytes of the flow that the packet carries.
 	Payload int
 }
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -221,7 +221,7 @@
 func (c *Carrier) handOnOverdue(now time.Time, traffic *traffic) {
 	c.mu.Lock()
 	retries := c.core.Overdue(now)
-	silent := c.core.IsSilent()
+	silent, failing := c.core.IsSilent(), c.core.IsFailing()
 	c.mu.Unlock()
 	for i := range retries {
 		traffic.Retry(&retries[i])
@@ -229,7 +229,7 @@
 	traffic.Flush()
 	if silent != c.wasSilent {
 		c.wasSilent = silent
-		c.logger.WithField("silent", silent).Warn("backend server")
+		c.logger.WithField("silent", silent).WithField("failing", failing).Warn("backend server")
 		c.describe()
 	}
 }
