Let a weight begin anew when the speed of its server changes

Change: when the ratio of the siblings' work to the own one has moved by more than 1.6 since the estimate began, it begins anew at the ratio.

--- a/internal/core/agent/overload_test.go
+++ b/internal/core/agent/overload_test.go
@@ -204,3 +204,26 @@
 	slow.utilisation = 0.5
 	require.InDelta(t, float64(fleet.DefaultWeight)*40/60, float64(slow.LearnWeight(settled)), 1)
 }
+
+// A server turns four times slower while all are busy.
+func TestWeightFollowsAServerThatTurnsSlow(t *testing.T) {
+	r := newRig(t, 3)
+	ids := r.ids()
+	a := r.agents[ids[0]]
+	a.config.Placement = HandOverWhenFull{}
+	a.utilisation = 0.5
+	learn := func(work time.Duration) fleet.Weight {
+		for range 4 * minWorked {
+			a.load.noteWork(work)
+		}
+		for _, id := range ids[1:] {
+			a.Heard(settled, id, Report{Limit: slots, MaxOpen: 9, Utilisation: 500, Work: 30000})
+		}
+		return a.LearnWeight(settled)
+	}
+	even := learn(30 * time.Millisecond)
+	require.InDelta(t, float64(fleet.DefaultWeight), float64(even), 10)
+	slow := learn(120 * time.Millisecond)
+	require.InDelta(t, float64(fleet.DefaultWeight)/2, float64(slow), 30, "the mean of 30, 30 and 120 against 120")
+	require.Greater(t, learn(30*time.Millisecond), slow)
+}
--- a/internal/core/agent/weight.go
+++ b/internal/core/agent/weight.go
@@ -35,8 +35,9 @@
 	estimate  float64
 	published fleet.Weight
 	spreadAt  time.Time
-	// primed tells that the estimate has begun at the speed of the backend server.
-	primed bool
+	// primedAt is the ratio of the siblings' work to the own one at which the estimate began,
+	// or zero before that.
+	primedAt float64
 }
 
 func newWeightLearner() weightLearner {
@@ -67,13 +68,18 @@
 	return a.weight.published
 }
 
+// speedChange is the factor by which the speed of a backend server may change against its
+// siblings' before its weight begins anew.
+const speedChange = 1.6
+
 // prime begins the estimate at the speed of the backend server against its siblings',
 // which shows in the first answers. Utilisation shows it only after seconds. The load
-// pattern it answers: long flows that all open anew after everything has restarted, and
-// then stay where they are. It reports false if the estimate has begun before.
+// patterns it answers: long flows that all open anew after everything has restarted, and
+// then stay where they are; and a server that turns slow. It reports false if the estimate
+// has begun at about this speed.
 func (a *Agent) prime(now time.Time) bool {
 	own := a.load.knownWork()
-	if a.weight.primed || own == 0 {
+	if own == 0 {
 		return false
 	}
 	var sum time.Duration
@@ -88,9 +94,13 @@
 	if 2*known < min(len(a.together), reportFanout) {
 		return false
 	}
-	mean := float64(sum+own) / float64(known+1)
-	a.weight.primed = true
-	a.weight.estimate = min(max(float64(fleet.DefaultWeight)*mean/float64(own), float64(minWeight)), float64(maxWeight))
+	ratio := float64(sum+own) / float64(known+1) / float64(own)
+	change := ratio / a.weight.primedAt
+	if a.weight.primedAt > 0 && change < speedChange && change > 1/speedChange {
+		return false
+	}
+	a.weight.primedAt = ratio
+	a.weight.estimate = min(max(float64(fleet.DefaultWeight)*ratio, float64(minWeight)), float64(maxWeight))
 	a.weight.published = fleet.Weight(math.Round(a.weight.estimate))
 	a.weight.spreadAt = now.Add(weightInterval)
 	return true
