Compare peer tables only for processes that the platform lists

Cause: on a site of 296 own machines, each of the three seeds sent 45 kB/s on its links in calm seconds: 29 table digests and 187 to 345 records a second. Tables never agreed. The platform lists no entry instance; a process's table forgets it with each document of instances, yet it keeps its own record, tells it, and others take it in again. An agent that had read a list without itself lost its own record for good as well.

Ruled out: records of the same start that differ (none did), weights (not spread any more), announcements (all held them).

Change: tables are compared, and records passed on, for listed processes and for agents that announce themselves, and only between processes with the same list. A process that is listed again tells its record again.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -270,7 +270,9 @@
 			c.confirm(now, now.Add(-summary.Age), id)
 		}
 	}
-	c.compareTables(id, l, summary.Peers)
+	if summary.Revisions.Instances == mine.Instances {
+		c.compareTables(id, l, summary.Peers)
+	}
 }
 
 // compareTables starts a comparison by parts when the tables differed in two
@@ -299,7 +301,7 @@
 	var records []fleet.PeerRecord
 	for _, record := range c.state.Peers().All() {
 		bucket := uint64(record.ID) % digestBuckets
-		if mine[bucket] != digests.Buckets[bucket] {
+		if mine[bucket] != digests.Buckets[bucket] && c.isCompared(record) {
 			records = append(records, record)
 		}
 	}
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -20,7 +20,9 @@
 	if !c.state.Peers().Merge(now, record) {
 		return
 	}
-	c.changed[record.ID] = record
+	if c.isCompared(record) {
+		c.changed[record.ID] = record
+	}
 	if c.mayHaveLapsed(now) && c.state.NoteAnnouncement(now, record) {
 		c.reroute(now)
 	}
@@ -70,6 +72,16 @@
 	}
 }
 
+// restoreOwn puts the own record back into the table, and tells it again, once the process
+// is listed: the table forgets processes that are not.
+func (c *Controller) restoreOwn(now time.Time) {
+	if _, known := c.state.Peers().Record(c.own.ID); known || !c.state.IsListed(c.own.ID) {
+		return
+	}
+	c.state.Peers().Merge(now, c.own)
+	c.changed[c.own.ID] = c.own
+}
+
 // Describe sets what this process says of itself. Peers are told its weight when they
 // probe it, and the rest at once.
 func (c *Controller) Describe(now time.Time, state fleet.PeerState, weight fleet.Weight, residual []fleet.ServiceID) []Output {
@@ -114,9 +126,19 @@
 	return digest
 }
 
+// isCompared reports whether all processes should hold a record: the platform lists its
+// process, or may have lost the entry of it. Others are forgotten with each document.
+func (c *Controller) isCompared(record fleet.PeerRecord) bool {
+	isBlank := c.state.Revisions().Instances == 0
+	return isBlank || record.Announcement != nil || c.state.IsListed(record.ID)
+}
+
 func (c *Controller) bucketDigests() []uint64 {
 	buckets := make([]uint64, digestBuckets)
 	for _, record := range c.state.Peers().All() {
+		if !c.isCompared(record) {
+			continue
+		}
 		buckets[uint64(record.ID)%digestBuckets] ^= recordDigest(record)
 	}
 	return buckets
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -104,6 +104,9 @@
 	return false
 }
 
+// IsListed reports whether the document of instances names an instance.
+func (s *State) IsListed(id InstanceID) bool { return s.listed[id] != nil }
+
 // Documents returns the documents in force. They must not be changed.
 func (s *State) Documents() (*ServicesDocument, *BackendsDocument, *InstancesDocument) {
 	return &s.services, &s.backends, &s.instances
