Shed links beyond the limit as soon as their processes have learned

All had dialled the three seeds; those that the seeds had no room for waited until links were shed after 2 s, and those that had learned held three links to seeds and dialled nobody.

Ruled out: more links at a seed (grows with the fleet); referring refused processes to others, which know nothing yet either.

Change: a link beyond the limit is shed 250 ms after there was something to learn, not 2 s after it began. A seed that knows nothing sheds none. The test of the limit follows that clock, and first holds that nothing is shed before there is something to learn.

--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -170,9 +170,13 @@
 	for i := range 100 {
 		c.LinkUp(epoch, LinkID(i+1), i < wantedLinks)
 	}
-	c.Tick(epoch.Add(time.Second))
+	known := epoch.Add(2 * shedTime)
+	c.Tick(known)
+	require.Equal(t, 100, c.Links(), "there is nothing to learn yet")
+	withTargets(c, known, 1)
+	c.Tick(known.Add(shedTime - time.Millisecond))
 	require.Equal(t, 100, c.Links(), "they are still learning")
-	now := epoch.Add(shedTime + time.Millisecond)
+	now := known.Add(shedTime + time.Millisecond)
 	for id := range c.links {
 		c.Message(now, id, c.summary(now))
 	}
--- a/internal/core/control/installation_test.go
+++ b/internal/core/control/installation_test.go
@@ -286,6 +286,21 @@
 	require.Equal(t, before, in.sum(func(p *process) int { return p.digests }), "tables are compared by parts though nothing changes")
 }
 
+// The platform may serve only some machines after a start of everything. The others learn
+// from those, though all of them dial the same seeds first.
+func TestWholeFleetLearnsFromTheFewThatThePlatformServes(t *testing.T) {
+	const within = 500 * time.Millisecond
+	in := newInstallation(300, func(i int) bool { return i%20 == 7 })
+	in.run(within)
+	late := in.sum(func(p *process) int {
+		if p.routesFrom.IsZero() {
+			return 1
+		}
+		return 0
+	})
+	require.Zero(t, late, "processes that cannot route %s after the start", within)
+}
+
 // BenchmarkColdStart is the time until the last of a fleet can route after all have started
 // at once, and what the control links carry then and at rest.
 func BenchmarkColdStart(b *testing.B) {
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -63,15 +63,18 @@
 // fleet everybody has dialled the few processes it knew of.
 const maxAccepted = 12
 
-// shedTime is how long a process that has dialled this one may learn from it before its
-// link can be shed.
-const shedTime = 2 * time.Second
+// shedTime is how long a process that has dialled this one may learn from it, once there is
+// something to learn, before its link can be shed.
+const shedTime = 250 * time.Millisecond
 
-// shedLinks closes accepted links beyond the limit. Their processes dial others, which
-// they know by now.
+// shedLinks closes accepted links beyond the limit, once their processes have had time to
+// learn. They dial others then, which they know by now, and pass it on.
 func (c *Controller) shedLinks(now time.Time) {
 	accepted := 0
 	for _, l := range c.links {
+		if !c.view.CanRoute() {
+			l.shedAt = now.Add(shedTime)
+		}
 		if !l.dialled {
 			accepted++
 		}
