--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -30,7 +30,7 @@
 		c.probeAtOnce(now, record.ID)
 	}
 	if isRouting(old, record) {
-		c.urgent = true
+		c.urgent = c.urgent || old.Incarnation != 0
 		c.reroute(now)
 	} else {
 		c.scheduleView(now.Add(weightViewDelay))
