Close connections whose link was refused

Cause: the busiest entry instance of 298 machines held 515 connections.

Change: a refusal closes its connection.

--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -71,6 +71,7 @@
 	n.mu.Unlock()
 	if full {
 		n.counters.Add("refuse_link", 1)
+		w.Header().Set("Connection", "close")
 		http.Error(w, "too many control links", http.StatusServiceUnavailable)
 		return
 	}
