Keep open flows where they are when a service changes its servers

Cause: a change of a route's services made the agents of the service left out no candidates any more at once. The agents' own report of residual flows comes up to half a second later, and its way through the gossip takes more.

Change: each process remembers the selectors that a service had in the last 60 s, up to four, and their servers stay in searches without getting new flows. Routes that share selectors and history share a pool. An agent that started less than 60 s ago, which may have missed the change, asks all agents about a flow, up to 256.

--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -32,6 +32,12 @@
 	// this far after the current time; one further ahead is not trusted, since the clock
 	// may have stepped.
 	startTolerance = 300 * time.Millisecond
+	// newcomerPeriod is how long after its start an agent queries all agents about a flow,
+	// not only the targets of the flow's service. The service may have selected others
+	// before, which an agent learns only if it runs when the selectors change.
+	newcomerPeriod = 60 * time.Second
+	// maxNewcomerQueries is the number of agents up to which a newcomer queries all.
+	maxNewcomerQueries = 256
 )
 
 // Hold is the action that keeps a packet until the lookup of its flow ends.
@@ -137,7 +143,7 @@
 	if a.lookups.flows[id] != nil {
 		return true
 	}
-	if len(a.lookups.flows) >= maxLookups || len(a.queryTargets(service, received.Visited)) == 0 {
+	if len(a.lookups.flows) >= maxLookups || len(a.queryTargets(now, service, received.Visited)) == 0 {
 		return false
 	}
 	a.lookups.flows[id] = &lookup{service: service.ID(), startedAt: now, deadline: now.Add(queryInterval + lookupTimeout)}
@@ -147,10 +153,9 @@
 
 // queryTargets returns the agents that may own a flow, have not been visited and are likely to
 // reply: those that are reachable and not suspected.
-func (a *Agent) queryTargets(service *fleet.RoutedService, visited []fleet.InstanceID) []*fleet.Target {
+func (a *Agent) queryTargets(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) []*fleet.Target {
 	var targets []*fleet.Target
-	for i := range service.Targets() {
-		target := &service.Targets()[i]
+	for _, target := range a.possibleOwners(now, service) {
 		if target.ID() == a.config.Self || !target.IsReachable() || target.IsSuspected() || slices.Contains(visited, target.ID()) {
 			continue
 		}
@@ -159,6 +164,31 @@
 	return targets
 }
 
+// possibleOwners returns the agents that may own flows of a service: its targets and, within
+// newcomerPeriod, all other agents unless there are too many.
+func (a *Agent) possibleOwners(now time.Time, service *fleet.RoutedService) []*fleet.Target {
+	owners := slices.Collect(service.All())
+	if !a.config.Carried || now.Sub(a.startedAt) >= newcomerPeriod {
+		return owners
+	}
+	listed := make(map[fleet.InstanceID]bool, len(owners))
+	for _, target := range owners {
+		listed[target.ID()] = true
+	}
+	for _, other := range a.view.OneServicePerPool() {
+		for target := range other.All() {
+			if !listed[target.ID()] {
+				listed[target.ID()] = true
+				owners = append(owners, target)
+			}
+		}
+	}
+	if len(owners) > maxNewcomerQueries {
+		return owners[:len(service.Targets())]
+	}
+	return owners
+}
+
 // NextLookupTime returns when OwnershipQueries or ExpireLookups must be called next. It reports
 // false if no lookup is in progress.
 func (a *Agent) NextLookupTime(now time.Time) (time.Time, bool) {
@@ -218,7 +248,7 @@
 	a.lookups.lastRound++
 	number := a.lookups.lastRound
 	a.lookups.rounds[number] = queryRound{flows: flows, deadline: now.Add(lookupTimeout)}
-	targets := a.queryTargets(service, nil)
+	targets := a.queryTargets(now, service, nil)
 	queries := make([]OwnershipQuery, 0, len(targets))
 	for _, target := range targets {
 		queries = append(queries, OwnershipQuery{Target: target, Round: number, Flows: flows})
@@ -277,7 +307,7 @@
 	l.awaiting = slices.Delete(l.awaiting, at, at+1)
 	if owned {
 		if service := a.view.Service(l.service); service != nil {
-			return a.finishLookup(now, id, l, service.Target(from)), true
+			return a.finishLookup(now, id, l, a.ownerTarget(now, service, from)), true
 		}
 	}
 	if knowsAllFlows {
@@ -289,6 +319,17 @@
 	return a.finishLookup(now, id, l, nil), true
 }
 
+// ownerTarget returns the target of an agent that owns a flow of a service, or nil if it is
+// not in view any more.
+func (a *Agent) ownerTarget(now time.Time, service *fleet.RoutedService, id fleet.InstanceID) *fleet.Target {
+	owners := a.possibleOwners(now, service)
+	index := slices.IndexFunc(owners, func(target *fleet.Target) bool { return target.ID() == id })
+	if index < 0 {
+		return nil
+	}
+	return owners[index]
+}
+
 // finishLookup removes a lookup and returns its result. owner is nil if none was found.
 func (a *Agent) finishLookup(now time.Time, id flow.ID, l *lookup, owner *fleet.Target) LookupResult {
 	a.config.Observer.ObserveLookup(now.Sub(l.startedAt))
--- /dev/null
+++ b/internal/core/agent/routechange_test.go
@@ -0,0 +1,107 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// archiveLabels are the labels of the backend servers that the service orders selects besides
+// its own until the operator changes it.
+var archiveLabels = map[string]string{"app": "archive"}
+
+// newSharedCluster returns a cluster whose service orders selects the servers of orders, b0 and
+// b1, and those of the archive, b2 and b3.
+func newSharedCluster(t require.TestingT) *testCluster {
+	c := newTestCluster(t, 4)
+	_, backends, _ := c.state.Documents()
+	next := &fleet.BackendsDocument{Revision: 2, Backends: append([]fleet.Backend(nil), backends.Backends...)}
+	for i := range next.Backends[2:] {
+		next.Backends[2+i].Labels = archiveLabels
+	}
+	_, err := c.state.Apply(epoch, next)
+	require.NoError(t, err)
+	for _, id := range c.ids()[2:] {
+		c.agents[id].SetLabels(archiveLabels)
+	}
+	c.selectApps(t, c.state, 3, "orders", "archive")
+	c.applyView()
+	return c
+}
+
+// selectApps publishes that orders selects the servers of some apps.
+func (c *testCluster) selectApps(t require.TestingT, state *fleet.State, revision uint64, apps ...string) {
+	services, _, _ := state.Documents()
+	next := &fleet.ServicesDocument{Revision: revision, Services: append([]fleet.Service(nil), services.Services...)}
+	next.Services[0].Selectors = map[string]fleet.Selector{"north": {"app": apps}}
+	_, err := state.Apply(settledAt, next)
+	require.NoError(t, err)
+}
+
+// openAtArchive opens a flow at one of the archive's servers and returns its owner.
+func (c *testCluster) openAtArchive(t require.TestingT, port uint16) fleet.InstanceID {
+	owner := c.ids()[2]
+	opening := receivedPacket(port, flow.Opening, 0)
+	opening.Placed = true
+	found, action := c.routePacket(t, owner, opening)
+	require.IsType(t, &Deliver{}, action)
+	require.Equal(t, owner, found)
+	_, action = c.routePacket(t, owner, receivedPacket(port, flow.Established, c.backends[owner].token))
+	require.IsType(t, &Deliver{}, action)
+	return owner
+}
+
+// The operator takes servers out of a service on which long flows are open, in one change or
+// in several. Packets of the flows must find their server from every agent, while new flows
+// stay away.
+func TestFlowsStayWhereTheyAreWhenAServiceChangesItsServers(t *testing.T) {
+	for name, changes := range map[string][][]string{
+		"once":        {{"orders"}},
+		"by turns":    {{"orders"}, {"orders", "archive"}, {"orders"}},
+		"in sequence": {{"archive"}, {"other"}, {"orders"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newSharedCluster(t)
+			owner := c.openAtArchive(t, 4000)
+			for i, apps := range changes {
+				c.selectApps(t, c.state, uint64(4+i), apps...)
+			}
+			c.applyViewAt(settledAt)
+			for _, id := range c.ids() {
+				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
+				require.IsType(t, &Deliver{}, action)
+				require.Equal(t, owner, found)
+				accepted, _ := c.routePacket(t, id, receivedPacket(4001, flow.Opening, 0))
+				require.NotContains(t, c.ids()[2:], accepted, "a new flow must not go to a server that is not selected")
+			}
+		})
+	}
+}
+
+// Agents that start after the change have never seen the service's earlier servers.
+func TestAgentsThatStartAfterTheChangeFindTheFlow(t *testing.T) {
+	c := newSharedCluster(t)
+	owner := c.openAtArchive(t, 4000)
+	c.selectApps(t, c.state, 4, "orders")
+	c.applyViewAt(settledAt)
+	fresh := fleet.NewState()
+	services, backends, instances := c.state.Documents()
+	for _, document := range []fleet.Document{services, backends, instances} {
+		_, err := fresh.Apply(settledAt, document)
+		require.NoError(t, err)
+	}
+	for _, id := range c.ids()[:2] {
+		c.restart(id)
+		c.agents[id].ApplyView(fresh.View(settledAt))
+		c.agents[id].Start(settledAt.Add(-time.Second))
+	}
+	for _, id := range c.ids()[:2] {
+		found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
+		require.IsType(t, &Deliver{}, action)
+		require.Equal(t, owner, found)
+	}
+}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -230,3 +230,23 @@
 		require.Equal(t, leased, state.View(epoch).IsAccepting(InstanceIDOf("b0")))
 	}
 }
+
+// Guards against open flows that are lost, and against new ones that go astray, when an
+// operator moves a service to other servers; and against servers that stay in searches forever.
+func TestServersSelectedBeforeStayInSearchesForALimitedTime(t *testing.T) {
+	state := newState(t, 3)
+	services, _, _ := state.Documents()
+	next := &ServicesDocument{Revision: 4, Services: append([]Service(nil), services.Services...)}
+	next.Services[0].Selectors = map[string]Selector{"north": {"app": {"archive"}}}
+	_, err := state.Apply(epoch, next)
+	require.NoError(t, err)
+	service := orders(state)
+	require.Len(t, service.Targets(), 3)
+	for target := range service.All() {
+		require.True(t, target.IsResidual())
+		require.False(t, target.IsAccepting())
+	}
+	require.Nil(t, service.Primary(1))
+	later := state.View(epoch.Add(formerLifetime + time.Second)).Service(ServiceIDOf("orders"))
+	require.Empty(t, later.Targets())
+}
--- /dev/null
+++ b/internal/core/fleet/former.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// formerLifetime is how long searches for the owners of flows still visit the backend
+// servers that a service selected before a change of its selectors.
+const formerLifetime = departedLifetime
+
+// maxFormerSelectors is the number of earlier changes of a service's selectors that are
+// remembered.
+const maxFormerSelectors = 4
+
+// formerSelectors are the selectors that a service had before a change. Answers this
+// pattern: an operator moves a service to other backend servers while many long flows are
+// open. The flows stay where they are, so the servers of before must still be found.
+type formerSelectors struct {
+	selectors map[string]Selector
+	// forgetAfter is the time after which this process forgets the selectors.
+	forgetAfter time.Time
+}
+
+// recordFormerSelectors remembers the selectors of the services that the next document
+// changes. Those of a service that it removes are forgotten, as its flows end.
+func (s *State) recordFormerSelectors(now time.Time, next *ServicesDocument) {
+	former := make(map[ServiceID][]formerSelectors, len(s.former))
+	for i := range next.Services {
+		service := &next.Services[i]
+		id := ServiceIDOf(service.Name)
+		index, known := s.routes.byID[id]
+		if !known {
+			continue
+		}
+		remembered := s.former[id]
+		if previous := s.routes.routes[index].selectors; selectorsKey(previous) != selectorsKey(service.Selectors) {
+			remembered = slices.Insert(slices.Clone(remembered), 0, formerSelectors{previous, now.Add(formerLifetime)})
+		}
+		if len(remembered) > 0 {
+			former[id] = remembered[:min(len(remembered), maxFormerSelectors)]
+		}
+	}
+	s.former = former
+}
+
+// forgetFormerSelectors forgets the selectors whose time is over and reports whether there
+// were any.
+func (s *State) forgetFormerSelectors(now time.Time) bool {
+	forgotten := false
+	for id, remembered := range s.former {
+		kept := slices.DeleteFunc(slices.Clone(remembered), func(f formerSelectors) bool { return now.After(f.forgetAfter) })
+		if len(kept) == len(remembered) {
+			continue
+		}
+		forgotten = true
+		s.former[id] = kept
+		if len(kept) == 0 {
+			delete(s.former, id)
+		}
+	}
+	return forgotten
+}
+
+// formerlySelected returns the nodes of the backend servers that the route selected before
+// a change of its selectors.
+func (b *poolBuilder) formerlySelected(routed *route) []*Node {
+	var nodes []*Node
+	for _, selectors := range routed.former {
+		for dataCentre, servers := range b.servers {
+			selector, present := selectorFor(selectors, dataCentre)
+			if !present {
+				continue
+			}
+			for _, candidate := range servers.matching(selector) {
+				nodes = append(nodes, candidate.node)
+			}
+		}
+	}
+	return nodes
+}
--- a/internal/core/fleet/pools.go
+++ b/internal/core/fleet/pools.go
@@ -16,8 +16,8 @@
 	departed []server
 }
 
-// build returns the pool of a route. Its residual targets are those of owners and of the
-// departed agents that are not selected.
+// build returns the pool of a route. Its residual targets are those of owners, of the
+// servers that the route selected before, and of the departed agents that are not selected.
 func (b *poolBuilder) build(routed *route, owners []*Node) *pool {
 	built := new(pool)
 	for dataCentre, servers := range b.servers {
@@ -31,9 +31,10 @@
 	}
 	slices.SortFunc(built.targets, compareTargets)
 	built.selectedCount = len(built.targets)
+	owners = slices.Concat(owners, b.formerlySelected(routed))
 	for _, agent := range b.departed {
-		if routed.selects(agent.backend.DataCentre, agent.backend.Labels) {
-			owners = append(owners[:len(owners):len(owners)], agent.node)
+		if routed.hasSelected(agent.backend.DataCentre, agent.backend.Labels) {
+			owners = append(owners, agent.node)
 		}
 	}
 	built.targets = append(built.targets, b.residualTargets(routed, built, owners)...)
@@ -41,7 +42,7 @@
 }
 
 // residualTargets returns a target for each owner that is not selected and whose data
-// centre is in the service, ordered by ID.
+// centre is in the service, ordered by ID. An owner may be named more than once.
 func (b *poolBuilder) residualTargets(routed *route, built *pool, owners []*Node) []Target {
 	var targets []Target
 	for _, node := range owners {
@@ -54,5 +55,5 @@
 		targets = append(targets, target)
 	}
 	slices.SortFunc(targets, compareTargets)
-	return targets
+	return slices.CompactFunc(targets, func(a, b Target) bool { return a.id == b.id })
 }
--- a/internal/core/fleet/routes.go
+++ b/internal/core/fleet/routes.go
@@ -12,10 +12,12 @@
 	name    string
 	address flow.Address
 	// poolIndex is the index of the service's pool of targets, the same for services with
-	// the same selectors.
+	// the same selectors, former ones included.
 	poolIndex int
 	// selectors holds the selector of each data centre that is in the service.
-	selectors        map[string]Selector
+	selectors map[string]Selector
+	// former holds the selectors that the service had before, newest first.
+	former           []map[string]Selector
 	coldStartRate    float64
 	idempotent       bool
 	latencyObjective time.Duration
@@ -40,6 +42,20 @@
 	return present && selector.Matches(labels)
 }
 
+// hasSelected reports whether a backend server with these labels may serve the service in a
+// data centre, now or by the former selectors.
+func (r *route) hasSelected(dataCentre string, labels map[string]string) bool {
+	if r.selects(dataCentre, labels) {
+		return true
+	}
+	for _, selectors := range r.former {
+		if selector, present := selectorFor(selectors, dataCentre); present && selector.Matches(labels) {
+			return true
+		}
+	}
+	return false
+}
+
 // routeTable holds the routes of one services document. Operators may publish thousands
 // of services, most of them for the same backend servers, so the table is computed once
 // for all views of the document.
@@ -51,8 +67,9 @@
 	firstRoutes []int
 }
 
-// newRouteTable computes the routes of a valid document.
-func newRouteTable(document *ServicesDocument) *routeTable {
+// newRouteTable computes the routes of a valid document. former holds the selectors that
+// services had before.
+func newRouteTable(document *ServicesDocument, former map[ServiceID][]formerSelectors) *routeTable {
 	table := &routeTable{
 		routes:    make([]route, len(document.Services)),
 		byAddress: make(map[flow.Address]int, len(document.Services)),
@@ -62,7 +79,13 @@
 	for i := range document.Services {
 		service := &document.Services[i]
 		address, _ := service.parseAddress()
+		id := ServiceIDOf(service.Name)
 		key := selectorsKey(service.Selectors)
+		var formerOfService []map[string]Selector
+		for _, f := range former[id] {
+			formerOfService = append(formerOfService, f.selectors)
+			key += "/" + selectorsKey(f.selectors)
+		}
 		poolIndex, known := pools[key]
 		if !known {
 			poolIndex = len(table.firstRoutes)
@@ -70,17 +93,18 @@
 			table.firstRoutes = append(table.firstRoutes, i)
 		}
 		table.routes[i] = route{
-			id:               ServiceIDOf(service.Name),
+			id:               id,
 			name:             service.Name,
 			address:          address,
 			poolIndex:        poolIndex,
 			selectors:        service.Selectors,
+			former:           formerOfService,
 			coldStartRate:    service.ColdStartRate,
 			idempotent:       service.Idempotent,
 			latencyObjective: service.LatencyObjective,
 		}
 		table.byAddress[address] = i
-		table.byID[table.routes[i].id] = i
+		table.byID[id] = i
 	}
 	return table
 }
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -26,16 +26,19 @@
 	peers          *Peers
 	// departed holds the agents that are not listed but may own flows.
 	departed map[InstanceID]departedAgent
+	// former holds the selectors that services had before, newest first.
+	former map[ServiceID][]formerSelectors
 }
 
 // NewState returns a state without documents.
 func NewState() *State {
 	return &State{
-		routes:         newRouteTable(&ServicesDocument{}),
+		routes:         newRouteTable(&ServicesDocument{}, nil),
 		listedBackends: make(map[InstanceID]*Backend),
 		listedNodes:    make(map[InstanceID]*Node),
 		peers:          NewPeers(),
 		departed:       make(map[InstanceID]departedAgent),
+		former:         make(map[ServiceID][]formerSelectors),
 	}
 }
 
@@ -72,8 +75,9 @@
 	}
 	switch d := document.(type) {
 	case *ServicesDocument:
+		s.recordFormerSelectors(now, d)
 		s.services = *d
-		s.routes = newRouteTable(d)
+		s.routes = newRouteTable(d, s.former)
 	case *BackendsDocument:
 		named := make(map[InstanceID]bool, len(d.Backends))
 		for i := range d.Backends {
@@ -144,6 +148,9 @@
 // ViewSettledAt computes the routing view with a given time from which it counts as
 // settled. A change of weights alone keeps the time of the view before.
 func (s *State) ViewSettledAt(now, settledAt time.Time) *View {
+	if s.forgetFormerSelectors(now) {
+		s.routes = newRouteTable(&s.services, s.former)
+	}
 	view := &View{
 		revisions:   s.Revisions(),
 		routes:      s.routes,
