Compare backend servers by requests of the same service, and never empty one

Cause: an answer faster than a fifth of the siblings' service time counts as failed, and siblings are all agents that share any service. Where a service with downloads of 5 ms shares servers with one of 40 ms, healthy servers were ejected, all three of one service at once, and balancers reset with no_target. An ejected server that serves only short flows then got no request any more by which its failure rate could recover.

Failure rates and fast answers are compared within a service, with the lower median. A server is ejected only if in each of its services at least two thirds of the targets get new flows without it, counting silent, suspected, leaving and ejected ones as lost, and is readmitted when others are lost. An ejection ends after 8 s, then 16 s, up to 32 s. A flow that nobody else accepts is served by a server that is only ejected.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -192,6 +192,8 @@
 	slowStart slowStart
 	responses responseMonitor
 	outliers  outlierDetector
+	// requestStats holds the statistics of the requests of each service.
+	requestStats map[fleet.ServiceID]*requestStats
 	// utilisation is the average share of slots in use, as of the last report.
 	utilisation float64
 	// nextOfferAt is when a free slot may next be offered to a sibling.
@@ -242,6 +244,7 @@
 		weight:         newWeightLearner(),
 		random:         random,
 		reports:        make(map[fleet.InstanceID]siblingReport),
+		requestStats:   make(map[fleet.ServiceID]*requestStats),
 		directory:      newDirectory(maxRegisteredPerFlow * config.MaxFlows),
 		forwardHistory: make(forwardHistory),
 		lookups:        newLookups(),
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -241,7 +241,7 @@
 		a.responses.bouncedOpenings = 0
 	case reply.IsFinal:
 		if reply.IsReset && !entry.requestDeliveredAt.IsZero() && !entry.countedFailed {
-			a.recordOutcome(now, 0, false)
+			a.recordOutcome(now, entry.service, 0, false)
 		}
 		a.releaseSlot(now, entry)
 		entry.serverEnded = true
@@ -307,9 +307,10 @@
 	serviceTime := now.Sub(entry.requestDeliveredAt)
 	if !entry.queued {
 		a.load.recordServiceTime(serviceTime)
+		a.statsOf(entry.service).recordServiceTime(serviceTime)
 	}
 	if !entry.countedFailed {
-		a.recordOutcome(now, serviceTime, true)
+		a.recordOutcome(now, entry.service, serviceTime, true)
 	}
 	a.load.endService(now, true)
 	entry.requestDeliveredAt, entry.countedFailed = time.Time{}, false
@@ -342,7 +343,7 @@
 	for id, entry := range a.flows {
 		if a.isHung(now, entry) {
 			entry.countedFailed = true
-			a.recordOutcome(now, 0, false)
+			a.recordOutcome(now, entry.service, 0, false)
 		}
 		if !entry.slotReservedAt.IsZero() && now.Sub(entry.slotReservedAt) > answerTimeout {
 			a.releaseSlot(now, entry)
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -159,6 +159,11 @@
 	if backend := view.Backend(a.config.Self); backend != nil {
 		a.slowStart.updateListing(backend)
 	}
+	for id := range a.requestStats {
+		if view.Service(id) == nil {
+			delete(a.requestStats, id)
+		}
+	}
 	var toReset []OwnedFlow
 	for id, entry := range a.flows {
 		if entry.state == stateHandedOver || a.mayServe(entry.service, id) {
--- a/internal/core/agent/outlier.go
+++ b/internal/core/agent/outlier.go
@@ -1,17 +1,18 @@
 package agent
 
 import (
-	"slices"
 	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
 )
 
 // Parameters of outlier ejection: a backend server that fails more of its requests than its
 // siblings gets no new flows except trials. Guards against servers of a service that fail
 // some or all of their requests while their health endpoints report success; those that
 // fail at once look idle and attract even more flows. Only the outcomes of requests count,
-// and only in comparison with the siblings; health endpoints are ignored. A fast answer
-// counts as failed only if the siblings take longer, since in some services many requests
-// are answered fast.
+// and only in comparison with the siblings and for requests of the same service; health
+// endpoints are ignored. A fast answer counts as failed only if the siblings take longer,
+// since in some services many requests are answered fast.
 const (
 	// failureRateGain is the weight of one request in the average failure rate.
 	failureRateGain = 1.0 / 16
@@ -19,7 +20,7 @@
 	minOutcomes = 12
 	// ejectExcess is the excess of the failure rate over the siblings' median above which
 	// the server is ejected, and readmitExcess the one down to which it must fall to be
-	// readmitted. Both are shares of requests.
+	// readmitted early. Both are shares of requests.
 	ejectExcess   = 0.25
 	readmitExcess = 0.1
 	// minServiceTimeShare is the share of the siblings' service time that an answer must
@@ -33,37 +34,41 @@
 	// minSiblingReports is the number of siblings whose reports are needed for a comparison.
 	minSiblingReports = 2
 	// maxEjectedDivisor bounds ejection: a server is ejected only if, with it, at most one
-	// in maxEjectedDivisor of the server and its siblings is ejected by the latest
-	// reports.
+	// in maxEjectedDivisor of the targets of each of its services gets no new flows.
 	maxEjectedDivisor = 3
+	// firstEjection is how long the first ejection lasts at most. Each further one lasts
+	// twice as long, up to maxEjection, unless the server has done well in between. An
+	// ejected server gets few requests, so that its failure rate alone may never recover.
+	firstEjection = 8 * time.Second
+	maxEjection   = 32 * time.Second
+	// goodOutcomes is the number of requests without an ejection after which earlier
+	// ejections are forgotten.
+	goodOutcomes = 200
 )
 
-// outlierDetector tracks how many of the backend server's requests fail.
+// outlierDetector decides when the backend server is ejected.
 type outlierDetector struct {
-	// failureRate is the moving average of the share of requests that failed.
-	failureRate float64
-	// outcomes is the number of requests recorded.
-	outcomes int
 	// ejected reports that the server gets no new flows except trials because of its
 	// failure rate.
 	ejected bool
+	// readmitAt is when an ejected server is readmitted at the latest.
+	readmitAt time.Time
+	// nextEjection is how long the next ejection lasts at most, or zero for firstEjection.
+	nextEjection time.Duration
+	// outcomes is the number of requests since the server was last readmitted.
+	outcomes int
 }
 
-// record adds the outcome of a request to the failure rate.
-func (d *outlierDetector) record(failed bool) {
-	sample := 0.0
-	if failed {
-		sample = 1
+// recordOutcome records whether a request of a service failed. If answered, latency is the
+// time to the answer; otherwise the request was reset or has hung, and latency is not used.
+func (a *Agent) recordOutcome(now time.Time, service fleet.ServiceID, latency time.Duration, answered bool) {
+	usual, known := a.siblingServiceTime(now, service)
+	failed := !answered || known && latency < time.Duration(minServiceTimeShare*float64(usual))
+	a.statsOf(service).recordOutcome(failed)
+	a.outliers.outcomes++
+	if a.outliers.outcomes >= goodOutcomes {
+		a.outliers.nextEjection = 0
 	}
-	d.outcomes++
-	d.failureRate += failureRateGain * (sample - d.failureRate)
-}
-
-// recordOutcome records whether a request failed. If answered, latency is the time
-// to the answer; otherwise the request was reset or has hung, and latency is not used.
-func (a *Agent) recordOutcome(now time.Time, latency time.Duration, answered bool) {
-	usual, known := a.siblingServiceTime(now)
-	a.outliers.record(!answered || known && latency < time.Duration(minServiceTimeShare*float64(usual)))
 }
 
 // isHung reports whether a request has gone without an answer for so long that it counts as
@@ -72,57 +77,85 @@
 	if entry.requestDeliveredAt.IsZero() || entry.countedFailed {
 		return false
 	}
-	usual, _ := a.siblingServiceTime(now)
+	usual, _ := a.siblingServiceTime(now, entry.service)
 	return now.Sub(entry.requestDeliveredAt) > max(minHangTimeout, hangFactor*usual)
 }
 
-// siblingServiceTime returns the median of the service times that the siblings report. It
-// reports false if fewer than minSiblingReports siblings report one.
-func (a *Agent) siblingServiceTime(now time.Time) (time.Duration, bool) {
-	var serviceTimes []uint32
-	for _, sibling := range a.Siblings() {
-		if report, found := a.latestReport(now, sibling.ID()); found && report.ServiceTime > 0 {
-			serviceTimes = append(serviceTimes, report.ServiceTime)
+// failureExcess returns how far the failure rate of the backend server exceeds the median of
+// its siblings', in the service in which it does so most. It reports false while too few
+// requests or reports are known.
+func (a *Agent) failureExcess(now time.Time) (float64, bool) {
+	highest, known := -1.0, false
+	for service, stats := range a.requestStats {
+		reports := a.siblingReports(now, service)
+		if stats.outcomes < minOutcomes || len(reports) < minSiblingReports {
+			continue
 		}
+		var rates []uint16
+		for _, report := range reports {
+			rates = append(rates, report.Failures)
+		}
+		known = true
+		highest = max(highest, stats.failureRate-float64(lowerMedian(rates))/perMille)
 	}
-	if len(serviceTimes) < minSiblingReports {
-		return 0, false
+	return highest, known
+}
+
+// updateEjection ejects or readmits the backend server by its failure rate. An ejected
+// server is readmitted at once if too many others get no new flows either.
+func (a *Agent) updateEjection(now time.Time) {
+	excess, known := a.failureExcess(now)
+	switch {
+	case a.outliers.ejected && known && excess <= readmitExcess:
+		a.outliers.ejected = false
+	case a.outliers.ejected:
+		if !now.Before(a.outliers.readmitAt) || !a.canSpareServer(now) {
+			a.readmit()
+		}
+	case known && excess > ejectExcess && a.canSpareServer(now):
+		a.eject(now)
 	}
-	return time.Duration(median(serviceTimes)) * time.Microsecond, true
 }
 
-// median returns the upper median of values, which must not be empty. It sorts values.
-func median[T uint16 | uint32](values []T) T {
-	slices.Sort(values)
-	return values[len(values)/2]
+// eject ejects the backend server.
+func (a *Agent) eject(now time.Time) {
+	duration := max(a.outliers.nextEjection, firstEjection)
+	a.outliers.ejected = true
+	a.outliers.readmitAt = now.Add(duration)
+	a.outliers.nextEjection = min(2*duration, maxEjection)
 }
 
-// updateEjection ejects or readmits the backend server by how far its failure rate exceeds
-// the median of its siblings'. It changes nothing while too few requests or reports are
-// known.
-func (a *Agent) updateEjection(now time.Time) {
-	var failureRates []uint16
-	ejectedSiblings := 0
-	for _, sibling := range a.Siblings() {
-		report, found := a.latestReport(now, sibling.ID())
-		if !found {
+// readmit ends the ejection of a backend server that has not shown that it has recovered.
+// Its outcomes count anew.
+func (a *Agent) readmit() {
+	a.outliers.ejected = false
+	a.outliers.outcomes = 0
+	for _, stats := range a.requestStats {
+		stats.failureRate, stats.outcomes = 0, 0
+	}
+}
+
+// canSpareServer reports whether in each service of the backend server enough targets get
+// new flows without it. Servers that are silent, suspected, leaving or ejected do not count.
+func (a *Agent) canSpareServer(now time.Time) bool {
+	for _, service := range a.view.OneServicePerPool() {
+		self := service.Target(a.config.Self)
+		if self == nil || self.IsResidual() {
 			continue
 		}
-		failureRates = append(failureRates, report.FailureRate)
-		if report.Ejected {
-			ejectedSiblings++
+		selected, without := 0, 0
+		for target := range service.Selected() {
+			selected++
+			report, found := a.latestReport(now, target.ID())
+			if target.ID() == a.config.Self || !target.IsAccepting() || found && report.Ejected {
+				without++
+			}
+		}
+		if without*maxEjectedDivisor > selected {
+			return false
 		}
 	}
-	if len(failureRates) < minSiblingReports || a.outliers.outcomes < minOutcomes {
-		return
-	}
-	excess := a.outliers.failureRate - float64(median(failureRates))/perMille
-	switch {
-	case a.outliers.ejected:
-		a.outliers.ejected = excess > readmitExcess
-	case excess > ejectExcess:
-		a.outliers.ejected = (ejectedSiblings+1)*maxEjectedDivisor <= len(a.Siblings())+1
-	}
+	return true
 }
 
 // IsEjected reports whether the backend server gets no new flows except trials because it
--- a/internal/core/agent/outlier_test.go
+++ b/internal/core/agent/outlier_test.go
@@ -37,6 +37,7 @@
 	for _, a := range s.agents {
 		for range minServiceTimeSamples {
 			a.load.recordServiceTime(healthyServiceTime)
+			a.statsOf(orders).recordServiceTime(healthyServiceTime)
 		}
 	}
 	s.exchangeReports()
@@ -133,9 +134,9 @@
 	a.SweepCarried(s.now)
 	s.exchangeReports()
 	require.True(t, a.IsEjected())
-	outcomes := a.outliers.outcomes
+	outcomes := a.statsOf(orders).outcomes
 	a.SweepCarried(s.now.Add(time.Second))
-	require.Equal(t, outcomes, a.outliers.outcomes, "a request that hangs is recorded once")
+	require.Equal(t, outcomes, a.statsOf(orders).outcomes, "a request that hangs is recorded once")
 }
 
 // Guards against ejection in a service where fast answers are usual: all servers answer two
@@ -170,3 +171,106 @@
 	}
 	require.Equal(t, 9/maxEjectedDivisor, ejected)
 }
+
+// newMixedService returns a cluster of six agents whose servers serve pages, of 40 ms, and of
+// which the first three also serve downloads, of 5 ms.
+func newMixedService(t *testing.T) *testService {
+	s := &testService{testCluster: newTestCluster(t, 6), now: settledAt, port: 1024}
+	_, backends, _ := s.state.Documents()
+	next := &fleet.BackendsDocument{Revision: 2, Backends: append([]fleet.Backend(nil), backends.Backends...)}
+	for i := range next.Backends[:3] {
+		next.Backends[i].Labels = map[string]string{"app": "archive"}
+	}
+	services := &fleet.ServicesDocument{Revision: 3, Services: []fleet.Service{
+		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{"north": {"app": {"orders", "archive"}}}},
+		{Name: "letters", Address: "10.9.0.2:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{"north": {"app": {"archive"}}}},
+	}}
+	for _, document := range []fleet.Document{next, services} {
+		_, err := s.state.Apply(epoch, document)
+		require.NoError(t, err)
+	}
+	s.applyView()
+	return s
+}
+
+// record records answered requests of a service at a server: service times and outcomes.
+func (s *testService) record(id fleet.InstanceID, service string, count int, serviceTime time.Duration) {
+	a := s.agents[id]
+	for range count {
+		a.statsOf(fleet.ServiceIDOf(service)).recordServiceTime(serviceTime)
+		a.recordOutcome(s.now, fleet.ServiceIDOf(service), serviceTime, true)
+	}
+}
+
+// Guards against healthy servers that are ejected because their fast requests are compared
+// with slow ones of another service.
+func TestFastRequestsOfAnotherServiceAreNoFailures(t *testing.T) {
+	s := newMixedService(t)
+	for range 40 {
+		for i, id := range s.ids() {
+			s.record(id, "orders", 2, 40*time.Millisecond)
+			if i < 3 {
+				s.record(id, "letters", 5, 5*time.Millisecond)
+			}
+		}
+		s.exchangeReports()
+	}
+	for _, id := range s.ids() {
+		require.False(t, s.agents[id].IsEjected())
+	}
+}
+
+// Guards against an emptied service: the only servers of letters fail one after the other
+// while the servers of orders, with which they share a service, do well.
+func TestEjectionLeavesTwoThirdsOfEachService(t *testing.T) {
+	s := newMixedService(t)
+	letters := fleet.ServiceIDOf("letters")
+	for range 3 * minOutcomes {
+		for _, id := range s.ids()[:3] {
+			a := s.agents[id]
+			a.statsOf(letters).recordServiceTime(5 * time.Millisecond)
+		}
+	}
+	s.exchangeReports()
+	ejected := func() int {
+		count := 0
+		for _, id := range s.ids() {
+			if s.agents[id].IsEjected() {
+				count++
+			}
+		}
+		return count
+	}
+	for _, id := range s.ids()[:2] {
+		for range 3 * minOutcomes {
+			s.agents[id].recordOutcome(s.now, letters, 0, false)
+		}
+		s.exchangeReports()
+	}
+	require.Equal(t, 1, ejected())
+	s.state.Peers().Merge(epoch, fleet.PeerRecord{ID: s.ids()[2], Incarnation: 1, State: fleet.PeerServerUnresponsive})
+	s.applyView()
+	s.exchangeReports()
+	require.Zero(t, ejected(), "an ejected server is readmitted when others are lost")
+}
+
+// Guards against a server that stays ejected forever because it gets no requests any more by
+// which it could show that it has recovered.
+func TestEjectedServerIsReadmittedAfterAWhile(t *testing.T) {
+	s := newTestService(t, 7)
+	failing := s.ids()[2]
+	a := s.agents[failing]
+	for _, period := range []time.Duration{firstEjection, 2 * firstEjection, maxEjection, maxEjection} {
+		for range 2 * minOutcomes {
+			a.recordOutcome(s.now, orders, 0, false)
+		}
+		s.exchangeReports()
+		require.True(t, a.IsEjected())
+		s.now = s.now.Add(period - time.Millisecond)
+		s.exchangeReports()
+		require.True(t, a.IsEjected())
+		s.now = s.now.Add(time.Millisecond)
+		s.exchangeReports()
+		require.False(t, a.IsEjected())
+	}
+}
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -62,7 +62,10 @@
 // handed over again to balance load.
 func (a *Agent) place(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if reason := a.ineligibleReason(now, service, received); reason != "" {
-		return a.placeElsewhere(now, service, received, reason)
+		decision := a.placeElsewhere(now, service, received, reason)
+		if _, refused := decision.(refusal); !refused || reason != HandOverServerSilent || !a.isOnlyEjected() {
+			return decision
+		}
 	}
 	if received.Placed {
 		return a.placeWithinObjective(service)
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -87,6 +87,12 @@
 	return a.responses.isUnresponsive() || a.isPresumedRemoved() || a.outliers.ejected
 }
 
+// isOnlyEjected reports whether the backend server gets no new flows except trials for no
+// other reason than that it fails requests. It then serves a flow that nobody else accepts.
+func (a *Agent) isOnlyEjected() bool {
+	return a.outliers.ejected && !a.responses.isUnresponsive() && !a.isPresumedRemoved()
+}
+
 // isPresumedRemoved reports whether the backend server is presumed removed: it is not
 // listed, so that only its agent reports that it exists, and it has bounced
 // maxBouncedOpenings opening packets in a row.
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -32,12 +32,12 @@
 	// ServiceTime is the average time to answer a request that does not queue, in
 	// microseconds, or zero if that is not known yet.
 	ServiceTime uint32
-	// FailureRate is the average share of requests that the backend server fails, in
-	// thousandths.
-	FailureRate uint16
 	// Ejected reports whether the backend server gets no new flows except trials because of
 	// its failure rate.
 	Ejected bool
+	// Services holds what is known of the requests of each service, for the services with
+	// the most requests.
+	Services []ServiceReport
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
@@ -201,8 +201,8 @@
 		Utilisation: uint16(a.utilisation * perMille),
 		Cold:        a.load.IsCold(),
 		ServiceTime: uint32(a.load.knownServiceTime().Microseconds()),
-		FailureRate: uint16(a.outliers.failureRate * perMille),
 		Ejected:     a.outliers.ejected,
+		Services:    a.serviceReports(),
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Selected yields the selected targets, which may get new flows.
+func (s *RoutedService) Selected() iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		for i := range s.targets[:s.selectedCount] {
+			if !yield(&s.targets[i]) {
+				return
+			}
+		}
+	}
+}
+
 // Target returns the target of an instance, or nil if there is none.
 func (s *RoutedService) Target(id InstanceID) *Target { return s.target(id) }
 
