Hold packets until the first view, and let newcomers search all agents

Change: balancers and agents hold up to 4,096 packets for 1.4 s before their first view and process them with it; packets from a later pause are dropped as before. An agent that started less than 60 s ago visits, after the candidates, also the other agents, up to 64.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -471,7 +471,7 @@
 
 // search decides about a packet of a flow that this agent does not own. The packet goes to
 // a registrar of the flow, is held while the owner is looked up, or is forwarded to the
-// next candidate. When no candidate is left, a closing packet is dropped. For any other
+// next candidate, then to the other agents while this one is a newcomer. When none is left, a closing packet is dropped. For any other
 // packet, handleUnreachableCandidates decides if a candidate could not be reached;
 // otherwise the caller gets a reset if the search proves that no agent owns the flow, and
 // the packet is dropped if it does not.
@@ -483,6 +483,9 @@
 		return &a.hold
 	}
 	step := a.nextCandidate(now, service, received)
+	if step.Next == nil {
+		step.Next = a.nextOutsider(now, service, received)
+	}
 	switch {
 	case step.Next != nil:
 		return a.forwardTo(step.Next, "")
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -32,12 +32,6 @@
 	// this far after the current time; one further ahead is not trusted, since the clock
 	// may have stepped.
 	startTolerance = 300 * time.Millisecond
-	// newcomerPeriod is how long after its start an agent queries all agents about a flow,
-	// not only the targets of the flow's service. The service may have selected others
-	// before, which an agent learns only if it runs when the selectors change.
-	newcomerPeriod = 60 * time.Second
-	// maxNewcomerQueries is the number of agents up to which a newcomer queries all.
-	maxNewcomerQueries = 256
 )
 
 // Hold is the action that keeps a packet until the lookup of its flow ends.
@@ -151,6 +145,17 @@
 	return true
 }
 
+// An agent that has just started searches all agents for the owner of a flow, not only the
+// targets of the flow's service. Answers this pattern: an operator moves a service to other
+// backend servers, and later all processes restart while long flows are still open at the
+// former servers. Only a process that runs when the selectors change knows the former ones.
+const (
+	// newcomerPeriod is how long after its start an agent searches all agents.
+	newcomerPeriod = 60 * time.Second
+	// maxNewcomerSearch is the number of agents in a search up to which it is extended.
+	maxNewcomerSearch = 64
+)
+
 // queryTargets returns the agents that may own a flow, have not been visited and are likely to
 // reply: those that are reachable and not suspected.
 func (a *Agent) queryTargets(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) []*fleet.Target {
@@ -183,12 +188,24 @@
 			}
 		}
 	}
-	if len(owners) > maxNewcomerQueries {
+	if len(owners) > maxNewcomerSearch {
 		return owners[:len(service.Targets())]
 	}
 	return owners
 }
 
+// nextOutsider returns the next agent to visit that is not a target of the service, or nil if
+// there is none or this agent has run for long enough to know all targets.
+func (a *Agent) nextOutsider(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
+	visited := a.visitedWithSelf(received.Visited)
+	for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
+		if target.IsReachable() && !slices.Contains(visited, target.ID()) {
+			return target
+		}
+	}
+	return nil
+}
+
 // NextLookupTime returns when OwnershipQueries or ExpireLookups must be called next. It reports
 // false if no lookup is in progress.
 func (a *Agent) NextLookupTime(now time.Time) (time.Time, bool) {
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -82,26 +82,36 @@
 	}
 }
 
-// Agents that start after the change have never seen the service's earlier servers.
+// Agents that start after the change have never seen the service's earlier servers. The owner
+// may have started too: its server holds the flow, but it does not know that.
 func TestAgentsThatStartAfterTheChangeFindTheFlow(t *testing.T) {
-	c := newSharedCluster(t)
-	owner := c.openAtArchive(t, 4000)
-	c.selectApps(t, c.state, 4, "orders")
-	c.applyViewAt(settledAt)
+	for name, restarted := range map[string]int{"selected agents": 2, "all agents": 4} {
+		t.Run(name, func(t *testing.T) {
+			c := newSharedCluster(t)
+			owner := c.openAtArchive(t, 4000)
+			c.selectApps(t, c.state, 4, "orders")
+			c.applyViewAt(settledAt)
+			c.restartWithoutHistory(t, c.ids()[:restarted])
+			for _, id := range c.ids() {
+				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
+				require.IsType(t, &Deliver{}, action)
+				require.Equal(t, owner, found)
+			}
+		})
+	}
+}
+
+// restartWithoutHistory restarts agents which then know only the documents in force.
+func (c *testCluster) restartWithoutHistory(t require.TestingT, ids []fleet.InstanceID) {
 	fresh := fleet.NewState()
 	services, backends, instances := c.state.Documents()
 	for _, document := range []fleet.Document{services, backends, instances} {
 		_, err := fresh.Apply(settledAt, document)
 		require.NoError(t, err)
 	}
-	for _, id := range c.ids()[:2] {
+	for _, id := range ids {
 		c.restart(id)
 		c.agents[id].ApplyView(fresh.View(settledAt))
 		c.agents[id].Start(settledAt.Add(-time.Second))
 	}
-	for _, id := range c.ids()[:2] {
-		found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-		require.IsType(t, &Deliver{}, action)
-		require.Equal(t, owner, found)
-	}
 }
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -140,12 +140,12 @@
 	d.Core.StoreRegistrations(clock.Now(), fleet.InstanceID(header.From), flows)
 }
 
-// handlePacket processes a caller's packet. The packet is dropped and counted while the view
-// is not valid.
+// handlePacket processes a caller's packet. Before the first view the packet is held; it is
+// dropped and counted if the view has expired.
 func (d *Dispatcher) handlePacket(header *datagram.Header, body []byte) {
 	now := clock.Now()
 	if !d.Node.IsValid(now) {
-		d.Counters.Add("drop_view_expired", 1)
+		d.holdEarly(now, header, body)
 		return
 	}
 	d.Dispatch(now, header, body, d.Core.Receive)
@@ -163,6 +163,9 @@
 	}
 	fillReceivedPacket(&d.received, header, packet)
 	d.Mutex.Lock()
+	if d.HeldPackets.early.IsEmpty() {
+		d.HeldPackets.early.Release(now)
+	}
 	d.Core.RecordViewConfirmed(d.Node.ConfirmedAt())
 	switch action := decide(now, &d.received).(type) {
 	case *core.Deliver:
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -25,11 +25,12 @@
 	body []byte
 }
 
-// HeldPackets holds packets while the owners of their flows are looked up. The dispatchers
-// of an agent share one.
+// HeldPackets holds packets while the owners of their flows are looked up, and those that
+// arrive before the first view. The dispatchers of an agent share one.
 type HeldPackets struct {
-	// byFlow is guarded by Config.Mutex.
+	// byFlow and early are guarded by Config.Mutex.
 	byFlow map[flow.ID][]heldPacket
+	early  *flow.EarlyPackets[heldPacket]
 	// wake notifies RunLookups that a packet has been added. It holds at most one
 	// notification.
 	wake chan struct{}
@@ -37,7 +38,26 @@
 
 // NewHeldPackets returns an empty HeldPackets.
 func NewHeldPackets() *HeldPackets {
-	return &HeldPackets{byFlow: make(map[flow.ID][]heldPacket), wake: make(chan struct{}, 1)}
+	return &HeldPackets{
+		byFlow: make(map[flow.ID][]heldPacket),
+		early:  flow.NewEarlyPackets[heldPacket](),
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// copyPacket returns a copy of a packet and its header.
+func copyPacket(header *datagram.Header, body []byte) heldPacket {
+	held := heldPacket{header: *header, body: bytes.Clone(body)}
+	held.header.Visited = append([]uint64(nil), header.Visited...)
+	return held
+}
+
+// notify wakes RunLookups.
+func (h *HeldPackets) notify() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
 }
 
 // add stores a copy of a packet and wakes RunLookups. It reports false, and stores nothing,
@@ -47,13 +67,8 @@
 	if len(waiting) >= maxHeldPerFlow {
 		return false
 	}
-	queued := heldPacket{header: *header, body: bytes.Clone(packet.Bytes())}
-	queued.header.Visited = append([]uint64(nil), header.Visited...)
-	h.byFlow[packet.Flow()] = append(waiting, queued)
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
+	h.byFlow[packet.Flow()] = append(waiting, copyPacket(header, packet.Bytes()))
+	h.notify()
 	return true
 }
 
@@ -67,8 +82,57 @@
 	Flows []byte
 }
 
-// RunLookups sends ownership queries for the flows of held packets and ends lookups that
-// time out, until ctx is done. One goroutine of an agent runs it.
+// viewPollInterval is the time between two checks for the first view while packets wait for
+// it.
+const viewPollInterval = 5 * time.Millisecond
+
+// holdEarly holds a packet that arrived before the first view, or drops and counts it if the
+// view has expired since.
+func (d *Dispatcher) holdEarly(now time.Time, header *datagram.Header, body []byte) {
+	packet, err := d.Format.Parse(body)
+	if err != nil {
+		d.Counters.Add("drop_malformed", 1)
+		return
+	}
+	d.Mutex.Lock()
+	held := d.HeldPackets.early.Add(now, packet, func() heldPacket { return copyPacket(header, body) })
+	d.Mutex.Unlock()
+	if !held {
+		d.Counters.Add("drop_view_expired", 1)
+		return
+	}
+	d.HeldPackets.notify()
+}
+
+// releaseEarly processes the packets that arrived before the first view as soon as there is
+// one. Until then it drops those that have been held for too long. It reports whether packets
+// still wait.
+func (d *Dispatcher) releaseEarly() bool {
+	now := clock.Now()
+	d.Mutex.Lock()
+	early := d.HeldPackets.early
+	if early.IsEmpty() {
+		d.Mutex.Unlock()
+		return false
+	}
+	if !d.Node.IsValid(now) {
+		expired := early.Sweep(now)
+		d.Mutex.Unlock()
+		d.Counters.Add("drop_view_expired", expired)
+		return true
+	}
+	packets := early.Release(now)
+	d.Mutex.Unlock()
+	for i := range packets {
+		d.Dispatch(now, &packets[i].header, packets[i].body, d.Core.Receive)
+	}
+	d.Delivery.Flush()
+	return false
+}
+
+// RunLookups processes held packets until ctx is done: it sends ownership queries for their
+// flows, ends lookups that time out, and waits for the first view. One goroutine of an agent
+// runs it.
 func (d *Dispatcher) RunLookups(ctx context.Context) {
 	for {
 		select {
@@ -76,6 +140,8 @@
 			return
 		case <-d.HeldPackets.wake:
 		}
+		for d.releaseEarly() && sleep(ctx, viewPollInterval) {
+		}
 		for d.runLookupRound(ctx) {
 		}
 	}
@@ -91,12 +157,8 @@
 	if !pending {
 		return false
 	}
-	timer := time.NewTimer(due.Sub(clock.Now()))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !sleep(ctx, due.Sub(clock.Now())) {
 		return false
-	case <-timer.C:
 	}
 	now := clock.Now()
 	d.Mutex.Lock()
@@ -111,6 +173,18 @@
 	return true
 }
 
+// sleep waits for a duration. It reports false as soon as ctx is done.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (d *Dispatcher) sendOwnershipQuery(query *core.OwnershipQuery) {
 	flows := make([]byte, 0, len(query.Flows)*len(flow.ID{}))
 	for _, id := range query.Flows {
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -4,10 +4,12 @@
 package fabric
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/balancer"
@@ -49,9 +51,14 @@
 	// callerWriter sends resets to callers from the fabric socket.
 	callerWriter *peer.Writer
 	codec        *datagram.Codec
+	fabricSocket *net.UDPConn
 	fabricReader *peer.Reader
-	agentWriter  *peer.Writer
-	counter      Counter
+	// early holds copies of the packets that arrive before the first view.
+	early *flow.EarlyPackets[[]byte]
+	// hasReadDeadline reports whether a read deadline is set on fabricSocket.
+	hasReadDeadline bool
+	agentWriter     *peer.Writer
+	counter         Counter
 	// fabricPort is the port of the fabric socket.
 	fabricPort uint16
 	// header is the header that is encoded for each target.
@@ -98,7 +105,9 @@
 		decisions:    config.Decisions,
 		callerWriter: peer.NewWriter(config.FabricSocket, peer.NewPaths()),
 		codec:        config.Codec,
+		fabricSocket: config.FabricSocket,
 		fabricReader: peer.NewReader(config.FabricSocket),
+		early:        flow.NewEarlyPackets[[]byte](),
 		agentWriter:  config.Writer,
 		counter:      config.Counter,
 		fabricPort:   config.FabricSocket.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
@@ -115,31 +124,86 @@
 }
 
 // ForwardBatch waits for a batch of packets from the fabric and forwards them. It returns an
-// error if the batch cannot be read, such as when the socket is closed. Packets that cannot
-// be forwarded are dropped and counted.
+// error if the batch cannot be read, such as when the socket is closed. Packets that arrive
+// before the first view are forwarded with it. Packets that cannot be forwarded are dropped
+// and counted.
 func (f *Forwarder) ForwardBatch() error {
-	count, err := f.fabricReader.Read()
+	count, err := f.readBatch()
 	if err != nil {
 		return err
 	}
 	// The view may have expired, for example while the process was paused. Packets that
 	// were read before or during such a pause are dropped as well, so the check follows
 	// the read.
-	if !f.views.IsValid(clock.Now()) {
-		f.counter.Add("drop_view_expired", count)
+	now := clock.Now()
+	if !f.views.IsValid(now) {
+		f.holdBatch(now, count)
 		return nil
 	}
 	view := f.views.View()
+	for _, data := range f.early.Release(now) {
+		f.forwardPacket(view, data)
+	}
 	for i := range count {
 		f.forwardPacket(view, f.fabricReader.Datagram(i))
 	}
 	f.counter.Add("packets_received", count)
+	f.flush()
+	return nil
+}
+
+// viewPollInterval is the time between two checks for the first view while packets wait for
+// it.
+const viewPollInterval = 5 * time.Millisecond
+
+// readBatch waits for a batch of packets and returns their number. While packets wait for the
+// first view, it returns zero after viewPollInterval.
+func (f *Forwarder) readBatch() (int, error) {
+	if err := f.setReadDeadline(); err != nil {
+		return 0, fmt.Errorf("set read deadline of the fabric socket: %w", err)
+	}
+	count, err := f.fabricReader.Read()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, nil
+	}
+	return count, err
+}
+
+// setReadDeadline sets a deadline of viewPollInterval while packets wait for the first view,
+// and removes it afterwards.
+func (f *Forwarder) setReadDeadline() error {
+	switch {
+	case !f.early.IsEmpty():
+		f.hasReadDeadline = true
+		return f.fabricSocket.SetReadDeadline(time.Now().Add(viewPollInterval))
+	case f.hasReadDeadline:
+		f.hasReadDeadline = false
+		return f.fabricSocket.SetReadDeadline(time.Time{})
+	}
+	return nil
+}
+
+// holdBatch holds the packets of a batch that arrived before the first view. It drops and
+// counts the others, and those that have been held for too long.
+func (f *Forwarder) holdBatch(now time.Time, count int) {
+	dropped := f.early.Sweep(now)
+	for i := range count {
+		data := f.fabricReader.Datagram(i)
+		packet, err := f.format.Parse(data)
+		if err != nil || !f.early.Add(now, packet, func() []byte { return bytes.Clone(data) }) {
+			dropped++
+		}
+	}
+	f.counter.Add("drop_view_expired", dropped)
+}
+
+// flush sends the queued datagrams.
+func (f *Forwarder) flush() {
 	for _, writer := range []*peer.Writer{f.agentWriter, f.callerWriter} {
 		if err := writer.Flush(); err != nil {
 			f.counter.Add("drop_send_failed", 1)
 		}
 	}
-	return nil
 }
 
 // forwardPacket queues a packet for an agent, or drops and counts it. Depending on the
--- a/internal/link/fabric/forwarder_test.go
+++ b/internal/link/fabric/forwarder_test.go
@@ -112,6 +112,49 @@
 	require.Equal(t, fleet.ServiceIDOf("orders"), fleet.ServiceID(head.Service))
 }
 
+// switchedView is a ViewSource whose view is valid on demand.
+type switchedView struct {
+	fixedView
+	valid bool
+}
+
+func (s *switchedView) IsValid(time.Time) bool { return s.valid }
+
+// Replays a restart under load: a packet arrives before the first view and must be forwarded
+// with it, without a retransmission. One that arrives when the view has expired is dropped,
+// as its caller has sent it again.
+func TestPacketsBeforeTheFirstViewAreForwardedWithIt(t *testing.T) {
+	in, out := listen(t), listen(t)
+	codec, err := datagram.NewCodec()
+	require.NoError(t, err)
+	f := newForwarder(balancer.New(balancer.Config{}, balancer.NewHints(16)), newView(t, endpoint(out)), codec, in)
+	views := &switchedView{fixedView: f.views.(fixedView)}
+	f.views = views
+	received := peer.NewReader(out)
+	send := func(port uint16) {
+		_, err := out.WriteToUDPAddrPort(segment(port, 100), endpoint(in))
+		require.NoError(t, err)
+		require.NoError(t, f.ForwardBatch())
+	}
+	receives := func() bool {
+		require.NoError(t, out.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, err := received.Read()
+		return err == nil
+	}
+	send(4000)
+	require.NoError(t, f.ForwardBatch(), "without new packets the forwarder must come back to look for the view")
+	require.False(t, receives())
+	views.valid = true
+	require.NoError(t, f.ForwardBatch())
+	require.True(t, receives())
+	views.valid = false
+	send(4001)
+	views.valid = true
+	send(4002)
+	require.True(t, receives())
+	require.False(t, receives(), "a packet from a pause must not be forwarded")
+}
+
 // benchmarkBatches sends batches of 64 packets to a socket and measures the step that forwards
 // each batch.
 func benchmarkBatches(b *testing.B, step func(in, out *net.UDPConn) func() error) {
