Let opening packets wait for room, the most urgent and newest first

Cause: when everything returns, several times the usual load arrives for a second, and agents refused what their servers could not answer in time. Flows that callers had opened at two servers kept a slot for 5 s at the one that they left.

Change: an opening packet that cannot be served in time visits two more agents and then waits, until its caller sends the next copy, which waits elsewhere, or until the timeout of the service. The most urgent go first, by the priority of the route, then the newest; what is late already takes only free slots. Beyond the flows that a server can take in a second the oldest of the least urgent is refused at once. A new flow without a request after 100 ms gives its slot back. Services carry timeout and priority.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -3,7 +3,7 @@
 import "github.com/radishmast/radishmast/internal/core/fleet"
 
 // Action is what the caller of the Agent must do with a packet: one of *Deliver, *Forward,
-// *Hold, *Reset and *Drop.
+// *Hold, *Wait, *Reset and *Drop.
 type Action interface{ isAction() }
 
 // Deliver hands the packet to the backend server or, where flows are not carried, to the
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -209,6 +209,8 @@
 	directory      directory
 	forwardHistory forwardHistory
 	lookups        lookups
+	// waiting holds the opening packets that wait for room.
+	waiting waitingRoom
 	// startedAt is when this process started, or zero before Start.
 	startedAt time.Time
 	// allFlowsKnown reports whether all flows of the backend server were opened through
@@ -383,6 +385,8 @@
 		action := a.forwardTo(v.target, v.reason)
 		action.Placed = true
 		return action
+	case postponement:
+		return a.waitForRoom(now, service, received)
 	case refusal:
 		a.reset.Reason = v.reason
 		return &a.reset
@@ -471,7 +475,8 @@
 
 // search decides about a packet of a flow that this agent does not own. The packet goes to
 // a registrar of the flow, is held while the owner is looked up, or is forwarded to the
-// next candidate, then to the other agents while this one is a newcomer. When none is left, a closing packet is dropped. For any other
+// next candidate, then to the other agents while this one is a newcomer and all candidates
+// could be reached. When none is left, a closing packet is dropped. For any other
 // packet, handleUnreachableCandidates decides if a candidate could not be reached;
 // otherwise the caller gets a reset if the search proves that no agent owns the flow, and
 // the packet is dropped if it does not.
@@ -483,7 +488,7 @@
 		return &a.hold
 	}
 	step := a.nextCandidate(now, service, received)
-	if step.Next == nil {
+	if step.Next == nil && !step.Skipped {
 		step.Next = a.nextOutsider(now, service, received)
 	}
 	switch {
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -31,6 +31,9 @@
 	if received.Packet.Kind() == flow.Opening {
 		return a.receiveCarriedOpening(now, service, entry, received)
 	}
+	if received.Packet.Kind() == flow.Closing {
+		a.waiting.forget(received.Packet.Flow())
+	}
 	if entry == nil {
 		return a.receiveCarriedUnknown(now, service, received)
 	}
@@ -126,6 +129,7 @@
 func (a *Agent) receiveCarriedOpening(now time.Time, service *fleet.RoutedService, entry *flowEntry, received *ReceivedPacket) Action {
 	switch {
 	case entry == nil:
+		a.waiting.forget(received.Packet.Flow())
 		return a.receiveOpening(now, service, received)
 	case entry.state == stateHandedOver:
 		return a.receiveHandedOver(now, service, entry, received)
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -82,9 +82,9 @@
 	}
 }
 
-// Retry specifies what to do with the opening packet of a flow that could not be opened here.
-// Action is a *Forward to another agent, a *Reset for the caller, or a *Drop without a packet
-// if the flow is not pending any more.
+// Retry specifies what to do with an opening packet that could not be served at once. Action
+// is a *Forward to another agent, a *Reset for the caller, a *Deliver if the packet has waited
+// for room, or a *Drop, which needs nothing to be done.
 type Retry struct {
 	Action  Action
 	Service fleet.ServiceID
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -202,17 +202,22 @@
 // isFull reports whether all slots are taken, so that one more request would queue.
 func (l *Load) isFull() bool { return float64(l.running) >= l.slots }
 
+// serviceTimeOr returns the average service time, or assumed while none has been recorded.
+func (l *Load) serviceTimeOr(assumed time.Duration) time.Duration {
+	if l.serviceTime == 0 {
+		return assumed
+	}
+	return time.Duration(l.serviceTime)
+}
+
 // expectedResponseTime returns how long one more request would take, with the time that it
 // queues. assumed is the service time to use while none has been recorded.
 func (l *Load) expectedResponseTime(assumed time.Duration) time.Duration {
-	serviceTime := l.serviceTime
-	if serviceTime == 0 {
-		serviceTime = float64(assumed)
-	}
+	serviceTime := l.serviceTimeOr(assumed)
 	if !l.isFull() {
-		return time.Duration(serviceTime)
+		return serviceTime
 	}
-	return time.Duration(serviceTime * float64(l.running+1) / l.slots)
+	return time.Duration(float64(serviceTime) * float64(l.running+1) / l.slots)
 }
 
 // ResetLimit sets the limit back to that of a cold backend server, which has failed or
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -195,8 +195,12 @@
 }
 
 // nextOutsider returns the next agent to visit that is not a target of the service, or nil if
-// there is none or this agent has run for long enough to know all targets.
+// there is none, the packet was relayed, or this agent has run for long enough to know all
+// targets.
 func (a *Agent) nextOutsider(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
+	if received.Relayed {
+		return nil
+	}
 	visited := a.visitedWithSelf(received.Visited)
 	for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
 		if target.IsReachable() && !slices.Contains(visited, target.ID()) {
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -36,8 +36,8 @@
 func (HandOverWhenFull) isPlacement() {}
 func (TwoChoices) isPlacement()       {}
 
-// placementDecision is what an agent decides about a new flow: one of acceptance, handOver
-// and refusal.
+// placementDecision is what an agent decides about a new flow: one of acceptance, handOver,
+// postponement and refusal.
 type placementDecision interface{ isPlacementDecision() }
 
 // acceptance means that this agent takes the flow, unless its flow table is full or slow
@@ -68,7 +68,7 @@
 		}
 	}
 	if received.Placed {
-		return a.placeWithinObjective(service)
+		return a.placeWithinObjective(service, received)
 	}
 	switch a.config.Placement.(type) {
 	case HandOverWhenFull:
@@ -118,7 +118,7 @@
 	}
 	sibling := a.leastLoadedSibling(now, service, received.Packet.Flow(), visited)
 	if sibling == nil {
-		return a.placeWithinObjective(service)
+		return a.placeWithinObjective(service, received)
 	}
 	if a.load.IsCold() {
 		return handOver{sibling, HandOverCold}
@@ -134,18 +134,32 @@
 // assumed to take while the service time of the backend server is unknown.
 const assumedServiceTimeShare = 0.25
 
+// serverObjective returns the part of a service's latency objective that the backend server
+// may use, or zero if no objective is published.
+func serverObjective(service *fleet.RoutedService) time.Duration {
+	return time.Duration(serverObjectiveShare * float64(service.LatencyObjective()))
+}
+
+// assumedServiceTime returns the service time to assume for a service while that of the
+// backend server is unknown.
+func assumedServiceTime(service *fleet.RoutedService) time.Duration {
+	return time.Duration(assumedServiceTimeShare * float64(service.LatencyObjective()))
+}
+
 // placeWithinObjective accepts a new flow, unless the backend server queues requests itself
 // and is not expected to answer the flow's first request within the service's latency
-// objective. Such a flow is refused at once. This guards against a long queue, which forms
-// when more requests than slots arrive for seconds, as when all servers come back cold:
-// queued requests are served at the same rate whatever the length of the queue, but behind
-// a long queue all of them are late.
-func (a *Agent) placeWithinObjective(service *fleet.RoutedService) placementDecision {
-	objective := service.LatencyObjective()
-	limit := time.Duration(serverObjectiveShare * float64(objective))
-	assumed := time.Duration(assumedServiceTimeShare * float64(objective))
-	if limit > 0 && a.config.Carried && a.load.isFull() && a.load.expectedResponseTime(assumed) > limit {
-		return refusal{RefuseWait}
+// objective, counted from the first copy of the opening packet, or a more urgent flow waits. Such a flow is postponed. This guards against a long queue
+// at the server, which forms when more requests than slots arrive for seconds, as when all
+// servers come back cold: queued requests are served at the same rate whatever the length of
+// the queue, but behind a long queue all of them are late.
+func (a *Agent) placeWithinObjective(service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+	objective := serverObjective(service)
+	if objective == 0 || !a.config.Carried || !a.load.isFull() {
+		return acceptance{}
+	}
+	remaining := objective - timeSinceFirstCopy(received.Packet)
+	if a.waiting.hasMoreUrgent(service.Priority()) || a.load.expectedResponseTime(assumedServiceTime(service)) > remaining {
+		return a.postpone(service, received)
 	}
 	return acceptance{}
 }
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -100,6 +100,16 @@
 	return a.responses.bouncedOpenings >= maxBouncedOpenings && !a.view.IsListed(a.config.Self)
 }
 
+// releaseUnusedSlot releases the slot that a new flow has taken with its opening packet if no
+// request has followed within responseTimeout. Guards against slots that seem taken for
+// seconds by flows that their callers have abandoned, as when copies of an opening packet
+// reach several servers at once. A later request takes a slot again.
+func (a *Agent) releaseUnusedSlot(now time.Time, entry *flowEntry) {
+	if entry.requestDeliveredAt.IsZero() {
+		a.releaseSlot(now, entry)
+	}
+}
+
 // RetryOverdue reassigns the new flows that the backend server has not answered within
 // responseTimeout to other agents, if there is one and the retry budget allows it, and
 // returns the retries. Nothing has run on these flows: a flow opens at the server whose
@@ -110,7 +120,11 @@
 		first := a.responses.pendingOpenings[0]
 		a.responses.pendingOpenings = a.responses.pendingOpenings[1:]
 		entry := a.ownedEntry(first.id, first.attempt)
-		if entry == nil || entry.state != statePending {
+		if entry == nil {
+			continue
+		}
+		if entry.state != statePending {
+			a.releaseUnusedSlot(now, entry)
 			continue
 		}
 		if a.responses.lastResponseAt.Before(first.deliveredAt) && !a.responses.isUnresponsive() {
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -106,8 +106,13 @@
 	// LatencyObjective is the time within which callers want answers, or zero if none is
 	// published.
 	LatencyObjective time.Duration `json:"objective,omitempty"`
+	// Timeout is the time after which callers give up a request, or zero if none is
+	// published.
+	Timeout time.Duration `json:"timeout,omitempty"`
 	// Idempotent reports whether callers may repeat any request of the service.
 	Idempotent bool `json:"idempotent,omitempty"`
+	// Priority tells how urgent the requests of the service are. Zero is the most urgent.
+	Priority int `json:"priority,omitempty"`
 }
 
 // SelectorFor returns the selector for a data centre: its own, or else the one for
@@ -149,6 +154,7 @@
 func (s *Service) Equal(other *Service) bool {
 	return s.Name == other.Name && s.Address == other.Address && s.Protocol == other.Protocol &&
 		s.ColdStartRate == other.ColdStartRate && s.LatencyObjective == other.LatencyObjective && s.Idempotent == other.Idempotent &&
+		s.Priority == other.Priority && s.Timeout == other.Timeout &&
 		maps.EqualFunc(s.Selectors, other.Selectors, Selector.equal)
 }
 
--- a/internal/core/fleet/routes.go
+++ b/internal/core/fleet/routes.go
@@ -21,6 +21,8 @@
 	coldStartRate    float64
 	idempotent       bool
 	latencyObjective time.Duration
+	timeout          time.Duration
+	priority         int
 }
 
 // selector returns the selector for a data centre: its own, or else the one for
@@ -102,6 +104,8 @@
 			coldStartRate:    service.ColdStartRate,
 			idempotent:       service.Idempotent,
 			latencyObjective: service.LatencyObjective,
+			timeout:          service.Timeout,
+			priority:         service.Priority,
 		}
 		table.byAddress[address] = i
 		table.byID[id] = i
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -142,6 +142,13 @@
 // published.
 func (s *RoutedService) LatencyObjective() time.Duration { return s.latencyObjective }
 
+// Timeout returns the time after which callers give up a request, or zero if none is
+// published.
+func (s *RoutedService) Timeout() time.Duration { return s.timeout }
+
+// Priority returns how urgent the requests of the service are. Zero is the most urgent.
+func (s *RoutedService) Priority() int { return s.priority }
+
 // ColdStartRate returns the number of new flows a second that a backend server can take
 // in its cold start, or zero if it is not known.
 func (s *RoutedService) ColdStartRate() float64 { return s.coldStartRate }
--- a/internal/core/flow/flow.go
+++ b/internal/core/flow/flow.go
@@ -7,6 +7,7 @@
 package flow
 
 import (
+	"bytes"
 	"encoding/binary"
 	"net/netip"
 
@@ -124,6 +125,12 @@
 	return p
 }
 
+// Clone returns a copy of the packet with bytes of its own.
+func (p Packet) Clone() Packet {
+	p.bytes = bytes.Clone(p.bytes)
+	return p
+}
+
 // PayloadSize returns the number of payload bytes of the flow that the packet carries, or
 // zero if the packet format does not state it.
 func (p Packet) PayloadSize() int { return p.payloadSize }
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -244,6 +244,7 @@
 	for i := range retries {
 		handler.Retry(&retries[i])
 	}
+	handler.releaseWaiting(now)
 	handler.Flush()
 	if trialOnly != c.wasTrialOnly {
 		c.wasTrialOnly = trialOnly
--- a/internal/daemon/carrier/packethandler.go
+++ b/internal/daemon/carrier/packethandler.go
@@ -102,9 +102,20 @@
 		}
 		h.handleBackendPacket(now, reader.Datagram(i))
 	}
+	h.releaseWaiting(now)
 	return nil
 }
 
+// releaseWaiting processes the opening packets whose wait for room is over.
+func (h *packetHandler) releaseWaiting(now time.Time) {
+	h.carrier.mu.Lock()
+	released := h.carrier.core.ReleaseWaiting(now)
+	h.carrier.mu.Unlock()
+	for i := range released {
+		h.Retry(&released[i])
+	}
+}
+
 // handleBackendPacket sends a packet of the backend server to its caller, or dispatches a
 // bounced packet anew. A malformed packet is counted and dropped.
 func (h *packetHandler) handleBackendPacket(now time.Time, data []byte) {
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -186,6 +186,9 @@
 		if !held {
 			d.Counters.Add("drop_lookup_full", 1)
 		}
+	case *core.Wait:
+		d.Mutex.Unlock()
+		d.recordDecision("wait", "", "")
 	case *core.Reset:
 		reason := action.Reason
 		d.Mutex.Unlock()
@@ -206,9 +209,9 @@
 	d.Delivery.Deliver(packet, tag, opens)
 }
 
-// Retry executes the core's decision about an opening packet that this agent's backend
-// server has not accepted or answered: it forwards the packet to another agent or resets
-// the flow. A malformed packet is dropped and counted.
+// Retry executes the core's decision about an opening packet that could not be served at
+// once: it forwards the packet to another agent, delivers it or resets the flow. A malformed
+// packet is dropped and counted.
 func (d *Dispatcher) Retry(retry *core.Retry) {
 	header := retryHeader(retry)
 	packet, err := d.Format.Parse(retry.Opening)
@@ -218,6 +221,11 @@
 	}
 	fillReceivedPacket(&d.received, &header, packet)
 	switch action := retry.Action.(type) {
+	case *core.Deliver:
+		d.Mutex.Lock()
+		tag := d.Delivery.AssignTag(&header)
+		d.Mutex.Unlock()
+		d.deliver(packet, tag, action.Opens)
 	case *core.Forward:
 		d.forward(&header, action)
 	case *core.Reset:
