--- a/internal/link/control/codec_test.go
+++ b/internal/link/control/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -53,3 +54,33 @@
 		require.Error(t, err, "%v", data)
 	}
 }
+
+// One malformed message must take no process down: whatever a peer sends is rejected or handled,
+// also a message whose parts are missing or contradict each other.
+func FuzzDecode(f *testing.F) {
+	service := fleet.Service{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}}
+	for _, message := range []*control.Message{
+		{},
+		{Summary: &control.Summary{ID: 2, Incarnation: 3, Revisions: fleet.Revisions{Services: 4}, WantsDocuments: true}},
+		{Digests: &control.Digests{Buckets: []uint64{1, 2}, WantsReply: true}},
+		{Records: []fleet.PeerRecord{{ID: 1, Incarnation: 9, State: 200}}},
+		{Change: &control.Change{To: 5}},
+		{Change: &control.Change{To: 5, Services: &control.Delta[fleet.Service]{Upserts: []fleet.Service{service}, Removed: []string{"orders"}}}},
+	} {
+		data, err := Encode(message)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte{encodingDeflate, 1, 2, 3})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message, err := Decode(data)
+		if err != nil {
+			return
+		}
+		now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+		c := control.New(now, control.Config{Self: 1, Incarnation: 1, Role: fleet.RoleAgent, DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
+		c.HandleLinkUp(now, 1, true)
+		c.HandleMessage(now, 1, message)
+		c.Tick(now.Add(time.Second))
+	})
+}
