Mend what agents count and remember for too long

Cause and change, each with a test that fails without it: leastLoadedSibling counted hand-overs that did not happen, so that a sibling seemed busier than it was; the hand-over itself counts now. The remaining cold start of an earlier server was carried over to a server with another boot ID. ExtendLapseGrace gave agents new flows again whose grace period had ended long before the platform became unavailable; it compares with the time when the platform was last there, so that an entry that was missing for less than the grace period still counts as lapsed.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -381,6 +381,7 @@
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
 	switch v := decision.(type) {
 	case handOver:
+		a.countHandOver(v.target)
 		a.recordHandOver(now, service.ID(), received.Packet.Flow(), v.target.ID())
 		action := a.forwardTo(v.target, v.reason)
 		action.Placed = true
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -512,7 +512,7 @@
 	}
 	c.applyViewAt(epoch.Add(fleet.LapseGrace - time.Millisecond))
 	c.open(t, ids[0], 4000)
-	c.state.ExtendLapseGrace(epoch.Add(time.Minute))
+	c.state.ExtendLapseGrace(epoch, epoch.Add(time.Minute))
 	c.applyViewAt(epoch.Add(time.Minute - time.Millisecond))
 	c.open(t, ids[0], 4001)
 	c.applyViewAt(epoch.Add(time.Minute))
@@ -573,3 +573,47 @@
 		require.False(t, c.agents[id].IsTrialOnly())
 	}
 }
+
+// Guards against an agent that has left and gets new flows again when the platform becomes
+// unavailable long after.
+func TestEndedGracePeriodIsNotRevivedByAnOutage(t *testing.T) {
+	c := newTestCluster(t, 2)
+	for _, document := range []fleet.Document{&fleet.BackendsDocument{Revision: 2}, &fleet.InstancesDocument{Revision: 2}} {
+		_, err := c.state.Apply(epoch, document)
+		require.NoError(t, err)
+	}
+	confirmedAt := epoch.Add(fleet.LapseGrace)
+	c.state.ExtendLapseGrace(confirmedAt, epoch.Add(time.Minute))
+	_, found := c.state.NextLapseGraceEnd(confirmedAt)
+	require.False(t, found)
+	c.state.ExtendLapseGrace(confirmedAt.Add(-time.Millisecond), epoch.Add(time.Minute))
+	_, found = c.state.NextLapseGraceEnd(confirmedAt)
+	require.True(t, found, "an entry that was missing for less than the grace period when the platform became unavailable may have lapsed")
+}
+
+// Guards against the cold start of an earlier server that limits the new flows of its successor.
+func TestColdStartOfAnEarlierBootEndsWithIt(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.agents[c.ids()[0]]
+	c.setSlowStart(t, 1, "first", 10*time.Second)
+	c.setSlowStart(t, 1, "second", 0)
+	require.False(t, a.slowStart.isCold(settledAt))
+}
+
+// Guards against a sibling that seems busier with each flow that was not handed over to it.
+func TestOnlyHandOversThatHappenAreCounted(t *testing.T) {
+	c := newTestCluster(t, 2)
+	ids := c.ids()
+	a := c.agents[ids[0]]
+	a.HandleReport(settledAt, ids[1], Report{Limit: slots, MaxOwned: 9})
+	service := a.view.Service(orders)
+	for range 5 {
+		require.NotNil(t, a.leastLoadedSibling(settledAt, service, flowOf(4000), ids[:1]))
+	}
+	report, _ := a.latestReport(settledAt, ids[1])
+	require.Zero(t, report.Running)
+	a.Drain()
+	require.IsType(t, &Forward{}, a.Receive(settledAt, receivedPacket(4000, flow.Opening, 0)))
+	report, _ = a.latestReport(settledAt, ids[1])
+	require.EqualValues(t, 1, report.Running)
+}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -126,6 +126,7 @@
 // reassign hands a flow over to a sibling. The hand-over is recorded because retransmissions
 // of the opening packet must go to the same agent.
 func (a *Agent) reassign(now time.Time, id flow.ID, retry *Retry, sibling *fleet.Target, reason Reason) {
+	a.countHandOver(sibling)
 	a.recordHandOver(now, retry.Service, id, sibling.ID())
 	retry.Action = &Forward{Target: sibling, Placed: true, Reason: reason}
 }
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -175,7 +175,6 @@
 	if sibling == nil {
 		return acceptance{}
 	}
-	a.countHandOver(sibling)
 	return handOver{sibling, HandOverEven}
 }
 
@@ -194,15 +193,13 @@
 }
 
 // leastLoadedSibling returns the sibling that uses the smallest share of its limit by its
-// latest report, and counts a hand-over to it. It returns nil if no sibling is known to
-// have a free slot. The placement candidates of the flow take precedence over all others.
+// latest report. It returns nil if no sibling is known to have a free slot. The placement
+// candidates of the flow take precedence over all others.
 func (a *Agent) leastLoadedSibling(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
-	best := a.leastLoadedOf(now, slices.Values(service.PlacementCandidates(id.Hash())), visited)
-	if best == nil {
-		best = a.leastLoadedOf(now, service.All(), visited)
+	if best := a.leastLoadedOf(now, slices.Values(service.PlacementCandidates(id.Hash())), visited); best != nil {
+		return best
 	}
-	a.countHandOver(best)
-	return best
+	return a.leastLoadedOf(now, service.All(), visited)
 }
 
 // leastLoadedOf returns the eligible target with a free slot that uses the smallest share
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -135,12 +135,8 @@
 }
 
 // countHandOver raises the stored Running and Owned of a target by one, so that one report
-// does not attract a burst of flows. The target's next report replaces the stored one. A
-// nil target is ignored.
+// does not attract a burst of flows. The target's next report replaces the stored one.
 func (a *Agent) countHandOver(target *fleet.Target) {
-	if target == nil {
-		return
-	}
 	stored := a.reports[target.ID()]
 	stored.report.Running++
 	stored.report.Owned++
--- a/internal/core/agent/slowstart.go
+++ b/internal/core/agent/slowstart.go
@@ -49,11 +49,11 @@
 // means that the list now names another start of the server. The cold start of the earlier
 // one then ends, and isCold begins the listed one, if the list names any.
 func (s *slowStart) updateListing(backend *fleet.Backend) {
-	s.listedRemaining = max(s.listedRemaining, backend.ColdStartRemaining)
 	if s.bootID != "" && s.bootID != backend.BootID {
 		s.assumed = false
-		s.coldUntil = time.Time{}
+		s.coldUntil, s.listedRemaining = time.Time{}, 0
 	}
+	s.listedRemaining = max(s.listedRemaining, backend.ColdStartRemaining)
 	s.bootID = backend.BootID
 }
 
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -114,7 +114,7 @@
 // routing change.
 func (c *Controller) retainLapsedAgents(now time.Time) {
 	if age, known := c.ViewAge(now); known && age > unavailableAfter {
-		c.state.ExtendLapseGrace(now.Add(fleet.LapseGrace))
+		c.state.ExtendLapseGrace(c.viewFreshness.confirmedAt, now.Add(fleet.LapseGrace))
 	}
 	graceEnd, found := c.state.NextLapseGraceEnd(now)
 	if !found && !c.hadLapsedAgents {
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -83,10 +83,11 @@
 }
 
 // ExtendLapseGrace lets the agents whose entries may have lapsed get new flows until a
-// given time at least, because an unavailable platform cannot list them again.
-func (s *State) ExtendLapseGrace(until time.Time) {
+// given time at least, because an unavailable platform cannot list them again. confirmedAt is
+// when the platform was last available. Agents whose grace period had ended by then have left.
+func (s *State) ExtendLapseGrace(confirmedAt, until time.Time) {
 	for id, d := range s.departed {
-		if !d.acceptUntil.IsZero() && d.acceptUntil.Before(until) {
+		if d.acceptUntil.After(confirmedAt) && d.acceptUntil.Before(until) {
 			d.acceptUntil = until
 			s.departed[id] = d
 		}
