Lose no events of links and sockets, and take over a raised incarnation

Cause: while the control goroutine was behind by 1,024 inputs, the end of a link, its start and the replacement of a socket were dropped, which leaked a socket and a goroutine. A process whose clock was stepped back between two starts gossips a raised incarnation, but its node went on with the old one and dropped all datagrams addressed to the new one. Packets held for a lookup went on although the view had expired. A message that cannot be encoded counted as a slow link. A daemon whose start failed did not wait for its goroutines. A retry that is no longer pending counted as a malformed packet.

Change: events wait for the queue; the node uses the controller's incarnation; held packets are dropped and counted when the view has expired; drop_unencodable; Serve waits; drops of retries count under their own name.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -409,3 +409,15 @@
 	}
 	return selector
 }
+
+// Guards against a process that peers cannot reach because they know a higher incarnation, as
+// after a step of the clock between two starts: it must take over the one that it gossips.
+func TestIncarnationRisesAboveTheOneThatPeersKnow(t *testing.T) {
+	n := newNetwork(2)
+	c := n.controllers[0]
+	require.EqualValues(t, 1, c.Incarnation())
+	message := &Message{Records: []fleet.PeerRecord{{ID: c.config.Self, Incarnation: 7}}}
+	c.HandleMessage(epoch, 2, message)
+	require.EqualValues(t, 8, c.Incarnation())
+	require.Equal(t, c.Incarnation(), c.newSummary(epoch).Summary.Incarnation)
+}
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -174,6 +174,10 @@
 	return !c.unconfirmed || now.After(c.confirmDeadline)
 }
 
+// Incarnation returns the incarnation of the own record. It rises if peers know a higher one,
+// as after a step of the clock between two starts.
+func (c *Controller) Incarnation() uint64 { return c.ownRecord.Incarnation }
+
 // View returns the view that was published last.
 func (c *Controller) View() *fleet.View { return c.view }
 
@@ -370,7 +374,7 @@
 	}
 	return &Message{Summary: &Summary{
 		ID:          c.config.Self,
-		Incarnation: c.config.Incarnation,
+		Incarnation: c.ownRecord.Incarnation,
 		Revisions:   c.state.Revisions(),
 		ViewAge:     age,
 		TableDigest: c.tableDigest(),
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -213,6 +213,10 @@
 // once: it forwards the packet to another agent, delivers it or resets the flow. A malformed
 // packet is dropped and counted.
 func (d *Dispatcher) Retry(retry *core.Retry) {
+	if drop, dropped := retry.Action.(*core.Drop); dropped {
+		d.Counters.Add(string(drop.Reason), 1)
+		return
+	}
 	header := retryHeader(retry)
 	packet, err := d.Format.Parse(retry.Opening)
 	if err != nil {
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -231,7 +231,8 @@
 	d.resume(now, results)
 }
 
-// resume processes the held packets of flows whose lookups have ended. A packet is forwarded
+// resume processes the held packets of flows whose lookups have ended. They are dropped and
+// counted if the view has expired meanwhile. A packet is forwarded
 // to the flow's owner. If none was found, the core decides again, and agents that denied
 // owning the flow count as visited.
 func (d *Dispatcher) resume(now time.Time, results []core.LookupResult) {
@@ -241,6 +242,10 @@
 		packets := d.HeldPackets.byFlow[result.Flow]
 		delete(d.HeldPackets.byFlow, result.Flow)
 		d.Mutex.Unlock()
+		if !d.Node.IsValid(now) {
+			d.Counters.Add("drop_view_expired", len(packets))
+			continue
+		}
 		for j := range packets {
 			header := &packets[j].header
 			header.Flags |= datagram.LookedUp
--- a/internal/daemon/node/lifecycle.go
+++ b/internal/daemon/node/lifecycle.go
@@ -15,6 +15,9 @@
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
 	if err := start(serving, group); err != nil {
+		stop()
+		// The goroutines that have started end because of the failure, which is reported.
+		_ = group.Wait()
 		return err
 	}
 	group.Go(func() error {
--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -15,7 +16,7 @@
 const maxLinks = 64
 
 // send queues a message on a link. If the message cannot be encoded or the link's queue is
-// full, the message is dropped and counted and the link is closed. A link that no longer
+// full, the message is dropped, counted each under a name of its own, and the link is closed. A link that no longer
 // exists is ignored.
 func (n *Node) send(o control.Send) {
 	n.mu.Lock()
@@ -25,10 +26,13 @@
 		return
 	}
 	data, err := n.encode(o.Message)
-	if err == nil {
-		err = l.Send(data)
-	}
 	if err != nil {
+		n.counters.Add("drop_unencodable", 1)
+		n.logger.WithError(fmt.Errorf("encode message for %s: %w", l.Peer(), err)).Error("control message not sent; closing the link")
+		l.Close()
+		return
+	}
+	if err := l.Send(data); err != nil {
 		n.counters.Add("drop_slow_link", 1)
 		l.Close()
 	}
@@ -99,13 +103,13 @@
 	id := n.nextLink
 	n.links[id] = l
 	n.mu.Unlock()
-	n.Enqueue(func(now time.Time) []control.Output { return n.controller.HandleLinkUp(now, id, dialled) })
+	n.enqueueEvent(ctx, func(now time.Time) []control.Output { return n.controller.HandleLinkUp(now, id, dialled) })
 	err := l.Run(ctx, func(message *control.Message) {
-		n.inputs <- func(now time.Time) []control.Output { return n.controller.HandleMessage(now, id, message) }
+		n.enqueueEvent(ctx, func(now time.Time) []control.Output { return n.controller.HandleMessage(now, id, message) })
 	})
 	n.logger.WithError(err).WithField("link", l.Peer()).Debug("control link ended; the controller replaces it if needed")
 	n.closeLink(id)
-	n.Enqueue(func(time.Time) []control.Output {
+	n.enqueueEvent(ctx, func(time.Time) []control.Output {
 		n.controller.HandleLinkDown(id)
 		return nil
 	})
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -47,9 +47,11 @@
 // Node is the part of a daemon that balancers and agents share. Its exported methods
 // are safe for concurrent use unless they say otherwise.
 type Node struct {
-	name                  string
-	id                    fleet.InstanceID
-	incarnation           uint64
+	name string
+	id   fleet.InstanceID
+	// incarnation is that of the node's own record, which the controller raises if peers
+	// know a higher one.
+	incarnation           atomic.Uint64
 	role                  fleet.Role
 	dataCentre            string
 	keys                  []datagram.Key
@@ -144,7 +146,6 @@
 	n := &Node{
 		name:                  common.Name,
 		id:                    fleet.InstanceIDOf(common.Name),
-		incarnation:           uint64(time.Now().UnixNano()),
 		role:                  role,
 		dataCentre:            common.DataCentre,
 		dataEndpoint:          settings.Endpoint(common.Data),
@@ -161,20 +162,21 @@
 		links:                 make(map[control.LinkID]*link.Link),
 		onPublish:             func(*fleet.View) {},
 	}
+	n.incarnation.Store(uint64(time.Now().UnixNano()))
 	n.linkKeys = link.NewKeys(common.Keys)
 	for _, secret := range common.Keys {
 		n.keys = append(n.keys, datagram.NewKey(secret))
 	}
 	n.controller = control.New(now, control.Config{
 		Self:        n.id,
-		Incarnation: n.incarnation,
+		Incarnation: n.Incarnation(),
 		Role:        role,
 		DataCentre:  n.dataCentre,
 		Control:     n.controlEndpoint,
 
 		Announcement: announcement(common, options.AnnouncedLabels),
 		Seeds:        seeds(common.Peers),
-	}, rand.New(rand.NewPCG(uint64(n.id), n.incarnation)))
+	}, rand.New(rand.NewPCG(uint64(n.id), n.Incarnation())))
 	n.view.Store(n.controller.View())
 	prober, err := newProbeSender(ctx, n)
 	if err != nil {
@@ -215,7 +217,7 @@
 
 // Incarnation returns the number of this start of the instance, which is higher than that of
 // any earlier start.
-func (n *Node) Incarnation() uint64 { return n.incarnation }
+func (n *Node) Incarnation() uint64 { return n.incarnation.Load() }
 
 // Socket returns the datagram socket for traffic with other processes.
 func (n *Node) Socket() *net.UDPConn { return n.socket }
@@ -258,6 +260,16 @@
 // be called before Start.
 func (n *Node) OnPublish(publish func(*fleet.View)) { n.onPublish = publish }
 
+// enqueueEvent queues a function like Enqueue, but waits while the queue is full. It is for
+// events whose loss would leave the controller with a wrong picture for good, such as the end
+// of a link. It gives up when ctx is done. The control goroutine must not call it.
+func (n *Node) enqueueEvent(ctx context.Context, input func(now time.Time) []control.Output) {
+	select {
+	case n.inputs <- input:
+	case <-ctx.Done():
+	}
+}
+
 // Enqueue queues a function that the control goroutine runs, and whose outputs it executes.
 // If the queue is full, the function is dropped and counted.
 func (n *Node) Enqueue(input func(now time.Time) []control.Output) {
@@ -304,9 +316,10 @@
 }
 
 // extendValidity extends the validity of the view if the controller reports it as confirmed,
-// and updates the time of the last comparison with the platform. Only the control goroutine
-// may call it.
+// and updates the time of the last comparison with the platform and the incarnation. Only the
+// control goroutine may call it.
 func (n *Node) extendValidity(now time.Time) {
+	n.incarnation.Store(n.controller.Incarnation())
 	if n.controller.IsConfirmed(now) {
 		n.validUntil.Store(now.Add(viewValidity).UnixNano())
 	}
--- a/internal/daemon/node/probes.go
+++ b/internal/daemon/node/probes.go
@@ -70,7 +70,7 @@
 	expire := time.AfterFunc(newSocketTimeout, func() { _ = conn.Close() })
 	receiver.onProbeReply = func() {
 		if expire.Stop() {
-			p.node.Enqueue(func(time.Time) []control.Output {
+			p.node.enqueueEvent(p.ctx, func(time.Time) []control.Output {
 				p.node.replacePath(to, conn)
 				return nil
 			})
@@ -102,7 +102,7 @@
 		To:              uint64(to),
 		ToIncarnation:   incarnation,
 		From:            uint64(n.id),
-		FromIncarnation: n.incarnation,
+		FromIncarnation: n.Incarnation(),
 		Revision:        n.View().Revisions().Highest(),
 	}
 }
@@ -175,7 +175,7 @@
 	case r.header.To != uint64(r.node.id):
 		r.node.counters.Add("drop_wrong_instance", 1)
 		return false
-	case !r.node.acceptsAnyIncarnation && r.header.ToIncarnation != 0 && r.header.ToIncarnation != r.node.incarnation:
+	case !r.node.acceptsAnyIncarnation && r.header.ToIncarnation != 0 && r.header.ToIncarnation != r.node.Incarnation():
 		r.node.counters.Add("drop_wrong_incarnation", 1)
 		r.sendProbeReply(datagram.ProbeReply, netip.AddrPort{})
 		return false
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -86,7 +86,7 @@
 		Name:        n.name,
 		Role:        string(n.role),
 		DataCentre:  n.dataCentre,
-		Incarnation: n.incarnation,
+		Incarnation: n.Incarnation(),
 		Revisions:   view.Revisions(),
 		Valid:       n.IsValid(clock.Now()),
 		Nodes:       len(view.Nodes()),
