Encode no datagram that its receiver would reject

Cause: AppendTo wrote datagrams of more than MaxSize bytes, which every receiver drops. Result: TestOversizedDatagramIsNotEncoded.

--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -212,7 +212,8 @@
 }
 
 // AppendTo writes the datagram made of a header and a body to buffer, which must be empty.
-// It sets the header's version.
+// It sets the header's version. It fails with ErrSize if the datagram is larger than MaxSize,
+// since the receiver would reject it.
 func (c *Codec) AppendTo(buffer *bytes.Buffer, header *Header, body []byte) error {
 	header.Version = Version
 	if err := c.encoder.MarshalToBuffer(header, buffer); err != nil {
@@ -227,6 +228,9 @@
 	if err := c.encoder.MarshalToBuffer(&c.tag, buffer); err != nil {
 		return fmt.Errorf("encode tag: %w", err)
 	}
+	if buffer.Len()+len(body) > MaxSize {
+		return ErrSize
+	}
 	buffer.Write(body)
 	return nil
 }
--- a/internal/wire/datagram/datagram_test.go
+++ b/internal/wire/datagram/datagram_test.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// Guards against datagrams that every receiver rejects.
+func TestOversizedDatagramIsNotEncoded(t *testing.T) {
+	codec, err := NewCodec()
+	require.NoError(t, err)
+	require.ErrorIs(t, codec.AppendTo(new(bytes.Buffer), sample(), make([]byte, MaxSize)), ErrSize)
+	prefix, err := codec.NewPrefix(sample())
+	require.NoError(t, err)
+	require.ErrorIs(t, codec.AppendPrefixed(new(bytes.Buffer), prefix, make([]byte, MaxSize)), ErrSize)
+	require.NoError(t, codec.AppendTo(new(bytes.Buffer), sample(), make([]byte, MaxSize/2)))
+}
+
 // Decode must not panic on arbitrary bytes, and must reject every header version but Version.
 func FuzzDecode(f *testing.F) {
 	f.Add(encode(f, sample(), []byte("a packet")))
