Split the agent core by job and name the resolution of an opening packet

Cause: agent.go held the flow table, the decisions about known flows, openings and searches (551 lines); directory.go the registrations and the history of forwarded packets; following a hand-over stood twice; Retry also meant a reset, a delivery or nothing to do; flagReturned named bounced packets.

Change: receive.go, opening.go, search.go and forwardhistory.go; handOverTarget and followHandOver serve terminated and carried flows; Retry is Resolution, Dispatcher.Retry is Resolve, flagReturned flagBounced. Functions were moved as they are.

--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -113,12 +113,11 @@
 // is delivered, since the backend server may hold the flow from before a restart of this
 // agent.
 func (a *Agent) receiveCarriedHandedOver(now time.Time, service *fleet.RoutedService, entry *flowEntry, received *ReceivedPacket) Action {
-	target := service.Target(entry.owner)
-	if target == nil || !target.IsReachable() || slices.Contains(received.Visited, entry.owner) {
+	target := handOverTarget(service, entry, received)
+	if target == nil {
 		return a.deliverSpeculatively()
 	}
-	entry.expires = now.Add(handOverLifetime)
-	return a.forwardTo(target, HandOverRemembered)
+	return a.followHandOver(now, entry, target, false)
 }
 
 // receiveCarriedOpening decides about an opening packet of a carried flow. entry is nil for
--- a/internal/core/agent/directory.go
+++ b/internal/core/agent/directory.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
-	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
 // Each agent registers its open flows with two registrars, agents that every process can
@@ -208,9 +207,6 @@
 	return nil
 }
 
-// forwardHistoryLifetime is how long a forwarded packet is remembered.
-const forwardHistoryLifetime = 2 * time.Second
-
 // minRetransmissionInterval is the minimum time after which a packet with the same sequence
 // number counts as a retransmission.
 const minRetransmissionInterval = 100 * time.Millisecond
@@ -222,53 +218,3 @@
 	next     fleet.InstanceID
 	at       time.Time
 }
-
-// forwardHistory records one recently forwarded packet of each flow, so that its
-// retransmission is forwarded to another agent. That the caller retransmits shows that the
-// first choice led nowhere, perhaps to an agent whose failure has not been detected yet.
-type forwardHistory map[flow.ID]forwardedPacket
-
-// isRetransmissionTo reports whether a packet is the retransmission of one that was forwarded
-// to the agent next.
-func (h forwardHistory) isRetransmissionTo(now time.Time, packet flow.Packet, next fleet.InstanceID) bool {
-	last, known := h[packet.Flow()]
-	age := now.Sub(last.at)
-	return known && last.next == next && last.sequence == packet.Sequence() && age >= minRetransmissionInterval && age < forwardHistoryLifetime
-}
-
-// record records that a packet was forwarded to next. A recent record of another packet of
-// the flow is kept, and beyond limit no flow is added.
-func (h forwardHistory) record(now time.Time, packet flow.Packet, next fleet.InstanceID, limit int) {
-	last, known := h[packet.Flow()]
-	if known && last.sequence != packet.Sequence() && now.Sub(last.at) < forwardHistoryLifetime || !known && len(h) >= limit {
-		return
-	}
-	h[packet.Flow()] = forwardedPacket{sequence: packet.Sequence(), next: next, at: now}
-}
-
-// sweep removes records that are older than forwardHistoryLifetime.
-func (h forwardHistory) sweep(now time.Time) {
-	for id, last := range h {
-		if now.Sub(last.at) >= forwardHistoryLifetime {
-			delete(h, id)
-		}
-	}
-}
-
-// nextCandidate returns the next step of the search for the owner of a packet's flow. For a
-// retransmission it is another candidate than before, if there is one.
-func (a *Agent) nextCandidate(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) fleet.SearchStep {
-	packet, visited := received.Packet, a.visitedWithSelf(received.Visited)
-	step := service.NextCandidate(packet.Flow().Hash(), visited)
-	if step.Next == nil {
-		return step
-	}
-	if a.forwardHistory.isRetransmissionTo(now, packet, step.Next.ID()) {
-		other := service.NextCandidate(packet.Flow().Hash(), append(slices.Clone(visited), step.Next.ID()))
-		if other.Next != nil {
-			step = other
-		}
-	}
-	a.forwardHistory.record(now, packet, step.Next.ID(), a.config.MaxFlows)
-	return step
-}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -82,10 +82,10 @@
 	}
 }
 
-// Retry specifies what to do with an opening packet that could not be served at once. Action
+// Resolution specifies what to do with an opening packet that could not be served at once. Action
 // is a *Forward to another agent, a *Reset for the caller, a *Deliver if the packet has waited
 // for room, or a *Drop, which needs nothing to be done.
-type Retry struct {
+type Resolution struct {
 	Action  Action
 	Service fleet.ServiceID
 	// Opening is the opening packet.
@@ -99,45 +99,45 @@
 // so the flow is retried on a sibling with a free slot, for retryReason. If there is none,
 // or the service was removed, the caller gets a reset with refuseReason; if the retry
 // budget is spent, one with RefuseRetryBudget.
-func (a *Agent) HandleFailedOpening(now time.Time, id flow.ID, attempt Attempt, retryReason, refuseReason Reason) Retry {
+func (a *Agent) HandleFailedOpening(now time.Time, id flow.ID, attempt Attempt, retryReason, refuseReason Reason) Resolution {
 	entry := a.ownedEntry(id, attempt)
 	if entry == nil || entry.state != statePending {
-		return Retry{Action: &Drop{Reason: DropOpeningPending}}
+		return Resolution{Action: &Drop{Reason: DropOpeningPending}}
 	}
 	a.remove(id, entry)
-	retry := Retry{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
+	resolution := Resolution{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
 	service := a.view.Service(entry.service)
 	if service == nil {
-		retry.Action = &Reset{Reason: refuseReason}
-		return retry
+		resolution.Action = &Reset{Reason: refuseReason}
+		return resolution
 	}
-	sibling := a.leastLoadedSibling(now, service, id, retry.Visited)
+	sibling := a.leastLoadedSibling(now, service, id, resolution.Visited)
 	switch {
 	case sibling == nil:
-		retry.Action = &Reset{Reason: refuseReason}
+		resolution.Action = &Reset{Reason: refuseReason}
 	case !a.budget.tryWithdraw():
-		retry.Action = &Reset{Reason: RefuseRetryBudget}
+		resolution.Action = &Reset{Reason: RefuseRetryBudget}
 	default:
-		a.reassign(now, id, &retry, sibling, retryReason)
+		a.reassign(now, id, &resolution, sibling, retryReason)
 	}
-	return retry
+	return resolution
 }
 
 // reassign hands a flow over to a sibling. The hand-over is recorded because retransmissions
 // of the opening packet must go to the same agent.
-func (a *Agent) reassign(now time.Time, id flow.ID, retry *Retry, sibling *fleet.Target, reason Reason) {
+func (a *Agent) reassign(now time.Time, id flow.ID, resolution *Resolution, sibling *fleet.Target, reason Reason) {
 	a.countHandOver(sibling)
-	a.recordHandOver(now, retry.Service, id, sibling.ID())
-	retry.Action = &Forward{Target: sibling, Placed: true, Reason: reason}
+	a.recordHandOver(now, resolution.Service, id, sibling.ID())
+	resolution.Action = &Forward{Target: sibling, Placed: true, Reason: reason}
 }
 
 // HandOverPending hands a waiting flow over to the sibling that has offered a free slot. The
 // retry budget is not charged, since the sibling has the slot. If the sibling accepts no new
 // flows any more, the flow is handled as one whose wait timed out.
-func (a *Agent) HandOverPending(now time.Time, id flow.ID, attempt Attempt, to fleet.InstanceID) Retry {
+func (a *Agent) HandOverPending(now time.Time, id flow.ID, attempt Attempt, to fleet.InstanceID) Resolution {
 	entry := a.ownedEntry(id, attempt)
 	if entry == nil || entry.state != statePending {
-		return Retry{Action: &Drop{Reason: DropOpeningPending}}
+		return Resolution{Action: &Drop{Reason: DropOpeningPending}}
 	}
 	var target *fleet.Target
 	if service := a.view.Service(entry.service); service != nil {
@@ -147,9 +147,9 @@
 		return a.HandleFailedOpening(now, id, attempt, RetryWait, RefuseWait)
 	}
 	a.remove(id, entry)
-	retry := Retry{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
-	a.reassign(now, id, &retry, target, HandOverOffered)
-	return retry
+	resolution := Resolution{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
+	a.reassign(now, id, &resolution, target, HandOverOffered)
+	return resolution
 }
 
 // ApplyView puts a new view in force. It returns the flows that must be reset because their
--- /dev/null
+++ b/internal/core/agent/opening.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// receiveOpening decides which agent serves a new flow, and records the decision for
+// retransmissions of the opening packet.
+func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	return a.applyPlacement(now, service, received, a.place(now, service, received))
+}
+
+// applyPlacement turns a placement decision about an opening packet into an action.
+func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
+	switch v := decision.(type) {
+	case handOver:
+		a.countHandOver(v.target)
+		a.recordHandOver(now, service.ID(), received.Packet.Flow(), v.target.ID())
+		action := a.forwardTo(v.target, v.reason)
+		action.Placed = true
+		return action
+	case postponement:
+		return a.waitForRoom(now, service, received)
+	case refusal:
+		a.reset.Reason = v.reason
+		return &a.reset
+	}
+	return a.acceptFlow(now, service, received)
+}
+
+// acceptFlow adds a new flow to the flow table and delivers its first packet. The packet is
+// dropped if the table is full. A new flow that exceeds the slow start rate is handed over
+// or refused.
+func (a *Agent) acceptFlow(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
+		return a.dropPacket(DropTableFull)
+	}
+	if a.config.Carried && !a.slowStart.allow(now, service.ColdStartRate()) {
+		return a.placeDuringSlowStart(now, service, received)
+	}
+	a.ownedCount++
+	a.lastAttempt++
+	a.budget.deposit()
+	entry := &flowEntry{
+		attempt:       a.lastAttempt,
+		service:       service.ID(),
+		state:         statePending,
+		sequence:      received.Packet.Sequence(),
+		expires:       now.Add(a.halfOpenTimeout()),
+		openingPacket: slices.Clone(received.Packet.Bytes()),
+		visited:       slices.Clone(received.Visited),
+	}
+	a.flows[received.Packet.Flow()] = entry
+	a.reserveSlot(now, entry)
+	if a.config.Carried {
+		a.responses.recordOpening(now, received.Packet.Flow(), entry.attempt)
+	}
+	a.deliverPacket(received)
+	a.deliver.Opens = true
+	return &a.deliver
+}
+
+// halfOpenTimeout returns how long a new flow may take to become open.
+func (a *Agent) halfOpenTimeout() time.Duration {
+	if a.config.Carried {
+		return carriedHalfOpenTimeout
+	}
+	return halfOpenTimeout
+}
+
+// recordHandOver records which agent a new flow was handed over to, so that later packets of
+// the flow go to the same agent, retransmissions of its opening packet included. Beyond
+// Config.MaxHandOvers nothing is recorded.
+func (a *Agent) recordHandOver(now time.Time, service fleet.ServiceID, id flow.ID, owner fleet.InstanceID) {
+	if a.handOverCount >= a.config.MaxHandOvers {
+		return
+	}
+	a.handOverCount++
+	a.flows[id] = &flowEntry{
+		service: service,
+		state:   stateHandedOver,
+		owner:   owner,
+		expires: now.Add(handOverLifetime),
+	}
+}
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -114,8 +114,8 @@
 // responseTimeout to other agents, if there is one and the retry budget allows it, and
 // returns the retries. Nothing has run on these flows: a flow opens at the server whose
 // answer the caller confirms.
-func (a *Agent) RetryOverdue(now time.Time) []Retry {
-	var retries []Retry
+func (a *Agent) RetryOverdue(now time.Time) []Resolution {
+	var retries []Resolution
 	for len(a.responses.pendingOpenings) > 0 && now.Sub(a.responses.pendingOpenings[0].deliveredAt) >= responseTimeout {
 		first := a.responses.pendingOpenings[0]
 		a.responses.pendingOpenings = a.responses.pendingOpenings[1:]
@@ -140,19 +140,19 @@
 // retryElsewhere reassigns a new flow to another agent. It reports false if there is none
 // or the retry budget is exhausted; the flow then stays here. The backend server may still
 // answer: the flow opens at the server whose answer the caller confirms.
-func (a *Agent) retryElsewhere(now time.Time, id flow.ID, entry *flowEntry) (Retry, bool) {
+func (a *Agent) retryElsewhere(now time.Time, id flow.ID, entry *flowEntry) (Resolution, bool) {
 	service := a.view.Service(entry.service)
 	if service == nil {
-		return Retry{}, false
+		return Resolution{}, false
 	}
-	retry := Retry{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
-	target := a.alternativeTarget(now, service, id, retry.Visited)
+	resolution := Resolution{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
+	target := a.alternativeTarget(now, service, id, resolution.Visited)
 	if target == nil || !a.budget.tryWithdraw() {
-		return Retry{}, false
+		return Resolution{}, false
 	}
 	a.forget(now, id, entry)
-	a.reassign(now, id, &retry, target, RetryServerSilent)
-	return retry, true
+	a.reassign(now, id, &resolution, target, RetryServerSilent)
+	return resolution, true
 }
 
 // alternativeTarget returns the least loaded sibling by the latest reports, or else the next
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -206,10 +206,10 @@
 // ReleaseWaiting returns what becomes of opening packets whose wait is over: those for which
 // there is room are delivered here or forwarded to a sibling, the others are refused. It must
 // be called after answers of the backend server and now and then.
-func (a *Agent) ReleaseWaiting(now time.Time) []Retry {
-	var released []Retry
+func (a *Agent) ReleaseWaiting(now time.Time) []Resolution {
+	var released []Resolution
 	for _, opening := range slices.Concat(a.waiting.evicted, a.waiting.takeExpired(now)) {
-		released = append(released, opening.retry(&Reset{Reason: RefuseWait}))
+		released = append(released, opening.resolve(&Reset{Reason: RefuseWait}))
 	}
 	a.waiting.evicted = nil
 	for {
@@ -234,22 +234,22 @@
 }
 
 // release decides what becomes of an opening packet that need not wait any more.
-func (a *Agent) release(now time.Time, opening waitingOpening) Retry {
+func (a *Agent) release(now time.Time, opening waitingOpening) Resolution {
 	service := a.view.Service(opening.service)
 	if service == nil {
-		return opening.retry(&Reset{Reason: RefuseNotAccepting})
+		return opening.resolve(&Reset{Reason: RefuseNotAccepting})
 	}
 	received := &ReceivedPacket{Packet: opening.packet, Service: opening.service, Visited: opening.visited, Placed: opening.placed}
 	decision := a.place(now, service, received)
 	if _, postponed := decision.(postponement); postponed {
 		decision = acceptance{}
 	}
-	return opening.retry(copyAction(a.applyPlacement(now, service, received, decision)))
+	return opening.resolve(copyAction(a.applyPlacement(now, service, received, decision)))
 }
 
-// retry returns what to do with the opening packet.
-func (w *waitingOpening) retry(action Action) Retry {
-	return Retry{Action: action, Service: w.service, Opening: w.packet.Bytes(), Visited: w.visited}
+// resolve returns what to do with the opening packet.
+func (w *waitingOpening) resolve(action Action) Resolution {
+	return Resolution{Action: action, Service: w.service, Opening: w.packet.Bytes(), Visited: w.visited}
 }
 
 // copyAction returns a copy of an action, which stays as it is when the agent decides again.
--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -145,9 +145,9 @@
 }
 
 // flowOfOpening returns the caller's port of a released opening packet, whose bytes hold it.
-func flowOfOpening(t *testing.T, retry *Retry) uint16 {
-	require.Len(t, retry.Opening, 2)
-	return uint16(retry.Opening[0])<<8 | uint16(retry.Opening[1])
+func flowOfOpening(t *testing.T, resolution *Resolution) uint16 {
+	require.Len(t, resolution.Opening, 2)
+	return uint16(resolution.Opening[0])<<8 | uint16(resolution.Opening[1])
 }
 
 // serve answers the requests whose time has come and starts others.
--- a/internal/daemon/agent/splice.go
+++ b/internal/daemon/agent/splice.go
@@ -162,30 +162,30 @@
 // other agent has capacity. The core gives its own reason if the retry budget is used up.
 func (a *Agent) handleFailedOpening(id flow.ID, attempt core.Attempt, retryReason, refuseReason core.Reason) {
 	a.mu.Lock()
-	retry := a.core.HandleFailedOpening(clock.Now(), id, attempt, retryReason, refuseReason)
+	resolution := a.core.HandleFailedOpening(clock.Now(), id, attempt, retryReason, refuseReason)
 	a.mu.Unlock()
-	a.executeRetry(&retry)
+	a.executeResolution(&resolution)
 }
 
 // handOverPending hands a flow that waits here over to a sibling that has capacity for it.
 func (a *Agent) handOverPending(id flow.ID, attempt core.Attempt, to fleet.InstanceID) {
 	a.mu.Lock()
-	retry := a.core.HandOverPending(clock.Now(), id, attempt, to)
+	resolution := a.core.HandOverPending(clock.Now(), id, attempt, to)
 	a.mu.Unlock()
-	a.executeRetry(&retry)
+	a.executeResolution(&resolution)
 }
 
-// executeRetry carries out the core's decision about a flow that was not opened here: it
+// executeResolution carries out the core's decision about a flow that was not opened here: it
 // forwards the opening packet or sends a reset to the caller. If the flow was no longer
 // pending, it sends nothing.
-func (a *Agent) executeRetry(retry *core.Retry) {
+func (a *Agent) executeResolution(resolution *core.Resolution) {
 	dispatcher, err := a.newDispatcher()
 	if err != nil {
 		a.counters.Add("drop_send_failed", 1)
 		a.logger.WithError(err).Error("cannot create a dispatcher; dropping the opening packet")
 		return
 	}
-	dispatcher.Retry(retry)
+	dispatcher.Resolve(resolution)
 	dispatcher.Flush()
 }
 
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -242,7 +242,7 @@
 	trialOnly, ejected := c.core.IsTrialOnly(), c.core.IsEjected()
 	c.mu.Unlock()
 	for i := range retries {
-		handler.Retry(&retries[i])
+		handler.Resolve(&retries[i])
 	}
 	handler.releaseWaiting(now)
 	handler.Flush()
--- a/internal/daemon/carrier/packethandler.go
+++ b/internal/daemon/carrier/packethandler.go
@@ -112,7 +112,7 @@
 	released := h.carrier.core.ReleaseWaiting(now)
 	h.carrier.mu.Unlock()
 	for i := range released {
-		h.Retry(&released[i])
+		h.Resolve(&released[i])
 	}
 }
 
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -209,22 +209,22 @@
 	d.Delivery.Deliver(packet, tag, opens)
 }
 
-// Retry executes the core's decision about an opening packet that could not be served at
+// Resolve executes the core's decision about an opening packet that could not be served at
 // once: it forwards the packet to another agent, delivers it or resets the flow. A malformed
 // packet is dropped and counted.
-func (d *Dispatcher) Retry(retry *core.Retry) {
-	if drop, dropped := retry.Action.(*core.Drop); dropped {
+func (d *Dispatcher) Resolve(resolution *core.Resolution) {
+	if drop, dropped := resolution.Action.(*core.Drop); dropped {
 		d.Counters.Add(string(drop.Reason), 1)
 		return
 	}
-	header := retryHeader(retry)
-	packet, err := d.Format.Parse(retry.Opening)
+	header := openingHeader(resolution)
+	packet, err := d.Format.Parse(resolution.Opening)
 	if err != nil {
 		d.Counters.Add("drop_malformed", 1)
 		return
 	}
 	fillReceivedPacket(&d.received, &header, packet)
-	switch action := retry.Action.(type) {
+	switch action := resolution.Action.(type) {
 	case *core.Deliver:
 		d.Mutex.Lock()
 		tag := d.Delivery.AssignTag(&header)
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -129,12 +129,12 @@
 	sender.Flush()
 }
 
-// retryHeader returns the header of an opening packet that is retried on another agent. The
+// openingHeader returns the header of an opening packet that the core has kept. The
 // core keeps only the packet's service and the agents it has visited, so all other
 // fields are zero.
-func retryHeader(retry *core.Retry) datagram.Header {
-	header := datagram.Header{Service: uint64(retry.Service)}
-	for _, id := range retry.Visited {
+func openingHeader(resolution *core.Resolution) datagram.Header {
+	header := datagram.Header{Service: uint64(resolution.Service)}
+	for _, id := range resolution.Visited {
 		header.Visited = append(header.Visited, uint64(id))
 	}
 	return header
