--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -3,7 +3,7 @@
 import "github.com/radishmast/radishmast/internal/core/fleet"
 
 // Action is what the caller of the Agent must do with a packet: one of *Deliver, *Forward,
-// *Hold, *Wait, *Reset and *Drop.
+// *Hold, *AwaitView, *Wait, *Reset and *Drop.
 type Action interface{ isAction() }
 
 // Deliver hands the packet to the backend server or, where flows are not carried, to the
@@ -46,6 +46,14 @@
 	Reason Reason
 }
 
+// AwaitView keeps the packet until the view has a revision, and then decides again by
+// ResumeAfterLookup. If that takes too long, the packet is dropped as DropViewStale.
+type AwaitView struct {
+	Revision uint64
+}
+
+func (*AwaitView) isAction() {}
+
 func (*Deliver) isAction() {}
 func (*Forward) isAction() {}
 func (*Reset) isAction()   {}
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -215,6 +215,9 @@
 	// allFlowsKnown reports whether all flows of the backend server were opened through
 	// this process. Once true it stays true.
 	allFlowsKnown bool
+	// hasAdoptedFlows reports whether the backend server held flows from before this process
+	// started.
+	hasAdoptedFlows bool
 	// membershipHash is the hash over the agents in view from which registrars are chosen.
 	membershipHash uint64
 
@@ -224,9 +227,11 @@
 	// The actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
 	hold    Hold
-	forward Forward
-	reset   Reset
-	drop    Drop
+
+	awaitView AwaitView
+	forward   Forward
+	reset     Reset
+	drop      Drop
 }
 
 // New returns an agent that owns no flows, with view as its first view. random drives the
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -224,7 +224,7 @@
 	entry := a.flows[reply.Flow]
 	if entry == nil || entry.state == stateHandedOver {
 		if !reply.IsHandshakeReply && !reply.IsFinal {
-			a.slowStart.clearAssumption()
+			a.recordEarlierFlow(entry)
 		}
 		entry = a.adopt(reply.Flow, entry)
 	}
@@ -252,6 +252,16 @@
 	}
 }
 
+// recordEarlierFlow records that the backend server kept a flow from before this process
+// started. handedOver is the entry of a hand-over of the flow, or nil: two servers may have
+// answered its opening packet.
+func (a *Agent) recordEarlierFlow(handedOver *flowEntry) {
+	a.slowStart.clearAssumption()
+	if handedOver == nil {
+		a.hasAdoptedFlows, a.allFlowsKnown = true, false
+	}
+}
+
 // adopt adds a flow that the backend server has held since before this process started.
 // handedOver is the entry of a hand-over that it replaces, or nil. adopt returns nil if the
 // service is unknown or the table is full.
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -27,11 +27,13 @@
 	// maxQueryFlows is the maximum number of flows in one query.
 	maxQueryFlows = 64
 	// startTolerance is how much earlier than the agent its backend server may have
-	// started such that the agent still knows all its flows. No earlier process of the
-	// agent can have ended and been replaced in that time. A start may also lie up to
-	// this far after the current time; one further ahead is not trusted, since the clock
-	// may have stepped.
-	startTolerance = 300 * time.Millisecond
+	// started such that the agent still knows all its flows. After a loss of power a
+	// server may be back before its agent. An earlier process of the agent would have had
+	// to start, open flows, end and be replaced in that time.
+	startTolerance = time.Second
+	// clockTolerance is how far after the current time the start of the backend server may
+	// lie. One further ahead is not trusted, since the clock may have stepped.
+	clockTolerance = 300 * time.Millisecond
 )
 
 // Hold is the action that keeps a packet until the lookup of its flow ends.
@@ -111,16 +113,20 @@
 // backend server. For carried flows that holds if the server started at most startTolerance
 // before this process, which has then carried the opening packet of every flow. It is false
 // while the view does not say when the server started, or names a time more than
-// startTolerance in the future, as after a step of the clock. Once true it stays true.
+// clockTolerance in the future, as after a step of the clock. Once true it stays true, unless
+// the server sends packets of a flow that it held before.
 func (a *Agent) knowsAllFlows(now time.Time) bool {
 	if !a.config.Carried || a.allFlowsKnown {
 		return true
 	}
+	if a.hasAdoptedFlows {
+		return false
+	}
 	backend := a.view.Backend(a.config.Self)
 	if backend == nil || backend.StartedAt.IsZero() {
 		return false
 	}
-	early, late := a.startedAt.Add(-startTolerance), now.Add(startTolerance)
+	early, late := a.startedAt.Add(-startTolerance), now.Add(clockTolerance)
 	a.allFlowsKnown = backend.StartedAt.After(early) && backend.StartedAt.Before(late)
 	return a.allFlowsKnown
 }
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -92,6 +92,18 @@
 	}
 }
 
+// Guards against the denial of flows that the server held before the agent started: its first
+// packet of such a flow shows that there may be others.
+func TestAgentThatAdoptsAFlowDoesNotKnowAllFlows(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.agents[c.ids()[0]]
+	c.startAgents(settledAt)
+	c.setBackendStarts(t, settledAt)
+	require.True(t, a.knowsAllFlows(settledAt))
+	a.HandleBackendPacket(settledAt, flow.Reply{Flow: flowOf(4000), PayloadSize: 10})
+	require.False(t, a.knowsAllFlows(settledAt))
+}
+
 // An agent does not reply to a query in time. The packet must then visit it, since it may own
 // the flow.
 func TestPacketVisitsAgentsWhoseRepliesAreLate(t *testing.T) {
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -34,7 +34,7 @@
 	case step.Skipped:
 		return a.handleUnreachableCandidates(service, received, step)
 	case received.Revision > a.view.Revisions().Highest():
-		return a.dropPacket(DropViewStale)
+		return a.awaitRevision(received.Revision)
 	case !a.isSearchConclusive(now):
 		return a.dropPacket(DropViewUnsettled)
 	}
@@ -42,6 +42,17 @@
 	return &a.reset
 }
 
+// awaitRevision decides about a packet whose sender has a newer view, which may name another
+// candidate. The view changes many times a second when all servers register anew, after a loss
+// of power; a carried packet then waits for it instead of costing its caller a retransmission.
+func (a *Agent) awaitRevision(revision uint64) Action {
+	if !a.config.Carried {
+		return a.dropPacket(DropViewStale)
+	}
+	a.awaitView.Revision = revision
+	return &a.awaitView
+}
+
 // visitedWithSelf returns the visited agents and this one.
 func (a *Agent) visitedWithSelf(visited []fleet.InstanceID) []fleet.InstanceID {
 	if slices.Contains(visited, a.config.Self) {
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -186,6 +186,12 @@
 		if !held {
 			d.Counters.Add("drop_lookup_full", 1)
 		}
+	case *core.AwaitView:
+		held := d.HeldPackets.awaitRevision(now, header, packet, action.Revision)
+		d.Mutex.Unlock()
+		if !held {
+			d.dropStale(1)
+		}
 	case *core.Wait:
 		d.Mutex.Unlock()
 		d.recordDecision("wait", "", "")
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -25,12 +25,15 @@
 	body []byte
 }
 
-// HeldPackets holds packets while the owners of their flows are looked up, and those that
-// arrive before the first view. The dispatchers of an agent share one.
+// HeldPackets holds packets while the owners of their flows are looked up, those that arrive
+// before the first view, and those that wait for a newer one. The dispatchers of an agent share
+// one.
 type HeldPackets struct {
 	// byFlow and early are guarded by Config.Mutex.
 	byFlow map[flow.ID][]heldPacket
 	early  *flow.EarlyPackets[heldPacket]
+	// awaiting holds the packets that wait for a newer view. It is guarded like byFlow.
+	awaiting []awaitingPacket
 	// wake notifies RunLookups that a packet has been added. It holds at most one
 	// notification.
 	wake chan struct{}
@@ -86,6 +89,13 @@
 // it.
 const viewPollInterval = 5 * time.Millisecond
 
+// releaseHeld processes the packets that wait for the first view or for a newer one and need
+// not wait any more. It reports whether others still wait.
+func (d *Dispatcher) releaseHeld() bool {
+	earlyWait := d.releaseEarly()
+	return d.releaseAwaiting() || earlyWait
+}
+
 // holdEarly holds a packet that arrived before the first view, or drops and counts it if the
 // view has expired since.
 func (d *Dispatcher) holdEarly(now time.Time, header *datagram.Header, body []byte) {
@@ -131,8 +141,7 @@
 }
 
 // RunLookups processes held packets until ctx is done: it sends ownership queries for their
-// flows, ends lookups that time out, and waits for the first view. One goroutine of an agent
-// runs it.
+// flows, ends lookups that time out, and waits for views. One goroutine of an agent runs it.
 func (d *Dispatcher) RunLookups(ctx context.Context) {
 	for {
 		select {
@@ -140,27 +149,31 @@
 			return
 		case <-d.HeldPackets.wake:
 		}
-		for d.releaseEarly() && sleep(ctx, viewPollInterval) {
-		}
-		for d.runLookupRound(ctx) {
+		for d.processHeld(ctx) {
 		}
 	}
 }
 
-// runLookupRound waits until queries are due or a lookup times out, and then sends the due
-// queries and ends the lookups that have timed out. It reports false if no lookup is
-// pending or ctx is done.
-func (d *Dispatcher) runLookupRound(ctx context.Context) bool {
+// processHeld processes the held packets that need not wait any more, and then waits until
+// others may be due. It reports false if none waits or ctx is done.
+func (d *Dispatcher) processHeld(ctx context.Context) bool {
+	awaitsView := d.releaseHeld()
+	now := clock.Now()
 	d.Mutex.Lock()
-	due, pending := d.Core.NextLookupTime(clock.Now())
+	due, pending := d.Core.NextLookupTime(now)
 	d.Mutex.Unlock()
-	if !pending {
-		return false
+	if awaitsView && (!pending || due.After(now.Add(viewPollInterval))) {
+		due = now.Add(viewPollInterval)
 	}
-	if !sleep(ctx, due.Sub(clock.Now())) {
+	if !pending && !awaitsView || !sleep(ctx, due.Sub(now)) {
 		return false
 	}
-	now := clock.Now()
+	d.runLookupRound(clock.Now())
+	return true
+}
+
+// runLookupRound sends the queries that are due and ends the lookups that have timed out.
+func (d *Dispatcher) runLookupRound(now time.Time) {
 	d.Mutex.Lock()
 	queries := d.Core.OwnershipQueries(now)
 	results := d.Core.ExpireLookups(now)
@@ -170,7 +183,6 @@
 	}
 	d.resume(now, results)
 	d.Delivery.Flush()
-	return true
 }
 
 // sleep waits for a duration. It reports false as soon as ctx is done.
