Let the listing commands see selectors for any data centre, and checks check

Cause: backends ignored a selector for every data centre, services showed 0 under it, check had no kind for the settings of radishmast-carrier's agent.

--- a/internal/cmd/backends/backends.go
+++ b/internal/cmd/backends/backends.go
@@ -72,9 +72,7 @@
 }
 
 // newRow returns the row of a backend server with the state of its instance and the services
-// whose selector for exactly this data centre matches its labels. Unlike
-// fleet.Service.SelectorFor, it ignores selectors for fleet.AnyDataCentre. It also ignores
-// the state.
+// whose selector for its data centre matches its labels. It ignores the state.
 func newRow(documents *cmdutil.Documents, backend fleet.Backend) row {
 	r := row{
 		Name:       backend.Name,
@@ -89,7 +87,7 @@
 		}
 	}
 	for _, service := range documents.Services.Services {
-		selector, hasSelector := service.Selectors[backend.DataCentre]
+		selector, hasSelector := service.SelectorFor(backend.DataCentre)
 		if hasSelector && selector.Matches(backend.Labels) {
 			r.Services = append(r.Services, service.Name)
 		}
--- a/internal/cmd/check/check.go
+++ b/internal/cmd/check/check.go
@@ -23,9 +23,9 @@
 	Files []string
 }
 
-// kinds lists the values of --kind: settings of a radishmastd daemon, or documents of
-// the platform.
-var kinds = []string{"balancer", "agent", "services", "backends", "instances"}
+// kinds lists the values of --kind: settings of a balancer, of the agents of radishmastd and
+// radishmast-carrier, or documents of the platform.
+var kinds = []string{"balancer", "agent", "carrier", "services", "backends", "instances"}
 
 // NewCmdCheck returns the command radishmast check.
 func NewCmdCheck(f *cmdutil.Factory) *ffcli.Command {
@@ -72,6 +72,9 @@
 	case "agent":
 		_, err := settings.ReadAgent(data)
 		return err
+	case "carrier":
+		_, err := settings.ReadCarrier(data)
+		return err
 	case "services", "backends", "instances":
 		_, err := platform.Decode(platform.Name(kind), data)
 		return err
--- a/internal/cmd/services/services.go
+++ b/internal/cmd/services/services.go
@@ -44,9 +44,9 @@
 	Address  string `json:"address"`
 	Protocol string `json:"protocol"`
 	// Selected is the number of selected backend servers with a listed agent, leaving ones
-	// included, by data centre. It has an entry for every key of the service's selectors, 0
-	// if none is selected. The entry for fleet.AnyDataCentre is always 0, as those backend
-	// servers count under their own data centre.
+	// included, by data centre. It has an entry for every data centre with a selector of its
+	// own, 0 if none is selected there. Backend servers that the selector for
+	// fleet.AnyDataCentre selects count under their own data centre.
 	Selected map[string]int `json:"selected"`
 }
 
@@ -76,11 +76,12 @@
 func newRow(view *fleet.View, service *fleet.Service) row {
 	r := row{Name: service.Name, Address: service.Address, Protocol: service.Protocol, Selected: make(map[string]int)}
 	for dataCentre := range service.Selectors {
-		r.Selected[dataCentre] = 0
+		if dataCentre != fleet.AnyDataCentre {
+			r.Selected[dataCentre] = 0
+		}
 	}
-	routed := view.Service(fleet.ServiceIDOf(service.Name))
-	for i := range routed.Targets() {
-		r.Selected[routed.Targets()[i].DataCentre()]++
+	for target := range view.Service(fleet.ServiceIDOf(service.Name)).Selected() {
+		r.Selected[target.DataCentre()]++
 	}
 	return r
 }
--- a/internal/core/agent/outlier_test.go
+++ b/internal/core/agent/outlier_test.go
@@ -17,7 +17,6 @@
 	answers requestEnd = iota
 	answersAtOnce
 	resets
-	hangs
 )
 
 // healthyServiceTime is how long a request takes at a healthy server.
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -235,11 +235,14 @@
 	for range maxMisses {
 		require.Equal(t, []fleet.InstanceID{id}, p.startDueProbes(now))
 		require.Empty(t, p.startDueProbes(now), "a second probe is due while the first awaits a reply")
-		now = now.Add(probeInterval)
+		now = now.Add(probeTimeout + time.Millisecond)
 		p.states[id].awaitsReply = false
 		p.states[id].misses++
+		p.states[id].dueAt = now
 	}
-	require.Equal(t, maxMisses, p.states[id].misses)
+	p.states[id].dueAt = now.Add(probeInterval)
+	require.Empty(t, p.startDueProbes(now), "an unreachable peer is probed at the regular interval only")
+	require.Equal(t, []fleet.InstanceID{id}, p.startDueProbes(now.Add(probeInterval)))
 }
 
 // BenchmarkTableDigest measures the cost of one comparison of peer tables, by table size.
