Count a failed health read as a restart only after a restart monitor

Cause: an agent of radishmastd that started before its server counted a restart, and so a cold server, when the first read of the health endpoint failed. Change: such a read counts once a restart monitor has been open.

--- a/internal/daemon/agent/restartwatcher.go
+++ b/internal/daemon/agent/restartwatcher.go
@@ -43,6 +43,8 @@
 	// monitor is a connection to the backend server that carries nothing, or nil. Its end
 	// shows that the backend server may have restarted.
 	monitor *backend.RestartMonitor
+	// hadMonitor reports whether a restart monitor has been open.
+	hadMonitor bool
 }
 
 // watch keeps a restart monitor open and reads the health endpoint until ctx is done.
@@ -83,17 +85,24 @@
 	return w.monitor != nil
 }
 
+// hasHadMonitor reports whether a restart monitor has been open.
+func (w *restartWatcher) hasHadMonitor() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hadMonitor
+}
+
 // readHealth reads the health endpoint and records a restart if the start time has changed.
-// noMonitor reports that no restart monitor is open. A read that fails then counts as a
-// restart too, since the connection to the backend server has ended or cannot be opened.
-// Otherwise a failed read is only counted and logged.
+// noMonitor reports that no restart monitor is open. If one was open before, a read that fails
+// then counts as a restart too, since the connection to the backend server has ended. Otherwise
+// a failed read is only counted and logged: a server that was never reached has not restarted.
 func (w *restartWatcher) readHealth(ctx context.Context, noMonitor bool) {
 	changed, err := w.health.HasRestarted(ctx)
 	if err != nil && ctx.Err() == nil {
 		w.counters.Add("health_unreadable", 1)
 		w.logger.WithError(err).Debug("backend server")
 	}
-	if changed || noMonitor && err != nil {
+	if changed || noMonitor && err != nil && w.hasHadMonitor() {
 		w.restartCount.Add(1)
 		w.onRestart()
 	}
@@ -124,7 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closeMonitor()
-	w.monitor = monitor
+	w.monitor, w.hadMonitor = monitor, true
 }
 
 // closeMonitor closes the restart monitor, if one is open. It is called with the mutex held.
