Hand waiting openings to a sibling one for each of its free slots

Cause: as soon as one sibling had a free slot, all openings that waited at an agent were accepted there, beyond what its server can answer in time: the check asked for a sibling, the placement of a flow that had been handed over did not.

Change: a released opening goes to the sibling that has the slot, which counts it.

--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -240,13 +240,22 @@
 		return opening.resolve(&Reset{Reason: RefuseNotAccepting})
 	}
 	received := &ReceivedPacket{Packet: opening.packet, Service: opening.service, Visited: opening.visited, Placed: opening.placed}
-	decision := a.place(now, service, received)
-	if _, postponed := decision.(postponement); postponed {
-		decision = acceptance{}
-	}
+	decision := a.placeReleased(now, service, received)
 	return opening.resolve(copyAction(a.applyPlacement(now, service, received, decision)))
 }
 
+// placeReleased decides who serves a flow that need not wait any more: a sibling with a free
+// slot if there is none here.
+func (a *Agent) placeReleased(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+	if a.load.isFull() {
+		visited := a.visitedWithSelf(received.Visited)
+		if sibling := a.leastLoadedSibling(now, service, received.Packet.Flow(), visited); sibling != nil {
+			return handOver{sibling, HandOverFull}
+		}
+	}
+	return a.place(now, service, received)
+}
+
 // resolve returns what to do with the opening packet.
 func (w *waitingOpening) resolve(action Action) Resolution {
 	return Resolution{Action: action, Service: w.service, Opening: w.packet.Bytes(), Visited: w.visited}
--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -349,3 +349,31 @@
 	a.Receive(settledAt.Add(time.Second), request)
 	require.Equal(t, 1, a.load.Running(), "a later request takes a slot again")
 }
+
+// Guards against a full server that gets all waiting flows as soon as one sibling has a free slot.
+func TestSiblingWithOneFreeSlotGetsOneWaitingOpening(t *testing.T) {
+	c := newTestCluster(t, 2)
+	services, _, _ := c.state.Documents()
+	next := &fleet.ServicesDocument{Revision: 2, Services: slices.Clone(services.Services)}
+	next.Services[0].LatencyObjective = returnObjective
+	_, err := c.state.Apply(epoch, next)
+	require.NoError(t, err)
+	c.applyView()
+	a, sibling := c.agents[c.ids()[0]], c.ids()[1]
+	a.config.Placement = HandOverWhenFull{}
+	port := uint16(1024)
+	for len(a.waiting.openings) < 5 {
+		port++
+		packet := receivedPacket(port, flow.Opening, 0)
+		packet.Placed, packet.Visited = true, []fleet.InstanceID{1, 2}
+		a.Receive(settledAt, packet)
+	}
+	running := a.load.Running()
+	a.HandleReport(settledAt, sibling, Report{Running: slots - 1, Limit: slots, MaxOwned: 9})
+	released := a.ReleaseWaiting(settledAt)
+	require.Len(t, released, 1)
+	require.IsType(t, &Forward{}, released[0].Action)
+	require.Equal(t, sibling, released[0].Action.(*Forward).Target.ID())
+	require.Len(t, a.waiting.openings, 4)
+	require.Equal(t, running, a.load.Running())
+}
