Leave servers that leave out of the bound of ejections

Cause: canSpareServer counted leaving servers as lost, so that during a release of more than a third of a service no failing server was ejected, and an ejected one was readmitted.

Change: servers that are listed as leaving, or in a draining data centre, are no targets any more. Result: TestLeavingServersDoNotPreventAnEjection fails without it.

--- a/internal/core/agent/outlier.go
+++ b/internal/core/agent/outlier.go
@@ -136,7 +136,8 @@
 }
 
 // canSpareServer reports whether in each service of the backend server enough targets get
-// new flows without it. Servers that are silent, suspected, leaving or ejected do not count.
+// new flows without it. Servers that are silent, suspected or ejected do not get any. Those
+// that leave are no targets any more: their number says nothing about the others.
 func (a *Agent) canSpareServer(now time.Time) bool {
 	for _, service := range a.view.OneServicePerPool() {
 		self := service.Target(a.config.Self)
@@ -145,6 +146,9 @@
 		}
 		selected, without := 0, 0
 		for target := range service.Selected() {
+			if target.ID() != a.config.Self && !a.view.IsAccepting(target.ID()) {
+				continue
+			}
 			selected++
 			report, found := a.latestReport(now, target.ID())
 			if target.ID() == a.config.Self || !target.IsAccepting() || found && report.Ejected {
--- a/internal/core/agent/outlier_test.go
+++ b/internal/core/agent/outlier_test.go
@@ -273,3 +273,20 @@
 		require.False(t, a.IsEjected())
 	}
 }
+
+// Guards against a failing server that gets new flows while others of its service are replaced:
+// four of nine leave, which must neither prevent an ejection nor end one.
+func TestLeavingServersDoNotPreventAnEjection(t *testing.T) {
+	s := newTestService(t, 9)
+	_, _, instances := s.state.Documents()
+	next := &fleet.InstancesDocument{Revision: instances.Revision + 1, Instances: append([]fleet.Instance(nil), instances.Instances...), Leased: true}
+	for i := range next.Instances[5:] {
+		next.Instances[5+i].State = fleet.StateLeaving
+	}
+	_, err := s.state.Apply(epoch, next)
+	require.NoError(t, err)
+	s.applyView()
+	failing := map[fleet.InstanceID]bool{s.ids()[2]: true}
+	s.sendRequests(failing, resets, 3*time.Second)
+	require.True(t, s.agents[s.ids()[2]].IsEjected())
+}
