--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -54,14 +54,19 @@
 	random   *rand.Rand
 }
 
-func newReturnScenario(t *testing.T) *returnScenario {
-	c := newTestCluster(t, 1)
+// setObjective publishes the latency objective and the timeout of the service orders.
+func (c *testCluster) setObjective(t require.TestingT, objective, timeout time.Duration) {
 	services, _, _ := c.state.Documents()
 	next := &fleet.ServicesDocument{Revision: 2, Services: slices.Clone(services.Services)}
-	next.Services[0].LatencyObjective, next.Services[0].Timeout = returnObjective, returnTimeout
+	next.Services[0].LatencyObjective, next.Services[0].Timeout = objective, timeout
 	_, err := c.state.Apply(epoch, next)
 	require.NoError(t, err)
 	c.applyView()
+}
+
+func newReturnScenario(t *testing.T) *returnScenario {
+	c := newTestCluster(t, 1)
+	c.setObjective(t, returnObjective, returnTimeout)
 	a := c.agents[c.ids()[0]]
 	a.config.Placement, a.config.MaxFlows = HandOverWhenFull{}, 10000
 	a.load.SetSlots(returnSlots)
@@ -311,12 +316,7 @@
 // leaves goes to another one.
 func TestWaitingOpeningsAreHandedOverWhenTheAgentLeaves(t *testing.T) {
 	c := newTestCluster(t, 2)
-	services, _, _ := c.state.Documents()
-	next := &fleet.ServicesDocument{Revision: 2, Services: slices.Clone(services.Services)}
-	next.Services[0].LatencyObjective = returnObjective
-	_, err := c.state.Apply(epoch, next)
-	require.NoError(t, err)
-	c.applyView()
+	c.setObjective(t, returnObjective, 0)
 	a := c.agents[c.ids()[0]]
 	a.config.Placement = HandOverWhenFull{}
 	port := uint16(1024)
@@ -353,12 +353,7 @@
 // Guards against a full server that gets all waiting flows as soon as one sibling has a free slot.
 func TestSiblingWithOneFreeSlotGetsOneWaitingOpening(t *testing.T) {
 	c := newTestCluster(t, 2)
-	services, _, _ := c.state.Documents()
-	next := &fleet.ServicesDocument{Revision: 2, Services: slices.Clone(services.Services)}
-	next.Services[0].LatencyObjective = returnObjective
-	_, err := c.state.Apply(epoch, next)
-	require.NoError(t, err)
-	c.applyView()
+	c.setObjective(t, returnObjective, 0)
 	a, sibling := c.agents[c.ids()[0]], c.ids()[1]
 	a.config.Placement = HandOverWhenFull{}
 	port := uint16(1024)
