Log the source and the version of each document that is put in force

The lines of our processes name only the revision of the document, and not whether it came from the platform or from which peer.

The line document_applied now has source (the peer that sent the document, its ID if the view does not hold it, or "platform") and, of the services, version. The version travels with the services document and its changes.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -424,3 +424,24 @@
 	require.EqualValues(t, 8, c.Incarnation())
 	require.Equal(t, c.Incarnation(), c.newSummary(epoch).Summary.Incarnation)
 }
+
+// Guards against logs that cannot tell which process had a configuration in force, since when
+// and from whom.
+func TestAppliedDocumentsNameSourceAndVersion(t *testing.T) {
+	n := newNetwork(2)
+	n.converge(epoch)
+	services := &fleet.ServicesDocument{Revision: 9, Version: 4}
+	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, services))
+	var applied []ReportEvent
+	for len(n.queue) > 0 {
+		d := n.queue[0]
+		n.queue = n.queue[1:]
+		for _, output := range n.controllers[d.to].HandleMessage(epoch, d.link, d.message) {
+			if event, ok := output.(ReportEvent); ok && event.Event == EventDocumentApplied {
+				applied = append(applied, event)
+			}
+		}
+	}
+	source := fmt.Sprintf("%016x", uint64(fleet.InstanceIDOf("n0")))
+	require.Equal(t, []ReportEvent{{Event: EventDocumentApplied, Document: "services", Source: source, Revision: 9, Version: 4}}, applied)
+}
--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -55,7 +55,7 @@
 	services, backends, instances := state.Documents()
 	switch d := document.(type) {
 	case *fleet.ServicesDocument:
-		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName, (*fleet.Service).Equal), Draining: d.Draining}
+		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName, (*fleet.Service).Equal), Version: d.Version, Draining: d.Draining}
 	case *fleet.BackendsDocument:
 		return &Change{From: backends.Revision, To: d.Revision, Backends: diff(backends.Backends, d.Backends, backendName, (*fleet.Backend).Equal)}
 	case *fleet.InstancesDocument:
@@ -84,9 +84,9 @@
 	case c.Services != nil:
 		isIncremental, err := c.isIncremental(services.Revision)
 		if err != nil || !isIncremental {
-			return &fleet.ServicesDocument{Revision: c.To, Services: c.Services.Upserts, Draining: c.Draining}, err
+			return &fleet.ServicesDocument{Revision: c.To, Version: c.Version, Services: c.Services.Upserts, Draining: c.Draining}, err
 		}
-		return &fleet.ServicesDocument{Revision: c.To, Services: patch(services.Services, c.Services, serviceName), Draining: c.Draining}, nil
+		return &fleet.ServicesDocument{Revision: c.To, Version: c.Version, Services: patch(services.Services, c.Services, serviceName), Draining: c.Draining}, nil
 	case c.Backends != nil:
 		isIncremental, err := c.isIncremental(backends.Revision)
 		if err != nil || !isIncremental {
@@ -164,7 +164,7 @@
 		changes = append(changes, preferIncremental(r.backends, revisions.Backends, whole))
 	}
 	if services.Revision > revisions.Services {
-		whole := &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Draining: services.Draining}
+		whole := &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Version: services.Version, Draining: services.Draining}
 		changes = append(changes, preferIncremental(r.services, revisions.Services, whole))
 	}
 	return changes
@@ -179,10 +179,10 @@
 	return whole
 }
 
-// appliedEvent returns the event that reports the change as applied, with the numbers of its
-// entries.
-func (c *Change) appliedEvent() ReportEvent {
-	r := ReportEvent{Event: EventDocumentApplied, Revision: c.To}
+// appliedEvent returns the event that reports the change as applied, with its source and the
+// numbers of its entries.
+func (c *Change) appliedEvent(source string) ReportEvent {
+	r := ReportEvent{Event: EventDocumentApplied, Source: source, Revision: c.To, Version: c.Version}
 	switch {
 	case c.Services != nil:
 		r.Document, r.Upserts, r.Removed = "services", len(c.Services.Upserts), len(c.Services.Removed)
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -35,13 +36,26 @@
 		c.emit(ReportEvent{Event: EventDocumentRefused, Err: err})
 		return
 	}
-	c.emit(change.appliedEvent())
+	c.emit(change.appliedEvent(c.sourceName(source)))
 	c.restoreOwnRecord(now)
 	c.latestChanges.recordChange(change)
 	c.gossipChange(now, change, source)
 	c.scheduleRoutingChange(now)
 }
 
+// sourceName returns the name of the peer from which a document came on a link, its ID if the
+// view does not hold it, or "platform" for the zero link.
+func (c *Controller) sourceName(source LinkID) string {
+	l := c.links[source]
+	if l == nil {
+		return "platform"
+	}
+	if name := c.nodeName(l.peer); name != "" {
+		return name
+	}
+	return fmt.Sprintf("%016x", uint64(l.peer))
+}
+
 // maxPushedEntries is the largest number of entries of a change that is sent on every link
 // without a request. For a larger change peers receive a summary and request the change once:
 // most of them would otherwise receive it from several peers.
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -51,6 +51,8 @@
 	From     uint64
 	To       uint64
 	Services *Delta[fleet.Service]
+	// Version is the operators' number of the configuration. It belongs to Services.
+	Version uint64
 	// Draining is the complete list of draining data centres. It belongs to Services.
 	Draining  []string
 	Backends  *Delta[fleet.Backend]
--- a/internal/core/control/output.go
+++ b/internal/core/control/output.go
@@ -74,6 +74,10 @@
 	// instances. It is empty for other events.
 	Document string
 	Revision uint64
+	// Version is the operators' number of the configuration, or zero.
+	Version uint64
+	// Source names the peer from which the document came, or is "platform".
+	Source string
 	// Upserts and Removed are the numbers of entries that the document changes and removes.
 	Upserts, Removed int
 }
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -209,7 +209,9 @@
 // ServicesDocument is the document "services".
 type ServicesDocument struct {
 	// Revision is higher than in every earlier version of the document.
-	Revision uint64    `json:"revision"`
+	Revision uint64 `json:"revision"`
+	// Version is the operators' own number of the configuration, or zero if it has none.
+	Version  uint64    `json:"version,omitempty"`
 	Services []Service `json:"services"`
 	// Draining lists the data centres that get no new flows. Open flows stay there,
 	// unlike in a data centre without a selector.
