--- a/internal/cmd/cmdutil/source.go
+++ b/internal/cmd/cmdutil/source.go
@@ -64,7 +64,7 @@
 	}
 	documents := new(Documents)
 	for _, name := range platform.Names() {
-		document, err := client.Read(ctx, name, 0, 0)
+		document, err := client.Read(ctx, name, fleet.Revision{}, 0)
 		if errors.Is(err, platform.ErrUnchanged) {
 			continue
 		}
--- a/internal/cmd/services/services_test.go
+++ b/internal/cmd/services/services_test.go
@@ -18,9 +18,9 @@
 		Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}, "south": {}},
 	}
 	for _, document := range []fleet.Document{
-		&fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{service}},
-		&fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "b0", DataCentre: "north"}}},
-		&fleet.InstancesDocument{Revision: 1, Instances: []fleet.Instance{
+		&fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{service}},
+		&fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "b0", DataCentre: "north"}}},
+		&fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}, Instances: []fleet.Instance{
 			{Name: "b0", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive},
 		}},
 	} {
--- a/internal/cmd/status/status.go
+++ b/internal/cmd/status/status.go
@@ -76,7 +76,7 @@
 	addRow("role", result.Role)
 	addRow("data centre", result.DataCentre)
 	addRow("serving", strconv.FormatBool(result.Valid))
-	addRow("revisions", fmt.Sprintf("services %d, backends %d, instances %d", result.Revisions.Services, result.Revisions.Backends, result.Revisions.Instances))
+	addRow("revisions", fmt.Sprintf("services %s, backends %s, instances %s", result.Revisions.Services, result.Revisions.Backends, result.Revisions.Instances))
 	addRow("instances known", strconv.Itoa(result.Nodes))
 	for _, service := range result.Services {
 		addRow("service "+service.Name, summarizeTargets(service.Targets))
--- a/internal/cmd/watch/watch.go
+++ b/internal/cmd/watch/watch.go
@@ -66,14 +66,14 @@
 // that a read returns, until ctx is done. Revisions that are replaced between two reads are
 // skipped. If a read fails, it prints the error and retries after retryDelay.
 func (o *Options) watchDocument(ctx context.Context, client *platform.Client, name platform.Name) {
-	var revision uint64
+	var revision fleet.Revision
 	for ctx.Err() == nil {
 		document, err := client.Read(ctx, name, revision, longPollTimeout)
 		switch {
 		case err == nil:
 			var entries int
 			revision, entries = revisionAndEntryCount(document)
-			o.printLine("document=%s revision=%d entries=%d\n", name, revision, entries)
+			o.printLine("document=%s revision=%s entries=%d\n", name, revision, entries)
 		case errors.Is(err, platform.ErrUnchanged) || ctx.Err() != nil:
 		default:
 			o.printLine("document=%s error=%q\n", name, err)
@@ -83,7 +83,7 @@
 }
 
 // revisionAndEntryCount returns the revision of a document and the number of its entries.
-func revisionAndEntryCount(document fleet.Document) (revision uint64, entries int) {
+func revisionAndEntryCount(document fleet.Document) (revision fleet.Revision, entries int) {
 	switch d := document.(type) {
 	case *fleet.ServicesDocument:
 		return d.Revision, len(d.Services)
@@ -92,7 +92,7 @@
 	case *fleet.InstancesDocument:
 		return d.Revision, len(d.Instances)
 	}
-	return 0, 0
+	return fleet.Revision{}, 0
 }
 
 func (o *Options) printLine(format string, args ...any) {
--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -49,7 +49,7 @@
 // AwaitView keeps the packet until the view has a revision, and then decides again by
 // ResumeAfterLookup. If that takes too long, the packet is dropped as DropViewStale.
 type AwaitView struct {
-	Revision uint64
+	Revision fleet.Revision
 }
 
 func (*AwaitView) isAction() {}
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -101,7 +101,7 @@
 	Packet  flow.Packet
 	Service fleet.ServiceID
 	// Revision is the highest document revision that the sender knew.
-	Revision uint64
+	Revision fleet.Revision
 	// Placed reports whether the sender has chosen this agent to serve the new flow.
 	Placed bool
 	// Searched reports whether the sender found that no candidate owns the flow, so that
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -27,12 +27,12 @@
 // in one data centre. All of them serve the TCP service orders and the UDP service lookup.
 func newState(t require.TestingT, targets int) *fleet.State {
 	state := fleet.NewState()
-	services := &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{"north": {"app": {"orders"}}}},
 		{Name: "lookup", Address: "10.9.0.1:53", Protocol: "udp", Selectors: map[string]fleet.Selector{"north": {}}},
 	}}
-	backends := &fleet.BackendsDocument{Revision: 1}
-	instances := &fleet.InstancesDocument{Revision: 1, Leased: true}
+	backends := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}
+	instances := &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}, Leased: true}
 	for i := range targets {
 		name := fmt.Sprintf("b%d", i)
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north", Labels: map[string]string{"app": "orders"}})
@@ -66,7 +66,7 @@
 
 // receivedPacket returns a packet of the flow of a caller's port, as received from a balancer.
 func receivedPacket(port uint16, kind flow.Kind, acknowledgedToken uint32) *ReceivedPacket {
-	return &ReceivedPacket{Packet: flow.NewPacket(flowOf(port), kind, 7, acknowledgedToken, []byte("packet")), Service: orders, Revision: 1}
+	return &ReceivedPacket{Packet: flow.NewPacket(flowOf(port), kind, 7, acknowledgedToken, []byte("packet")), Service: orders, Revision: fleet.Revision{Number: 1}}
 }
 
 // routePacket forwards a packet from agent to agent until one delivers, resets or drops it. It
@@ -208,9 +208,9 @@
 	self, other := fleet.InstanceIDOf("b0"), fleet.InstanceIDOf("b1")
 	config := Config{Self: self, DataCentre: "north", MaxFlows: 1, MaxHandOvers: 1, Placement: HashOnly{}}
 	a := New(config, state.View(epoch), NewLoad(epoch, slots), nil)
-	last := func(kind flow.Kind, revision uint64) *ReceivedPacket {
+	last := func(kind flow.Kind, number uint64) *ReceivedPacket {
 		packet := receivedPacket(4000, kind, 1)
-		packet.Visited, packet.Revision = []fleet.InstanceID{other}, revision
+		packet.Visited, packet.Revision = []fleet.InstanceID{other}, fleet.Revision{Number: number}
 		return packet
 	}
 	require.Equal(t, &Reset{Reason: ResetUnowned}, a.Receive(settledAt, last(flow.Established, 1)))
@@ -235,13 +235,13 @@
 		require.NoError(t, err)
 		return a.ApplyView(state.View(epoch))
 	}
-	toReset := apply(&fleet.BackendsDocument{Revision: 2, Backends: []fleet.Backend{{Name: "b0", DataCentre: "north"}}})
+	toReset := apply(&fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: []fleet.Backend{{Name: "b0", DataCentre: "north"}}})
 	require.Empty(t, toReset, "a deselected backend server must keep its flows")
 	require.Equal(t, []fleet.ServiceID{orders}, a.ResidualServices())
 	newer := receivedPacket(4001, flow.Opening, 0)
-	newer.Revision = 2
+	newer.Revision = fleet.Revision{Number: 2}
 	require.Equal(t, &Reset{Reason: RefuseNotAccepting}, a.Receive(settledAt, newer))
-	toReset = apply(&fleet.ServicesDocument{Revision: 3, Services: []fleet.Service{{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp"}}})
+	toReset = apply(&fleet.ServicesDocument{Revision: fleet.Revision{Number: 3}, Services: []fleet.Service{{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp"}}})
 	require.Len(t, toReset, 1, "flows of a data centre that is out must be reset")
 	require.Equal(t, &Drop{Reason: DropDataCentreOut}, a.Receive(settledAt, receivedPacket(4000, flow.Established, 1)))
 	foreign := receivedPacket(4000, flow.Opening, 0)
@@ -267,7 +267,7 @@
 	lookup := fleet.ServiceIDOf("lookup")
 	id := flow.NewID(flow.NewAddress(flow.UDP, netip.MustParseAddrPort("10.9.0.1:53")), netip.MustParseAddrPort("10.1.0.1:4000"))
 	packet := func() *ReceivedPacket {
-		return &ReceivedPacket{Packet: flow.NewPacket(id, flow.Connectionless, 0, 0, nil), Service: lookup, Revision: 1}
+		return &ReceivedPacket{Packet: flow.NewPacket(id, flow.Connectionless, 0, 0, nil), Service: lookup, Revision: fleet.Revision{Number: 1}}
 	}
 	primary := view.Service(lookup).Primary(id.Hash()).ID()
 	for start := range all {
@@ -336,7 +336,7 @@
 	a := New(config, state.View(epoch), NewLoad(epoch, slots), nil)
 	a.Receive(settledAt, receivedPacket(4000, flow.Opening, 0))
 	a.RecordHandshakeReply(flowOf(4000), 1)
-	_, err := state.Apply(epoch, &fleet.ServicesDocument{Revision: 3, Services: []fleet.Service{{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp"}}})
+	_, err := state.Apply(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 3}, Services: []fleet.Service{{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp"}}})
 	require.NoError(t, err)
 	toReset := a.ApplyView(state.View(epoch))
 	require.Len(t, toReset, 1)
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -148,7 +148,7 @@
 		return HandOverDraining
 	case !service.Selects(a.config.DataCentre, a.config.Labels):
 		return HandOverOtherService
-	case node == nil && received.Revision <= a.view.Revisions().Highest():
+	case node == nil && !received.Revision.IsNewerThan(a.view.Revisions().Highest()):
 		return HandOverNotSelected
 	case node != nil && !service.Selects(a.config.DataCentre, a.publishedLabels()):
 		return HandOverNotSelected
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -204,7 +204,7 @@
 	ids := c.ids()
 	c.agents[ids[0]].SetLabels(map[string]string{"app": "patterns"})
 	packet := receivedPacket(4000, flow.Opening, 0)
-	packet.Placed, packet.Revision = true, 9
+	packet.Placed, packet.Revision = true, fleet.Revision{Number: 9}
 	owner, action := c.routePacket(t, ids[0], packet)
 	require.IsType(t, &Deliver{}, action)
 	require.Equal(t, ids[1], owner)
@@ -214,11 +214,11 @@
 // stay.
 func TestLeavingOrRemovedServerKeepsFlowsAndGetsNoNewOnes(t *testing.T) {
 	for name, document := range map[string]fleet.Document{
-		"leaving": &fleet.InstancesDocument{Revision: 2, Instances: []fleet.Instance{
+		"leaving": &fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}, Instances: []fleet.Instance{
 			{Name: "b0", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLeaving},
 			{Name: "b1", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive},
 		}},
-		"removed": &fleet.InstancesDocument{Revision: 2, Instances: []fleet.Instance{
+		"removed": &fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}, Instances: []fleet.Instance{
 			{Name: "b1", Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive},
 		}},
 	} {
@@ -251,7 +251,7 @@
 	id := c.ids()[0]
 	c.open(t, id, 4000)
 	services, _, _ := c.state.Documents()
-	_, err := c.state.Apply(epoch, &fleet.ServicesDocument{Revision: 2, Services: services.Services, Draining: []string{"north"}})
+	_, err := c.state.Apply(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 2}, Services: services.Services, Draining: []string{"north"}})
 	require.NoError(t, err)
 	c.applyView()
 	_, action := c.routePacket(t, id, receivedPacket(4001, flow.Opening, 0))
@@ -264,7 +264,7 @@
 // next applyView.
 func (c *testCluster) setIdempotent(t require.TestingT, idempotent bool) {
 	services, _, _ := c.state.Documents()
-	next := &fleet.ServicesDocument{Revision: services.Revision + 1}
+	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: services.Number + 1}}
 	for _, service := range services.Services {
 		service.Idempotent = idempotent
 		next.Services = append(next.Services, service)
@@ -311,8 +311,8 @@
 	})
 	_, backends, instances := c.state.Documents()
 	for _, document := range []fleet.Document{
-		&fleet.InstancesDocument{Revision: 2, Instances: instances.Instances[:2]},
-		&fleet.BackendsDocument{Revision: 2, Backends: backends.Backends[:2]},
+		&fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}, Instances: instances.Instances[:2]},
+		&fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: backends.Backends[:2]},
 	} {
 		_, err := c.state.Apply(epoch, document)
 		require.NoError(t, err)
@@ -348,12 +348,12 @@
 // boot ID and the remaining cold start time of all backend servers.
 func (c *testCluster) setSlowStart(t require.TestingT, rate float64, boot string, coldStartRemaining time.Duration) {
 	services, backends, _ := c.state.Documents()
-	changed := &fleet.ServicesDocument{Revision: services.Revision + 1}
+	changed := &fleet.ServicesDocument{Revision: fleet.Revision{Number: services.Number + 1}}
 	for _, service := range services.Services {
 		service.ColdStartRate = rate
 		changed.Services = append(changed.Services, service)
 	}
-	listed := &fleet.BackendsDocument{Revision: backends.Revision + 1}
+	listed := &fleet.BackendsDocument{Revision: fleet.Revision{Number: backends.Number + 1}}
 	for _, backend := range backends.Backends {
 		backend.BootID, backend.ColdStartRemaining = boot, coldStartRemaining
 		listed.Backends = append(listed.Backends, backend)
@@ -506,7 +506,7 @@
 func TestServersWithLapsedEntriesServeDuringTheGracePeriod(t *testing.T) {
 	c := newTestCluster(t, 2)
 	ids := c.ids()
-	for _, document := range []fleet.Document{&fleet.BackendsDocument{Revision: 2}, &fleet.InstancesDocument{Revision: 2}} {
+	for _, document := range []fleet.Document{&fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}}, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}}} {
 		_, err := c.state.Apply(epoch, document)
 		require.NoError(t, err)
 	}
@@ -549,8 +549,8 @@
 		if !listed {
 			_, backends, instances := c.state.Documents()
 			for _, document := range []fleet.Document{
-				&fleet.InstancesDocument{Revision: 2, Leased: true, Instances: instances.Instances[1:]},
-				&fleet.BackendsDocument{Revision: 2, Backends: backends.Backends[1:]},
+				&fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}, Leased: true, Instances: instances.Instances[1:]},
+				&fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: backends.Backends[1:]},
 			} {
 				_, err := c.state.Apply(epoch, document)
 				require.NoError(t, err)
@@ -578,16 +578,16 @@
 // unavailable long after.
 func TestEndedGracePeriodIsNotRevivedByAnOutage(t *testing.T) {
 	c := newTestCluster(t, 2)
-	for _, document := range []fleet.Document{&fleet.BackendsDocument{Revision: 2}, &fleet.InstancesDocument{Revision: 2}} {
+	for _, document := range []fleet.Document{&fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}}, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}}} {
 		_, err := c.state.Apply(epoch, document)
 		require.NoError(t, err)
 	}
 	confirmedAt := epoch.Add(fleet.LapseGrace)
 	c.state.ExtendLapseGrace(confirmedAt, epoch.Add(time.Minute))
-	_, found := c.state.NextLapseGraceEnd(confirmedAt)
+	_, found := c.state.NextGraceEnd(confirmedAt)
 	require.False(t, found)
 	c.state.ExtendLapseGrace(confirmedAt.Add(-time.Millisecond), epoch.Add(time.Minute))
-	_, found = c.state.NextLapseGraceEnd(confirmedAt)
+	_, found = c.state.NextGraceEnd(confirmedAt)
 	require.True(t, found, "an entry that was missing for less than the grace period when the platform became unavailable may have lapsed")
 }
 
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -13,7 +13,7 @@
 // setBackendStarts publishes when the backend servers started.
 func (c *testCluster) setBackendStarts(t require.TestingT, at time.Time) {
 	_, backends, _ := c.state.Documents()
-	next := &fleet.BackendsDocument{Revision: backends.Revision + 1}
+	next := &fleet.BackendsDocument{Revision: fleet.Revision{Number: backends.Number + 1}}
 	for _, backend := range backends.Backends {
 		backend.StartedAt = at
 		next.Backends = append(next.Backends, backend)
--- a/internal/core/agent/outlier_test.go
+++ b/internal/core/agent/outlier_test.go
@@ -176,11 +176,11 @@
 func newMixedService(t *testing.T) *testService {
 	s := &testService{testCluster: newTestCluster(t, 6), now: settledAt, port: 1024}
 	_, backends, _ := s.state.Documents()
-	next := &fleet.BackendsDocument{Revision: 2, Backends: append([]fleet.Backend(nil), backends.Backends...)}
+	next := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: append([]fleet.Backend(nil), backends.Backends...)}
 	for i := range next.Backends[:3] {
 		next.Backends[i].Labels = map[string]string{"app": "archive"}
 	}
-	services := &fleet.ServicesDocument{Revision: 3, Services: []fleet.Service{
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 3}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{"north": {"app": {"orders", "archive"}}}},
 		{Name: "letters", Address: "10.9.0.2:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{"north": {"app": {"archive"}}}},
 	}}
@@ -279,7 +279,7 @@
 func TestLeavingServersDoNotPreventAnEjection(t *testing.T) {
 	s := newTestService(t, 9)
 	_, _, instances := s.state.Documents()
-	next := &fleet.InstancesDocument{Revision: instances.Revision + 1, Instances: append([]fleet.Instance(nil), instances.Instances...), Leased: true}
+	next := &fleet.InstancesDocument{Revision: fleet.Revision{Number: instances.Number + 1}, Instances: append([]fleet.Instance(nil), instances.Instances...), Leased: true}
 	for i := range next.Instances[5:] {
 		next.Instances[5+i].State = fleet.StateLeaving
 	}
--- a/internal/core/agent/overload_test.go
+++ b/internal/core/agent/overload_test.go
@@ -61,7 +61,7 @@
 func (o *overloadScenario) simulate(t *testing.T, controlled bool) (inTime, late int) {
 	cluster := newTestCluster(t, 1)
 	services, _, _ := cluster.state.Documents()
-	next := &fleet.ServicesDocument{Revision: 2, Services: services.Services}
+	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 2}, Services: services.Services}
 	if controlled {
 		next.Services[0].LatencyObjective = o.objective
 	}
@@ -177,7 +177,7 @@
 	a := r.agents[r.ids()[0]]
 	a.config.Placement = HandOverWhenFull{}
 	services, _, _ := r.state.Documents()
-	next := &fleet.ServicesDocument{Revision: 2, Services: services.Services}
+	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 2}, Services: services.Services}
 	next.Services[0].LatencyObjective = 250 * time.Millisecond
 	_, err := r.state.Apply(epoch, next)
 	require.NoError(t, err)
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -90,7 +90,7 @@
 		return HandOverDraining
 	case a.ownedCount >= a.config.MaxFlows:
 		return HandOverConnections
-	case !a.isSelected(service.ID()) && received.Revision <= a.view.Revisions().Highest():
+	case !a.isSelected(service.ID()) && !received.Revision.IsNewerThan(a.view.Revisions().Highest()):
 		return HandOverNotSelected
 	}
 	return ""
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -19,7 +19,7 @@
 func newSharedCluster(t require.TestingT) *testCluster {
 	c := newTestCluster(t, 4)
 	_, backends, _ := c.state.Documents()
-	next := &fleet.BackendsDocument{Revision: 2, Backends: append([]fleet.Backend(nil), backends.Backends...)}
+	next := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: append([]fleet.Backend(nil), backends.Backends...)}
 	for i := range next.Backends[2:] {
 		next.Backends[2+i].Labels = archiveLabels
 	}
@@ -36,7 +36,7 @@
 // selectApps publishes that orders selects the servers of some apps.
 func (c *testCluster) selectApps(t require.TestingT, state *fleet.State, revision uint64, apps ...string) {
 	services, _, _ := state.Documents()
-	next := &fleet.ServicesDocument{Revision: revision, Services: append([]fleet.Service(nil), services.Services...)}
+	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: revision}, Services: append([]fleet.Service(nil), services.Services...)}
 	next.Services[0].Selectors = map[string]fleet.Selector{"north": {"app": apps}}
 	_, err := state.Apply(settledAt, next)
 	require.NoError(t, err)
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -33,7 +33,7 @@
 		return a.dropPacket(DropClosingUnowned)
 	case step.Skipped:
 		return a.handleUnreachableCandidates(service, received, step)
-	case received.Revision > a.view.Revisions().Highest():
+	case received.Revision.IsNewerThan(a.view.Revisions().Highest()):
 		return a.awaitRevision(received.Revision)
 	case !a.isSearchConclusive(now):
 		return a.dropPacket(DropViewUnsettled)
@@ -45,7 +45,7 @@
 // awaitRevision decides about a packet whose sender has a newer view, which may name another
 // candidate. The view changes many times a second when all servers register anew, after a loss
 // of power; a carried packet then waits for it instead of costing its caller a retransmission.
-func (a *Agent) awaitRevision(revision uint64) Action {
+func (a *Agent) awaitRevision(revision fleet.Revision) Action {
 	if !a.config.Carried {
 		return a.dropPacket(DropViewStale)
 	}
--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -57,7 +57,7 @@
 // setObjective publishes the latency objective and the timeout of the service orders.
 func (c *testCluster) setObjective(t require.TestingT, objective, timeout time.Duration) {
 	services, _, _ := c.state.Documents()
-	next := &fleet.ServicesDocument{Revision: 2, Services: slices.Clone(services.Services)}
+	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 2}, Services: slices.Clone(services.Services)}
 	next.Services[0].LatencyObjective, next.Services[0].Timeout = objective, timeout
 	_, err := c.state.Apply(epoch, next)
 	require.NoError(t, err)
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -20,8 +20,8 @@
 // newState returns a state with a service, "orders", that selects a number of targets.
 func newState(t *testing.T, targets int) *fleet.State {
 	state := fleet.NewState()
-	backends := &fleet.BackendsDocument{Revision: 1}
-	instances := &fleet.InstancesDocument{Revision: 1}
+	backends := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}
+	instances := &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}}
 	for i := range targets {
 		name := fmt.Sprintf("b%d", i)
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
@@ -29,7 +29,7 @@
 			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
 		})
 	}
-	services := &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}}
 	for _, document := range []fleet.Document{services, backends, instances} {
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -67,33 +67,35 @@
 	n.enqueueSends(d.to, n.controllers[d.to].HandleMessage(now, d.link, d.message))
 }
 
-// backendsDocument returns a document with as many backend servers as its revision. Those of
-// even and odd revisions have different names, so that a change between an even and an odd
-// revision replaces all entries.
-func backendsDocument(revision uint64) *fleet.BackendsDocument {
+// backendsDocument returns a document with as many backend servers as the number of its revision.
+// Those of other eras, and of even and odd numbers, have different names, so that a change
+// between them replaces all entries.
+func backendsDocument(revision fleet.Revision) *fleet.BackendsDocument {
 	d := &fleet.BackendsDocument{Revision: revision}
-	for i := range revision {
-		d.Backends = append(d.Backends, fleet.Backend{Name: fmt.Sprintf("b%d-%d", i, revision%2), DataCentre: "north"})
+	for i := range revision.Number {
+		d.Backends = append(d.Backends, fleet.Backend{Name: fmt.Sprintf("b%d-%d-%d", i, revision.Number%2, revision.Era), DataCentre: "north"})
 	}
 	return d
 }
 
 // Guards against documents that are lost or replaced by older ones when links lose and reorder
-// messages: revisions never decrease, and once summaries have been exchanged, all processes hold
+// messages, also when the platform is restored from copies meanwhile: revisions never decrease, and once summaries have been exchanged, all processes hold
 // the newest document.
 func TestChangesReachEveryProcessAndNeverRevert(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(rapid.IntRange(2, 5).Draw(t, "processes"))
 		now := epoch
-		highest := uint64(0)
-		seen := make([]uint64, len(n.controllers))
+		var highest fleet.Revision
+		seen := make([]fleet.Revision, len(n.controllers))
 		for range 60 {
 			now = now.Add(TickInterval)
 			at := rapid.IntRange(0, len(n.controllers)-1).Draw(t, "process")
 			switch step := rapid.IntRange(0, 9).Draw(t, "step"); {
 			case step == 0:
-				revision := rapid.Uint64Range(1, 8).Draw(t, "revision")
-				highest = max(highest, revision)
+				revision := fleet.Revision{Era: rapid.Uint64Range(0, 2).Draw(t, "era"), Number: rapid.Uint64Range(1, 8).Draw(t, "number")}
+				if revision.IsNewerThan(highest) {
+					highest = revision
+				}
 				n.enqueueSends(at, n.controllers[at].ApplyDocument(now, backendsDocument(revision)))
 			case step == 1 && len(n.queue) > 0:
 				lost := rapid.IntRange(0, len(n.queue)-1).Draw(t, "lost")
@@ -103,7 +105,7 @@
 			}
 			for i, c := range n.controllers {
 				revision := c.state.Revisions().Backends
-				require.GreaterOrEqual(t, revision, seen[i], "a process went back to an older revision")
+				require.False(t, seen[i].IsNewerThan(revision), "a process went back to an older revision")
 				seen[i] = revision
 			}
 		}
@@ -154,7 +156,7 @@
 // unconfirmed until a peer sends a summary.
 func TestPausedProcessIsUnconfirmedUntilPeerSummary(t *testing.T) {
 	n := newNetwork(2)
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, &fleet.ServicesDocument{Revision: 1}))
+	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}}))
 	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, agentInstances(2, 1)))
 	n.converge(epoch)
 	now := epoch.Add(time.Hour)
@@ -170,7 +172,7 @@
 
 // applyTargets applies documents that list agents b0, b1 and so on as targets of one service.
 func applyTargets(c *Controller, now time.Time, targets int) {
-	backends, instances := &fleet.BackendsDocument{Revision: 1}, &fleet.InstancesDocument{Revision: 1}
+	backends, instances := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}}
 	for i := range targets {
 		name := fmt.Sprintf("b%d", i)
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
@@ -178,7 +180,7 @@
 			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
 		})
 	}
-	services := &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}},
 	}}}
 	for _, document := range []fleet.Document{backends, instances, services} {
@@ -269,11 +271,11 @@
 	n.converge(epoch)
 	c, other := n.controllers[0], fleet.InstanceIDOf("b0")
 	now := epoch.Add(time.Minute)
-	c.ApplyDocument(now, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+	c.ApplyDocument(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}},
 	}}})
-	backends := &fleet.BackendsDocument{Revision: 2}
-	instances := &fleet.InstancesDocument{Revision: 3}
+	backends := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}}
+	instances := &fleet.InstancesDocument{Revision: fleet.Revision{Number: 3}}
 	for _, name := range []string{"n0", "b0"} {
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
 		instances.Instances = append(instances.Instances, fleet.Instance{
@@ -349,9 +351,9 @@
 	announcement := &fleet.Announcement{Name: "b0", DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", Labels: labels}
 	record := fleet.PeerRecord{ID: fleet.InstanceIDOf("b0"), Incarnation: 1, Announcement: announcement}
 	publish := func(c *Controller, now time.Time) {
-		c.ApplyDocument(now, &fleet.BackendsDocument{Revision: 1})
-		c.ApplyDocument(now, &fleet.InstancesDocument{Revision: 1, Leased: true})
-		c.ApplyDocument(now, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+		c.ApplyDocument(now, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}})
+		c.ApplyDocument(now, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}, Leased: true})
+		c.ApplyDocument(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
 			Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: selectorOf(labels)},
 		}}})
 	}
@@ -430,7 +432,7 @@
 func TestAppliedDocumentsNameSourceAndVersion(t *testing.T) {
 	n := newNetwork(2)
 	n.converge(epoch)
-	services := &fleet.ServicesDocument{Revision: 9, Version: 4}
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Version: 4, Number: 9}}
 	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, services))
 	var applied []ReportEvent
 	for len(n.queue) > 0 {
@@ -443,5 +445,5 @@
 		}
 	}
 	source := fmt.Sprintf("%016x", uint64(fleet.InstanceIDOf("n0")))
-	require.Equal(t, []ReportEvent{{Event: EventDocumentApplied, Document: "services", Source: source, Revision: 9, Version: 4}}, applied)
+	require.Equal(t, []ReportEvent{{Event: EventDocumentApplied, Document: "services", Source: source, Revision: services.Revision}}, applied)
 }
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -128,9 +128,8 @@
 	unconfirmed   bool
 	viewFreshness freshness
 	latestChanges recentChanges
-	// hadLapsedAgents reports whether, at the last tick, agents whose entries have lapsed
-	// were still accepting new flows.
-	hadLapsedAgents bool
+	// hadGracePeriod reports whether, at the last tick, a grace period of the state ran.
+	hadGracePeriod bool
 	// documentRequestDeadline is the time until which this process waits for documents that
 	// it requested from one peer, and requests none from another.
 	documentRequestDeadline time.Time
@@ -168,7 +167,7 @@
 // reject flows that other processes serve.
 func (c *Controller) IsConfirmed(now time.Time) bool {
 	revisions := c.state.Revisions()
-	if revisions.Services == 0 || revisions.Instances == 0 {
+	if revisions.Services.IsMissing() || revisions.Instances.IsMissing() {
 		return false
 	}
 	return !c.unconfirmed || now.After(c.confirmDeadline)
@@ -311,9 +310,9 @@
 			c.emit(Send{Link: id, Message: &Message{Change: change}})
 		}
 	}
-	isBehind := summary.Revisions.Services > ownRevisions.Services ||
-		summary.Revisions.Backends > ownRevisions.Backends ||
-		summary.Revisions.Instances > ownRevisions.Instances
+	isBehind := summary.Revisions.Services.IsNewerThan(ownRevisions.Services) ||
+		summary.Revisions.Backends.IsNewerThan(ownRevisions.Backends) ||
+		summary.Revisions.Instances.IsNewerThan(ownRevisions.Instances)
 	if isBehind {
 		c.requestDocuments(now, id)
 	} else {
--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -55,7 +55,7 @@
 	services, backends, instances := state.Documents()
 	switch d := document.(type) {
 	case *fleet.ServicesDocument:
-		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName, (*fleet.Service).Equal), Version: d.Version, Draining: d.Draining}
+		return &Change{From: services.Revision, To: d.Revision, Services: diff(services.Services, d.Services, serviceName, (*fleet.Service).Equal), Draining: d.Draining}
 	case *fleet.BackendsDocument:
 		return &Change{From: backends.Revision, To: d.Revision, Backends: diff(backends.Backends, d.Backends, backendName, (*fleet.Backend).Equal)}
 	case *fleet.InstancesDocument:
@@ -67,13 +67,13 @@
 // GapError reports a change that is based on another revision than the one in force, so that
 // it cannot be applied.
 type GapError struct {
-	InForce uint64
-	From    uint64
+	InForce fleet.Revision
+	From    fleet.Revision
 }
 
 // Error implements error.
 func (e GapError) Error() string {
-	return fmt.Sprintf("change is based on revision %d, but revision %d is in force", e.From, e.InForce)
+	return fmt.Sprintf("change is based on revision %s, but revision %s is in force", e.From, e.InForce)
 }
 
 // document returns the document that results from applying the change to the state. It
@@ -84,9 +84,9 @@
 	case c.Services != nil:
 		isIncremental, err := c.isIncremental(services.Revision)
 		if err != nil || !isIncremental {
-			return &fleet.ServicesDocument{Revision: c.To, Version: c.Version, Services: c.Services.Upserts, Draining: c.Draining}, err
+			return &fleet.ServicesDocument{Revision: c.To, Services: c.Services.Upserts, Draining: c.Draining}, err
 		}
-		return &fleet.ServicesDocument{Revision: c.To, Version: c.Version, Services: patch(services.Services, c.Services, serviceName), Draining: c.Draining}, nil
+		return &fleet.ServicesDocument{Revision: c.To, Services: patch(services.Services, c.Services, serviceName), Draining: c.Draining}, nil
 	case c.Backends != nil:
 		isIncremental, err := c.isIncremental(backends.Revision)
 		if err != nil || !isIncremental {
@@ -100,14 +100,14 @@
 		}
 		return &fleet.InstancesDocument{Revision: c.To, Instances: patch(instances.Instances, c.Instances, instanceName), Leased: c.Leased}, nil
 	}
-	return nil, fmt.Errorf("change to revision %d contains no services, backends or instances", c.To)
+	return nil, fmt.Errorf("change to revision %s contains no services, backends or instances", c.To)
 }
 
 // isIncremental reports whether the change is based on the revision in force. It is false
 // for a change that holds a whole document. A change that is based on another revision is a
 // GapError.
-func (c *Change) isIncremental(inForce uint64) (bool, error) {
-	if c.From == 0 {
+func (c *Change) isIncremental(inForce fleet.Revision) (bool, error) {
+	if c.From.IsMissing() {
 		return false, nil
 	}
 	if c.From != inForce {
@@ -155,16 +155,16 @@
 func (r *recentChanges) changesSince(state *fleet.State, revisions fleet.Revisions) []*Change {
 	services, backends, instances := state.Documents()
 	var changes []*Change
-	if instances.Revision > revisions.Instances {
+	if instances.IsNewerThan(revisions.Instances) {
 		whole := &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}, Leased: instances.Leased}
 		changes = append(changes, preferIncremental(r.instances, revisions.Instances, whole))
 	}
-	if backends.Revision > revisions.Backends {
+	if backends.IsNewerThan(revisions.Backends) {
 		whole := &Change{To: backends.Revision, Backends: &Delta[fleet.Backend]{Upserts: backends.Backends}}
 		changes = append(changes, preferIncremental(r.backends, revisions.Backends, whole))
 	}
-	if services.Revision > revisions.Services {
-		whole := &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Version: services.Version, Draining: services.Draining}
+	if services.IsNewerThan(revisions.Services) {
+		whole := &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Draining: services.Draining}
 		changes = append(changes, preferIncremental(r.services, revisions.Services, whole))
 	}
 	return changes
@@ -172,7 +172,7 @@
 
 // preferIncremental returns the last change if it leads from a peer's revision to that of the
 // whole document, and the whole document otherwise.
-func preferIncremental(last *Change, revision uint64, whole *Change) *Change {
+func preferIncremental(last *Change, revision fleet.Revision, whole *Change) *Change {
 	if last != nil && last.From == revision && last.To == whole.To {
 		return last
 	}
@@ -182,7 +182,7 @@
 // appliedEvent returns the event that reports the change as applied, with its source and the
 // numbers of its entries.
 func (c *Change) appliedEvent(source string) ReportEvent {
-	r := ReportEvent{Event: EventDocumentApplied, Source: source, Revision: c.To, Version: c.Version}
+	r := ReportEvent{Event: EventDocumentApplied, Source: source, Revision: c.To}
 	switch {
 	case c.Services != nil:
 		r.Document, r.Upserts, r.Removed = "services", len(c.Services.Upserts), len(c.Services.Removed)
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -93,7 +93,7 @@
 	document, err := change.document(c.state)
 	var gap GapError
 	if errors.As(err, &gap) {
-		if change.To > gap.InForce {
+		if change.To.IsNewerThan(gap.InForce) {
 			c.emit(ReportEvent{Event: EventChangeGap, Err: err})
 			c.documentRequestDeadline = time.Time{}
 			c.requestDocuments(now, id)
@@ -130,11 +130,11 @@
 	if age, known := c.ViewAge(now); known && age > unavailableAfter {
 		c.state.ExtendLapseGrace(c.viewFreshness.confirmedAt, now.Add(fleet.LapseGrace))
 	}
-	graceEnd, found := c.state.NextLapseGraceEnd(now)
-	if !found && !c.hadLapsedAgents {
+	graceEnd, found := c.state.NextGraceEnd(now)
+	if !found && !c.hadGracePeriod {
 		return
 	}
-	c.hadLapsedAgents = found
+	c.hadGracePeriod = found
 	if !found {
 		c.scheduleRoutingChange(now)
 		return
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -14,7 +14,7 @@
 // agentInstances returns a document that lists agents n0, n1 and so on, distributed evenly over
 // data centres dc0, dc1 and so on.
 func agentInstances(agents, dataCentres int) *fleet.InstancesDocument {
-	d := &fleet.InstancesDocument{Revision: 1}
+	d := &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}}
 	for i := range agents {
 		d.Instances = append(d.Instances, fleet.Instance{
 			Name: fmt.Sprintf("n%d", i), Role: fleet.RoleAgent, DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
@@ -100,7 +100,7 @@
 // it as many times as it has links. It must request such a change, and from one peer only.
 func TestLargeChangeIsSentOncePerProcess(t *testing.T) {
 	n := newNetwork(6)
-	large := &fleet.BackendsDocument{Revision: 1}
+	large := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}
 	for i := range 400 {
 		large.Backends = append(large.Backends, fleet.Backend{Name: fmt.Sprintf("b%d", i), DataCentre: "north"})
 	}
@@ -114,7 +114,7 @@
 		n.deliver(0, epoch)
 	}
 	for _, c := range n.controllers {
-		require.EqualValues(t, 1, c.state.Revisions().Backends)
+		require.Equal(t, fleet.Revision{Number: 1}, c.state.Revisions().Backends)
 	}
 	require.LessOrEqual(t, sent, len(n.controllers)-1)
 }
@@ -124,10 +124,10 @@
 // on time, a peer that does not reply must.
 func TestLateTicksDoNotMakePeersUnreachable(t *testing.T) {
 	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
-	c.ApplyDocument(epoch, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+	c.ApplyDocument(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}})
-	c.ApplyDocument(epoch, &fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
+	c.ApplyDocument(epoch, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
 	c.ApplyDocument(epoch, agentInstances(2, 2))
 	peer := fleet.InstanceIDOf("n1")
 	now := epoch
@@ -148,10 +148,10 @@
 // send none while its reply is awaited.
 func TestUnansweredTrafficSendsOneProbeAtOnce(t *testing.T) {
 	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
-	c.ApplyDocument(epoch, &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{
+	c.ApplyDocument(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}})
-	c.ApplyDocument(epoch, &fleet.BackendsDocument{Revision: 1, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
+	c.ApplyDocument(epoch, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
 	c.ApplyDocument(epoch, agentInstances(2, 2))
 	peer := fleet.InstanceIDOf("n1")
 	outputs := c.ProbePeer(epoch, peer)
@@ -172,7 +172,7 @@
 	n.enqueueSends(0, n.controllers[0].ApplyDocument(now, agentInstances(2, 1)))
 	n.deliverAll(now)
 	require.False(t, n.controllers[1].IsConfirmed(now), "the view is confirmed without a document of services")
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(now, &fleet.ServicesDocument{Revision: 1}))
+	n.enqueueSends(0, n.controllers[0].ApplyDocument(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}}))
 	n.deliverAll(now)
 	require.True(t, n.controllers[1].IsConfirmed(now))
 }
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -45,14 +45,12 @@
 }
 
 // Change leads from one revision of a document to another. Exactly one of Services, Backends
-// and Instances is set. A change from revision zero holds the whole document.
+// and Instances is set. A change from the zero revision holds the whole document.
 type Change struct {
 	_        struct{} `cbor:",toarray"`
-	From     uint64
-	To       uint64
+	From     fleet.Revision
+	To       fleet.Revision
 	Services *Delta[fleet.Service]
-	// Version is the operators' number of the configuration. It belongs to Services.
-	Version uint64
 	// Draining is the complete list of draining data centres. It belongs to Services.
 	Draining  []string
 	Backends  *Delta[fleet.Backend]
--- a/internal/core/control/output.go
+++ b/internal/core/control/output.go
@@ -73,9 +73,7 @@
 	// Document is the kind of the document that was applied: services, backends or
 	// instances. It is empty for other events.
 	Document string
-	Revision uint64
-	// Version is the operators' number of the configuration, or zero.
-	Version uint64
+	Revision fleet.Revision
 	// Source names the peer from which the document came, or is "platform".
 	Source string
 	// Upserts and Removed are the numbers of entries that the document changes and removes.
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -141,7 +141,7 @@
 // process, or the process has an announcement and its entry may have lapsed. Other records are
 // removed by each new instances document. Without such a document, all records are replicated.
 func (c *Controller) isReplicated(record fleet.PeerRecord) bool {
-	hasNoInstances := c.state.Revisions().Instances == 0
+	hasNoInstances := c.state.Revisions().Instances.IsMissing()
 	return hasNoInstances || record.Announcement != nil || c.state.IsListed(record.ID)
 }
 
--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -142,7 +142,7 @@
 // publishAgents publishes documents that list the agents among the first size processes. Like the
 // real platform, it lists no balancers.
 func (s *simulation) publishAgents(revision uint64, size int) {
-	backends, instances := &fleet.BackendsDocument{Revision: revision}, &fleet.InstancesDocument{Revision: revision, Leased: true}
+	backends, instances := &fleet.BackendsDocument{Revision: fleet.Revision{Number: revision}}, &fleet.InstancesDocument{Revision: fleet.Revision{Number: revision}, Leased: true}
 	for i := range size {
 		if roleOf(i) != fleet.RoleAgent {
 			continue
@@ -152,7 +152,7 @@
 		})
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: nameOf(i), DataCentre: "north", Labels: map[string]string{"app": "orders"}})
 	}
-	services := &fleet.ServicesDocument{Revision: revision, Services: []fleet.Service{{
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: revision}, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp",
 		Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {"app": {"orders"}}},
 	}}}
--- a/internal/core/fleet/capacity_test.go
+++ b/internal/core/fleet/capacity_test.go
@@ -11,9 +11,9 @@
 func benchmarkState(b *testing.B, targets int) *State {
 	const perService, agentsPerBalancer = 8, 9
 	state := NewState()
-	services := &ServicesDocument{Revision: 1}
-	backends := &BackendsDocument{Revision: 1}
-	instances := &InstancesDocument{Revision: 1}
+	services := &ServicesDocument{Revision: Revision{Number: 1}}
+	backends := &BackendsDocument{Revision: Revision{Number: 1}}
+	instances := &InstancesDocument{Revision: Revision{Number: 1}}
 	for i := range targets {
 		service := fmt.Sprintf("service-%d", i/perService)
 		if i%perService == 0 {
@@ -76,7 +76,7 @@
 	for _, services := range []int{10, 400, 1500} {
 		b.Run(fmt.Sprint(services), func(b *testing.B) {
 			state := benchmarkState(b, 48)
-			document := &ServicesDocument{Revision: 2}
+			document := &ServicesDocument{Revision: Revision{Number: 2}}
 			for i := range services {
 				document.Services = append(document.Services, Service{
 					Name: fmt.Sprint(i), Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250+1), Protocol: "tcp",
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -94,10 +94,14 @@
 	}
 }
 
-// NextLapseGraceEnd returns the time at which the first agent within its grace period
-// stops getting new flows. It reports false if there is no such agent.
-func (s *State) NextLapseGraceEnd(now time.Time) (time.Time, bool) {
+// NextGraceEnd returns the time at which the first agent within its grace period stops
+// getting new flows, or what was known before a restore of the platform is forgotten. It reports
+// false if there is neither.
+func (s *State) NextGraceEnd(now time.Time) (time.Time, bool) {
 	var earliest time.Time
+	if s.isRestoring(now) {
+		earliest = s.restored.until
+	}
 	for _, d := range s.departed {
 		if d.isWithinLapseGrace(now) && (earliest.IsZero() || d.acceptUntil.Before(earliest)) {
 			earliest = d.acceptUntil
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -208,10 +208,7 @@
 
 // ServicesDocument is the document "services".
 type ServicesDocument struct {
-	// Revision is higher than in every earlier version of the document.
-	Revision uint64 `json:"revision"`
-	// Version is the operators' own number of the configuration, or zero if it has none.
-	Version  uint64    `json:"version,omitempty"`
+	Revision
 	Services []Service `json:"services"`
 	// Draining lists the data centres that get no new flows. Open flows stay there,
 	// unlike in a data centre without a selector.
@@ -220,15 +217,13 @@
 
 // BackendsDocument is the document "backends".
 type BackendsDocument struct {
-	// Revision is higher than in every earlier version of the document.
-	Revision uint64    `json:"revision"`
+	Revision
 	Backends []Backend `json:"backends"`
 }
 
 // InstancesDocument is the document "instances".
 type InstancesDocument struct {
-	// Revision is higher than in every earlier version of the document.
-	Revision  uint64     `json:"revision"`
+	Revision
 	Instances []Instance `json:"instances"`
 	// Leased reports whether entries are leases: an entry then also disappears if its
 	// instance could not renew it.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -14,12 +14,12 @@
 // newState returns a state with a service, "orders", that selects a number of targets.
 func newState(t require.TestingT, targets int) *State {
 	state := NewState()
-	services := &ServicesDocument{Revision: 1, Services: []Service{{
+	services := &ServicesDocument{Revision: Revision{Number: 1}, Services: []Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp",
 		Selectors: map[string]Selector{"north": {"app": {"orders"}}},
 	}}}
-	backends := &BackendsDocument{Revision: 2}
-	instances := &InstancesDocument{Revision: 3}
+	backends := &BackendsDocument{Revision: Revision{Number: 2}}
+	instances := &InstancesDocument{Revision: Revision{Number: 3}}
 	for i := range targets {
 		name := fmt.Sprintf("b%d", i)
 		backends.Backends = append(backends.Backends, Backend{Name: name, DataCentre: "north", Labels: map[string]string{"app": "orders"}})
@@ -100,18 +100,25 @@
 	})
 }
 
-// Guards against a document that is replaced by an older one which arrives late.
+// Guards against a document that is replaced by an older one which arrives late, or which a
+// restored platform publishes.
 func TestRevisionsNeverDecrease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		state := NewState()
-		var highest uint64
+		var highest Revision
 		for range rapid.IntRange(1, 30).Draw(t, "deliveries") {
-			revision := rapid.Uint64Range(1, 10).Draw(t, "revision")
-			applied, err := state.Apply(epoch, &BackendsDocument{Revision: revision})
+			revision := Revision{
+				Version: rapid.Uint64Range(0, 2).Draw(t, "version"),
+				Era:     rapid.Uint64Range(0, 2).Draw(t, "era"),
+				Number:  rapid.Uint64Range(1, 10).Draw(t, "number"),
+			}
+			applied, err := state.Apply(epoch, &ServicesDocument{Revision: revision})
 			require.NoError(t, err)
-			require.Equal(t, revision > highest, applied)
-			highest = max(highest, revision)
-			require.Equal(t, highest, state.Revisions().Backends)
+			require.Equal(t, revision.IsNewerThan(highest), applied)
+			if applied {
+				highest = revision
+			}
+			require.Equal(t, highest, state.Revisions().Services)
 		}
 	})
 }
@@ -119,11 +126,11 @@
 // Guards against a document that is applied in part.
 func TestInvalidDocumentIsRejectedAsWhole(t *testing.T) {
 	state := newState(t, 2)
-	_, err := state.Apply(epoch, &BackendsDocument{Revision: 9, Backends: []Backend{
+	_, err := state.Apply(epoch, &BackendsDocument{Revision: Revision{Number: 9}, Backends: []Backend{
 		{Name: "good", DataCentre: "north"}, {Name: "good", DataCentre: "north"},
 	}})
 	require.EqualError(t, err, `apply document: document "backends": entry 1 (good): name appears twice`)
-	require.EqualValues(t, 2, state.Revisions().Backends)
+	require.Equal(t, Revision{Number: 2}, state.Revisions().Backends)
 }
 
 // drawRecords returns records of a few peers. Records of a peer with the same incarnation and
@@ -167,7 +174,7 @@
 	state.Peers().Merge(epoch, PeerRecord{ID: suspected, Incarnation: 1, State: PeerSuspect})
 	state.Peers().Merge(epoch, PeerRecord{ID: leaving, Incarnation: 1, State: PeerLeaving})
 	state.Peers().Merge(epoch, PeerRecord{ID: residual, Incarnation: 1, Residual: []ServiceID{ServiceIDOf("orders")}})
-	_, err := state.Apply(epoch, &BackendsDocument{Revision: 9, Backends: []Backend{
+	_, err := state.Apply(epoch, &BackendsDocument{Revision: Revision{Number: 9}, Backends: []Backend{
 		{Name: "b0", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
 		{Name: "b1", DataCentre: "north", Labels: map[string]string{"app": "orders"}},
 		{Name: "b2", DataCentre: "north", Labels: map[string]string{"app": "other"}},
@@ -220,9 +227,9 @@
 		state := NewState()
 		instance := Instance{Name: "b0", Role: RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: StateLive}
 		for _, document := range []Document{
-			&BackendsDocument{Revision: 1, Backends: []Backend{{Name: "b0", DataCentre: "north"}}},
-			&InstancesDocument{Revision: 1, Instances: []Instance{instance}, Leased: leased},
-			&InstancesDocument{Revision: 2, Leased: leased},
+			&BackendsDocument{Revision: Revision{Number: 1}, Backends: []Backend{{Name: "b0", DataCentre: "north"}}},
+			&InstancesDocument{Revision: Revision{Number: 1}, Instances: []Instance{instance}, Leased: leased},
+			&InstancesDocument{Revision: Revision{Number: 2}, Leased: leased},
 		} {
 			_, err := state.Apply(epoch, document)
 			require.NoError(t, err)
@@ -236,7 +243,7 @@
 func TestServersSelectedBeforeStayInSearchesForALimitedTime(t *testing.T) {
 	state := newState(t, 3)
 	services, _, _ := state.Documents()
-	next := &ServicesDocument{Revision: 4, Services: append([]Service(nil), services.Services...)}
+	next := &ServicesDocument{Revision: Revision{Number: 4}, Services: append([]Service(nil), services.Services...)}
 	next.Services[0].Selectors = map[string]Selector{"north": {"app": {"archive"}}}
 	_, err := state.Apply(epoch, next)
 	require.NoError(t, err)
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -28,6 +28,8 @@
 	departed map[InstanceID]departedAgent
 	// former holds the selectors that services had before, newest first.
 	former map[ServiceID][]formerSelectors
+	// restored holds what was known before the platform was last restored from a copy.
+	restored beforeRestore
 }
 
 // NewState returns a state without documents.
@@ -45,7 +47,7 @@
 // Peers returns the peer table.
 func (s *State) Peers() *Peers { return s.peers }
 
-// Revisions returns the revisions of the documents in force, zero for a missing document.
+// Revisions returns the revisions of the documents in force.
 func (s *State) Revisions() Revisions {
 	return Revisions{
 		Services:  s.services.Revision,
@@ -75,10 +77,12 @@
 	}
 	switch d := document.(type) {
 	case *ServicesDocument:
+		s.recordRestore(now, s.services.Revision, d.Revision)
 		s.recordFormerSelectors(now, d)
 		s.services = *d
 		s.routes = newRouteTable(d, s.former)
 	case *BackendsDocument:
+		s.recordRestore(now, s.backends.Revision, d.Revision)
 		named := make(map[InstanceID]bool, len(d.Backends))
 		for i := range d.Backends {
 			named[InstanceIDOf(d.Backends[i].Name)] = true
@@ -90,6 +94,7 @@
 			s.listedBackends[InstanceIDOf(d.Backends[i].Name)] = &s.backends.Backends[i]
 		}
 	case *InstancesDocument:
+		s.recordRestore(now, s.instances.Revision, d.Revision)
 		s.applyInstances(now, d)
 	}
 	return true, nil
@@ -99,11 +104,11 @@
 func (s *State) IsNewer(document Document) bool {
 	switch d := document.(type) {
 	case *ServicesDocument:
-		return d.Revision > s.services.Revision
+		return d.IsNewerThan(s.services.Revision)
 	case *BackendsDocument:
-		return d.Revision > s.backends.Revision
+		return d.IsNewerThan(s.backends.Revision)
 	case *InstancesDocument:
-		return d.Revision > s.instances.Revision
+		return d.IsNewerThan(s.instances.Revision)
 	}
 	return false
 }
@@ -162,8 +167,8 @@
 		settledAt:   settledAt,
 	}
 	view.documents.services, view.documents.backends, view.documents.instances = s.services, s.backends, s.instances
-	for _, dataCentre := range s.services.Draining {
-		view.draining[dataCentre] = true
+	for _, dataCentre := range append(slices.Clone(s.services.Draining), s.restored.draining...) {
+		view.draining[dataCentre] = s.isDraining(now, dataCentre)
 	}
 	s.fillPools(now, view)
 	view.membershipHash = hashMembership(view.onePerPool)
@@ -214,6 +219,11 @@
 // nodes returns the listed and the departed nodes. Departed nodes past their grace period
 // count as leaving.
 func (s *State) nodes(now time.Time) map[InstanceID]*Node {
+	return s.withLeavingBeforeRestore(now, s.listedAndDepartedNodes(now))
+}
+
+// listedAndDepartedNodes returns the nodes as the documents in force state them.
+func (s *State) listedAndDepartedNodes(now time.Time) map[InstanceID]*Node {
 	if len(s.departed) == 0 {
 		return s.listedNodes
 	}
@@ -242,7 +252,7 @@
 		}
 		backends[id] = &d.backend
 	}
-	return backends
+	return s.withBackendsBeforeRestore(now, backends)
 }
 
 // nodeOf returns the node of a valid entry of the instances document.
@@ -348,7 +358,7 @@
 // documents and the peer table allow it.
 func (s *State) newTarget(node *Node, now time.Time) Target {
 	record, _ := s.peers.Record(node.id)
-	acceptingByDocuments := !node.leaving && !slices.Contains(s.services.Draining, node.dataCentre)
+	acceptingByDocuments := !node.leaving && !s.isDraining(now, node.dataCentre)
 	return Target{
 		id:          node.id,
 		name:        node.name,
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -216,19 +216,6 @@
 	membershipHash uint64
 }
 
-// Revisions holds the revision of each document, zero for a missing one.
-type Revisions struct {
-	_         struct{} `cbor:",toarray"`
-	Services  uint64   `json:"services"`
-	Backends  uint64   `json:"backends"`
-	Instances uint64   `json:"instances"`
-}
-
-// Highest returns the highest revision of any document.
-func (r Revisions) Highest() uint64 {
-	return max(r.Services, r.Backends, r.Instances)
-}
-
 // Revisions returns the revisions that the view was computed from.
 func (v *View) Revisions() Revisions { return v.revisions }
 
@@ -272,7 +259,7 @@
 
 // CanRoute reports whether the view holds a document of each kind.
 func (v *View) CanRoute() bool {
-	return v.revisions.Services > 0 && v.revisions.Backends > 0 && v.revisions.Instances > 0
+	return !v.revisions.Services.IsMissing() && !v.revisions.Backends.IsMissing() && !v.revisions.Instances.IsMissing()
 }
 
 // Services yields all services.
--- a/internal/daemon/exchange/awaiting.go
+++ b/internal/daemon/exchange/awaiting.go
@@ -5,6 +5,7 @@
 	"time"
 
 	core "github.com/radishmast/radishmast/internal/core/agent"
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
@@ -20,13 +21,13 @@
 // awaitingPacket is a packet that waits for a view with at least a revision.
 type awaitingPacket struct {
 	heldPacket
-	revision uint64
+	revision fleet.Revision
 	giveUpAt time.Time
 }
 
 // awaitRevision holds a copy of a packet until the view has a revision. It reports false, and
 // holds nothing, if too many packets wait. It is called with Config.Mutex held.
-func (h *HeldPackets) awaitRevision(now time.Time, header *datagram.Header, packet flow.Packet, revision uint64) bool {
+func (h *HeldPackets) awaitRevision(now time.Time, header *datagram.Header, packet flow.Packet, revision fleet.Revision) bool {
 	if len(h.awaiting) >= maxAwaiting {
 		return false
 	}
@@ -38,10 +39,10 @@
 // takeAwaiting removes and returns the packets that wait for at most a revision, and the number
 // of others that it removes because they have waited too long. It is called with Config.Mutex
 // held.
-func (h *HeldPackets) takeAwaiting(now time.Time, revision uint64) (ready []heldPacket, expired int) {
+func (h *HeldPackets) takeAwaiting(now time.Time, revision fleet.Revision) (ready []heldPacket, expired int) {
 	h.awaiting = slices.DeleteFunc(h.awaiting, func(p awaitingPacket) bool {
 		switch {
-		case p.revision <= revision:
+		case !p.revision.IsNewerThan(revision):
 			ready = append(ready, p.heldPacket)
 			return true
 		case !now.Before(p.giveUpAt):
--- a/internal/daemon/exchange/awaiting_test.go
+++ b/internal/daemon/exchange/awaiting_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -15,18 +16,18 @@
 func TestPacketsWaitForTheRevisionOfTheirSender(t *testing.T) {
 	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	held := NewHeldPackets()
-	for _, revision := range []uint64{5, 7, 6} {
-		packet := flow.NewPacket(flow.ID{}, flow.Established, 1, 1, []byte{byte(revision)})
-		require.True(t, held.awaitRevision(now, &datagram.Header{Revision: revision}, packet, revision))
+	for _, number := range []uint64{5, 7, 6} {
+		packet := flow.NewPacket(flow.ID{}, flow.Established, 1, 1, []byte{byte(number)})
+		require.True(t, held.awaitRevision(now, &datagram.Header{Revision: number}, packet, fleet.Revision{Number: number}))
 	}
-	ready, expired := held.takeAwaiting(now, 4)
+	ready, expired := held.takeAwaiting(now, fleet.Revision{Number: 4})
 	require.Empty(t, ready)
 	require.Zero(t, expired)
-	ready, _ = held.takeAwaiting(now, 6)
+	ready, _ = held.takeAwaiting(now, fleet.Revision{Number: 6})
 	require.Len(t, ready, 2)
 	require.Equal(t, []byte{5}, ready[0].body)
 	require.Equal(t, []byte{6}, ready[1].body)
-	ready, expired = held.takeAwaiting(now.Add(maxRevisionWait), 6)
+	ready, expired = held.takeAwaiting(now.Add(maxRevisionWait), fleet.Revision{Number: 6})
 	require.Empty(t, ready)
 	require.Equal(t, 1, expired)
 	require.Empty(t, held.awaiting)
@@ -36,7 +37,7 @@
 	held := NewHeldPackets()
 	packet := flow.NewPacket(flow.ID{}, flow.Established, 1, 1, nil)
 	for range maxAwaiting {
-		require.True(t, held.awaitRevision(time.Time{}, &datagram.Header{}, packet, 5))
+		require.True(t, held.awaitRevision(time.Time{}, &datagram.Header{}, packet, fleet.Revision{Number: 5}))
 	}
-	require.False(t, held.awaitRevision(time.Time{}, &datagram.Header{}, packet, 5))
+	require.False(t, held.awaitRevision(time.Time{}, &datagram.Header{}, packet, fleet.Revision{Number: 5}))
 }
--- a/internal/daemon/node/documentreader.go
+++ b/internal/daemon/node/documentreader.go
@@ -111,7 +111,7 @@
 }
 
 // revision returns the revision of one document.
-func revision(revisions fleet.Revisions, name platform.Name) uint64 {
+func revision(revisions fleet.Revisions, name platform.Name) fleet.Revision {
 	switch name {
 	case platform.Services:
 		return revisions.Services
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -358,10 +358,10 @@
 		entry = entry.WithField("peer", r.Peer)
 	}
 	if r.Document != "" {
-		entry = entry.WithFields(log.Fields{"document": r.Document, "source": r.Source, "revision": r.Revision, "upserts": r.Upserts, "removed": r.Removed})
+		entry = entry.WithFields(log.Fields{"document": r.Document, "source": r.Source, "revision": r.Revision.String(), "upserts": r.Upserts, "removed": r.Removed})
 	}
-	if r.Version != 0 {
-		entry = entry.WithField("version", r.Version)
+	if r.Revision.Version != 0 {
+		entry = entry.WithField("version", r.Revision.Version)
 	}
 	if r.Err != nil {
 		entry = entry.WithError(r.Err)
--- a/internal/daemon/node/probes.go
+++ b/internal/daemon/node/probes.go
@@ -103,7 +103,7 @@
 		ToIncarnation:   incarnation,
 		From:            uint64(n.id),
 		FromIncarnation: n.Incarnation(),
-		Revision:        n.View().Revisions().Highest(),
+		Revision:        n.View().Revisions().Highest().Pack(),
 	}
 }
 
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -28,7 +28,7 @@
 // IsReady reports whether the node has a valid view with services and backend servers, and is
 // not leaving.
 func (n *Node) IsReady(now time.Time) bool {
-	return !n.leaving.Load() && n.IsValid(now) && n.Revisions().Services > 0 && n.Revisions().Backends > 0
+	return !n.leaving.Load() && n.IsValid(now) && !n.Revisions().Services.IsMissing() && !n.Revisions().Backends.IsMissing()
 }
 
 // ServeReady serves the readiness endpoint, to which the fabric sends its readiness probes,
--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/lab/cluster"
 	"github.com/radishmast/radishmast/internal/lab/fabric"
 )
@@ -163,3 +164,21 @@
 		require.NoError(t, c.WaitExited(name, 30*time.Second))
 	}
 }
+
+// Guards against documents that processes ignore because the platform was restored from a copy
+// and gives revisions out again that they already know.
+func TestChangesApplyAfterPlatformIsRestored(t *testing.T) {
+	c := start(t, sampleSpec(t))
+	for range 5 {
+		require.NoError(t, c.SetSelectors("patterns", fleet.Selector{"app": {"patterns"}}))
+	}
+	require.NoError(t, c.WaitReady(20*time.Second))
+	c.Platform().Restore()
+	require.NoError(t, c.SetSelectors("patterns", fleet.Selector{"app": {"patterns", "orders"}}))
+	require.NoError(t, c.WaitReady(20*time.Second))
+	for _, name := range c.Running() {
+		status, err := c.Status(name)
+		require.NoError(t, err)
+		require.Equal(t, c.Platform().Revision(), status.Revisions.Services, name)
+	}
+}
--- a/internal/lab/cluster/operate.go
+++ b/internal/lab/cluster/operate.go
@@ -39,8 +39,8 @@
 		if err != nil {
 			return err.Error()
 		}
-		if !status.Valid || status.Revisions.Highest() < want {
-			return fmt.Sprintf("%s: serving %t, applied revisions %+v, published revision %d", name, status.Valid, status.Revisions, want)
+		if !status.Valid || want.IsNewerThan(status.Revisions.Highest()) {
+			return fmt.Sprintf("%s: serving %t, applied revisions %+v, published revision %s", name, status.Valid, status.Revisions, want)
 		}
 	}
 	return ""
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/link/platform"
 )
 
 const headerTimeout = 5 * time.Second
@@ -24,7 +25,7 @@
 	listener net.Listener
 
 	mu        sync.Mutex
-	revision  uint64
+	revision  fleet.Revision
 	documents map[string]document
 	// changed is closed, and replaced, when a waiting read has to check again.
 	changed     chan struct{}
@@ -39,7 +40,7 @@
 
 // document is a published document: its revision and its JSON encoding.
 type document struct {
-	revision uint64
+	revision fleet.Revision
 	body     []byte
 }
 
@@ -73,7 +74,7 @@
 func (p *Platform) Publish(doc fleet.Document) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.revision++
+	p.revision.Number++
 	name := ""
 	switch d := doc.(type) {
 	case *fleet.ServicesDocument:
@@ -95,8 +96,21 @@
 	return nil
 }
 
-// Revision returns the highest revision published, or zero before the first.
-func (p *Platform) Revision() uint64 {
+// Restore replaces the documents by their first revisions, as a restore from an old copy does,
+// and begins a new era. Later documents get revisions that were given before.
+func (p *Platform) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision = fleet.Revision{Era: p.revision.Era + 1}
+	p.documents = maps.Clone(p.firstRevisions)
+	for _, first := range p.documents {
+		p.revision.Number = max(p.revision.Number, first.revision.Number)
+	}
+	p.notifyReaders()
+}
+
+// Revision returns the revision published last, or the zero revision before the first.
+func (p *Platform) Revision() fleet.Revision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.revision
@@ -148,11 +162,14 @@
 	p.changed = make(chan struct{})
 }
 
-// serveDocument answers a read of a document. It waits until the revision is above
-// the query parameter "after" (decimal), for at most "wait" seconds, and answers 304
-// if that doesn't happen.
+// serveDocument answers a read of a document. It waits until the revision is above that of
+// the query, for at most "wait" seconds, and answers 304 if that doesn't happen.
 func (p *Platform) serveDocument(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	after, err := platform.ParseAfter(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	seconds, _ := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
 	p.mu.Lock()
 	p.reads++
@@ -164,7 +181,7 @@
 		case unavailable:
 			http.Error(w, "platform is down", http.StatusServiceUnavailable)
 			return
-		case doc.revision > after:
+		case doc.revision.IsNewerThan(after):
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = w.Write(doc.body)
 			return
--- a/internal/link/control/codec_test.go
+++ b/internal/link/control/codec_test.go
@@ -22,7 +22,7 @@
 			Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {"app": {"orders"}}},
 		})
 	}
-	return &control.Message{Change: &control.Change{To: 3, Services: delta}}
+	return &control.Message{Change: &control.Change{To: fleet.Revision{Number: 3}, Services: delta}}
 }
 
 func TestDecodeRestoresMessagesOfAnySize(t *testing.T) {
@@ -61,11 +61,11 @@
 	service := fleet.Service{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}}
 	for _, message := range []*control.Message{
 		{},
-		{Summary: &control.Summary{ID: 2, Incarnation: 3, Revisions: fleet.Revisions{Services: 4}, WantsDocuments: true}},
+		{Summary: &control.Summary{ID: 2, Incarnation: 3, Revisions: fleet.Revisions{Services: fleet.Revision{Number: 4}}, WantsDocuments: true}},
 		{Digests: &control.Digests{Buckets: []uint64{1, 2}, WantsReply: true}},
 		{Records: []fleet.PeerRecord{{ID: 1, Incarnation: 9, State: 200}}},
-		{Change: &control.Change{To: 5}},
-		{Change: &control.Change{To: 5, Services: &control.Delta[fleet.Service]{Upserts: []fleet.Service{service}, Removed: []string{"orders"}}}},
+		{Change: &control.Change{To: fleet.Revision{Number: 5}}},
+		{Change: &control.Change{To: fleet.Revision{Number: 5}, Services: &control.Delta[fleet.Service]{Upserts: []fleet.Service{service}, Removed: []string{"orders"}}}},
 	} {
 		data, err := Encode(message)
 		require.NoError(f, err)
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -316,7 +316,7 @@
 	f.header.To = uint64(decision.Target.ID())
 	f.header.ToIncarnation = decision.Target.Incarnation()
 	f.header.Service = uint64(decision.Service.ID())
-	f.header.Revision = view.Revisions().Highest()
+	f.header.Revision = view.Revisions().Highest().Pack()
 	prefix, err := f.codec.NewPrefix(&f.header)
 	if err != nil {
 		return prefix, fmt.Errorf("encode header for %s: %w", decision.Target.Name(), err)
--- a/internal/link/fabric/forwarder_test.go
+++ b/internal/link/fabric/forwarder_test.go
@@ -35,11 +35,11 @@
 // newView returns a view of one service with seven targets, all at the same endpoint.
 func newView(tb testing.TB, endpoint netip.AddrPort) *fleet.View {
 	state := fleet.NewState()
-	services := &fleet.ServicesDocument{Revision: 1, Services: []fleet.Service{{
+	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{"north": {}},
 	}}}
-	backends := &fleet.BackendsDocument{Revision: 1}
-	instances := &fleet.InstancesDocument{Revision: 1}
+	backends := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}
+	instances := &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}}
 	for i := range 7 {
 		name := fmt.Sprintf("b%d", i)
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
--- a/internal/link/operator/decisions.go
+++ b/internal/link/operator/decisions.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"golang.org/x/time/rate"
 
+	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
@@ -45,7 +46,7 @@
 	Visited int
 	// Revision is the highest revision in the view that the decision is based on, and Age the
 	// time since that view was last compared with the platform.
-	Revision uint64
+	Revision fleet.Revision
 	Age      time.Duration
 }
 
@@ -72,7 +73,7 @@
 	fields := log.Fields{
 		"flow":     FlowName(decision.Flow),
 		"seq":      decision.Sequence,
-		"revision": decision.Revision,
+		"revision": decision.Revision.String(),
 		"age":      decision.Age.Round(time.Millisecond),
 	}
 	if decision.Peer != "" {
--- a/internal/link/operator/documents.go
+++ b/internal/link/operator/documents.go
@@ -53,17 +53,15 @@
 
 // parseQuery returns the query parameters of a request: the revision after which a document is
 // wanted, and how long to wait for one, at most maxDocumentWait. Both default to 0.
-func parseQuery(r *http.Request) (after uint64, wait time.Duration, err error) {
+func parseQuery(r *http.Request) (after fleet.Revision, wait time.Duration, err error) {
 	query := r.URL.Query()
-	if text := query.Get("after"); text != "" {
-		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return 0, 0, fmt.Errorf("after %q is not a revision", text)
-		}
+	if after, err = platform.ParseAfter(query); err != nil {
+		return fleet.Revision{}, 0, err
 	}
 	if text := query.Get("wait"); text != "" {
 		seconds, err := strconv.ParseFloat(text, 64)
 		if err != nil || seconds < 0 {
-			return 0, 0, fmt.Errorf("wait %q is not a number of seconds", text)
+			return fleet.Revision{}, 0, fmt.Errorf("wait %q is not a number of seconds", text)
 		}
 		wait = min(time.Duration(seconds*float64(time.Second)), maxDocumentWait)
 	}
@@ -72,13 +70,13 @@
 
 // awaitDocument returns the document as soon as its revision is higher than after, or nil if
 // the wait has expired or ctx is done before.
-func awaitDocument(ctx context.Context, view func() *fleet.View, name platform.Name, after uint64, wait time.Duration) fleet.Document {
+func awaitDocument(ctx context.Context, view func() *fleet.View, name platform.Name, after fleet.Revision, wait time.Duration) fleet.Document {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	poll := time.NewTicker(documentPollInterval)
 	defer poll.Stop()
 	for {
-		if document := documentOf(view(), name); revisionOf(document) > after {
+		if document := documentOf(view(), name); revisionOf(document).IsNewerThan(after) {
 			return document
 		}
 		select {
@@ -105,8 +103,8 @@
 	return nil
 }
 
-// revisionOf returns the revision of a document, or 0 for nil.
-func revisionOf(document fleet.Document) uint64 {
+// revisionOf returns the revision of a document, or the zero revision for nil.
+func revisionOf(document fleet.Document) fleet.Revision {
 	switch d := document.(type) {
 	case *fleet.ServicesDocument:
 		return d.Revision
@@ -115,5 +113,5 @@
 	case *fleet.InstancesDocument:
 		return d.Revision
 	}
-	return 0
+	return fleet.Revision{}
 }
--- a/internal/link/operator/documents_test.go
+++ b/internal/link/operator/documents_test.go
@@ -20,7 +20,7 @@
 func TestPlatformClientReadsDocumentsOfDaemon(t *testing.T) {
 	state := fleet.NewState()
 	apply := func(revision uint64, names ...string) *fleet.View {
-		document := &fleet.BackendsDocument{Revision: revision}
+		document := &fleet.BackendsDocument{Revision: fleet.Revision{Number: revision}}
 		for _, name := range names {
 			document.Backends = append(document.Backends, fleet.Backend{Name: name, DataCentre: "north"})
 		}
@@ -38,13 +38,13 @@
 	require.NoError(t, err)
 	ctx := context.Background()
 
-	document, err := client.Read(ctx, platform.Backends, 0, 0)
+	document, err := client.Read(ctx, platform.Backends, fleet.Revision{}, 0)
 	require.NoError(t, err)
 	require.Equal(t, "a", document.(*fleet.BackendsDocument).Backends[0].Name)
-	_, err = client.Read(ctx, platform.Backends, 7, 0)
+	_, err = client.Read(ctx, platform.Backends, fleet.Revision{Number: 7}, 0)
 	require.ErrorIs(t, err, platform.ErrUnchanged)
 	time.AfterFunc(200*time.Millisecond, func() { view.Store(apply(8, "a", "b")) })
-	document, err = client.Read(ctx, platform.Backends, 7, 5*time.Second)
+	document, err = client.Read(ctx, platform.Backends, fleet.Revision{Number: 7}, 5*time.Second)
 	require.NoError(t, err)
 	require.Len(t, document.(*fleet.BackendsDocument).Backends, 2)
 
--- a/internal/link/platform/client.go
+++ b/internal/link/platform/client.go
@@ -51,7 +51,7 @@
 // readRequest holds the arguments of Client.Read.
 type readRequest struct {
 	name  Name
-	after uint64
+	after fleet.Revision
 	wait  time.Duration
 }
 
@@ -72,7 +72,7 @@
 
 // Read returns the named document if its revision is higher than after. Otherwise the platform
 // waits up to wait for a newer revision, and Read returns ErrUnchanged if there is none.
-func (c *Client) Read(ctx context.Context, name Name, after uint64, wait time.Duration) (fleet.Document, error) {
+func (c *Client) Read(ctx context.Context, name Name, after fleet.Revision, wait time.Duration) (fleet.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+waitMargin)
 	defer cancel()
 	response, err := c.get(ctx, readRequest{name: name, after: after, wait: wait})
@@ -107,10 +107,8 @@
 // encodeRequest sets the URL of a request for a document.
 func (c *Client) encodeRequest(_ context.Context, r *http.Request, req any) error {
 	read := req.(readRequest)
-	query := url.Values{
-		"after": {strconv.FormatUint(read.after, 10)},
-		"wait":  {strconv.FormatFloat(read.wait.Seconds(), 'f', 1, 64)},
-	}
+	query := url.Values{"wait": {strconv.FormatFloat(read.wait.Seconds(), 'f', 1, 64)}}
+	SetAfter(query, read.after)
 	r.URL = c.base.JoinPath("v1", string(read.name))
 	r.URL.RawQuery = query.Encode()
 	return nil
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -105,7 +105,7 @@
 	// Service is the ID of the service that a packet is for.
 	Service uint64
 	// Revision is the highest revision in the view of the sender and, for a forwarded
-	// packet, of the senders before it.
+	// packet, of the senders before it, packed so that a higher one is a higher number.
 	Revision uint64
 	// Origin is the instance ID of the balancer that received the packet from the fabric.
 	// It is 0 for an opening packet that an agent retries on another agent.
