Let newcomers probe all agents that they search

Cause: an agent that has just started searches all agents for the owner of a flow, also those of other services, but probes only its siblings. An agent of report-hub, whose server had left a second before the loss of power, was back for a second and then gone; its siblings and the balancers saw that at 36.5 s, the 40 agents of the other service never. They sent it 12,094 packets with 49 agents visited, until the callers gave up at 47 s.

Change: while an agent is a newcomer and the fleet small enough to be searched as a whole, it probes all targets.

--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -151,17 +151,6 @@
 	return true
 }
 
-// An agent that has just started searches all agents for the owner of a flow, not only the
-// targets of the flow's service. Answers this pattern: an operator moves a service to other
-// backend servers, and later all processes restart while long flows are still open at the
-// former servers. Only a process that runs when the selectors change knows the former ones.
-const (
-	// newcomerPeriod is how long after its start an agent searches all agents.
-	newcomerPeriod = 60 * time.Second
-	// maxNewcomerSearch is the number of agents in a search up to which it is extended.
-	maxNewcomerSearch = 64
-)
-
 // queryTargets returns the agents that may own a flow, have not been visited and are likely to
 // reply: those that are reachable and not suspected.
 func (a *Agent) queryTargets(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) []*fleet.Target {
@@ -175,11 +164,11 @@
 	return targets
 }
 
-// possibleOwners returns the agents that may own flows of a service: its targets and, within
-// newcomerPeriod, all other agents unless there are too many.
+// possibleOwners returns the agents that may own flows of a service: its targets and, if this
+// agent is a newcomer, all other agents unless there are too many.
 func (a *Agent) possibleOwners(now time.Time, service *fleet.RoutedService) []*fleet.Target {
 	owners := slices.Collect(service.All())
-	if !a.config.Carried || now.Sub(a.startedAt) >= newcomerPeriod {
+	if !a.config.Carried || !fleet.IsNewcomer(a.startedAt, now) {
 		return owners
 	}
 	listed := make(map[fleet.InstanceID]bool, len(owners))
@@ -194,15 +183,14 @@
 			}
 		}
 	}
-	if len(owners) > maxNewcomerSearch {
+	if len(owners) > fleet.MaxNewcomerSearch {
 		return owners[:len(service.Targets())]
 	}
 	return owners
 }
 
 // nextOutsider returns the next agent to visit that is not a target of the service, or nil if
-// there is none, the packet was relayed, or this agent has run for long enough to know all
-// targets.
+// there is none, the packet was relayed, or this agent is no newcomer.
 func (a *Agent) nextOutsider(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
 	if received.Relayed {
 		return nil
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -266,7 +266,7 @@
 	if c.view.CanRoute() {
 		c.earliestViewAt = now.Add(minViewInterval)
 	}
-	c.prober.setPeers(c.peersToProbe())
+	c.prober.setPeers(c.peersToProbe(now))
 	c.updateReadRank()
 	c.emit(PublishView{View: c.view})
 }
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -123,24 +125,26 @@
 }
 
 // peersToProbe returns the peers whose reachability matters to this process: all targets for a
-// balancer, and the siblings for an agent.
-func (c *Controller) peersToProbe() []fleet.InstanceID {
-	isRelevant := make(map[fleet.InstanceID]bool)
+// balancer, the siblings for an agent, and for an agent that is a newcomer all targets that it
+// searches for the owners of flows.
+func (c *Controller) peersToProbe(now time.Time) []fleet.InstanceID {
+	siblings, targets := make(map[fleet.InstanceID]bool), make(map[fleet.InstanceID]bool)
 	for _, service := range c.view.OneServicePerPool() {
-		targets := service.Targets()
-		if c.config.Role == fleet.RoleAgent && service.Target(c.config.Self) == nil {
-			continue
-		}
-		for i := range targets {
-			isRelevant[targets[i].ID()] = true
+		isSibling := service.Target(c.config.Self) != nil
+		for target := range service.All() {
+			targets[target.ID()] = true
+			if isSibling {
+				siblings[target.ID()] = true
+			}
 		}
 	}
-	delete(isRelevant, c.config.Self)
-	peers := make([]fleet.InstanceID, 0, len(isRelevant))
-	for id := range isRelevant {
-		peers = append(peers, id)
+	searchesAll := fleet.IsNewcomer(c.startedAt, now) && len(targets) <= fleet.MaxNewcomerSearch
+	peers := targets
+	if c.config.Role == fleet.RoleAgent && !searchesAll {
+		peers = siblings
 	}
-	return peers
+	delete(peers, c.config.Self)
+	return slices.Collect(maps.Keys(peers))
 }
 
 // probeDuePeers handles the probes that have timed out and sends those that are due. After two
