Send no packet of a search to suspected agents of other services

Change: the search of a newcomer among agents of other services leaves out the suspected ones as it does unreachable ones. Targets of the flow's own service are visited as before.

TestNewcomersDoNotSendPacketsToSuspectedAgentsOfOtherServices fails without it.

--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -190,14 +190,15 @@
 }
 
 // nextOutsider returns the next agent to visit that is not a target of the service, or nil if
-// there is none, the packet was relayed, or this agent is no newcomer.
+// there is none, the packet was relayed, or this agent is no newcomer. It leaves out agents that
+// are suspected: a packet sent there is most likely lost, and few of them own a flow of the service.
 func (a *Agent) nextOutsider(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
 	if received.Relayed {
 		return nil
 	}
 	visited := a.visitedWithSelf(received.Visited)
 	for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
-		if target.IsReachable() && !slices.Contains(visited, target.ID()) {
+		if target.IsReachable() && !target.IsSuspected() && !slices.Contains(visited, target.ID()) {
 			return target
 		}
 	}
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -103,15 +103,43 @@
 
 // restartWithoutHistory restarts agents which then know only the documents in force.
 func (c *testCluster) restartWithoutHistory(t require.TestingT, ids []fleet.InstanceID) {
+	fresh := c.stateWithoutHistory(t)
+	for _, id := range ids {
+		c.restart(id)
+		c.agents[id].ApplyView(fresh.View(settledAt))
+		c.agents[id].Start(settledAt.Add(-time.Second))
+	}
+}
+
+// stateWithoutHistory returns a state that holds only the documents in force.
+func (c *testCluster) stateWithoutHistory(t require.TestingT) *fleet.State {
 	fresh := fleet.NewState()
 	services, backends, instances := c.state.Documents()
 	for _, document := range []fleet.Document{services, backends, instances} {
 		_, err := fresh.Apply(settledAt, document)
 		require.NoError(t, err)
 	}
-	for _, id := range ids {
-		c.restart(id)
-		c.agents[id].ApplyView(fresh.View(settledAt))
-		c.agents[id].Start(settledAt.Add(-time.Second))
+	return fresh
+}
+
+// After a loss of power a machine stays away with the servers of another service. Its siblings
+// suspect it; packets of dead flows must not be lost there, each one until its caller gives up.
+func TestNewcomersDoNotSendPacketsToSuspectedAgentsOfOtherServices(t *testing.T) {
+	c := newSharedCluster(t)
+	c.selectApps(t, c.state, 4, "orders")
+	ids := c.ids()
+	c.restartWithoutHistory(t, ids[:1])
+	receive := func() Action {
+		packet := receivedPacket(4000, flow.Established, 77)
+		packet.Visited, packet.LookedUp = []fleet.InstanceID{ids[1], ids[3]}, true
+		return c.agents[ids[0]].ResumeAfterLookup(settledAt, packet)
 	}
+	forward, ok := receive().(*Forward)
+	require.True(t, ok, "a newcomer must search the agents of other services")
+	require.Equal(t, ids[2], forward.Target.ID())
+
+	suspecting := c.stateWithoutHistory(t)
+	suspecting.Peers().Merge(settledAt, fleet.PeerRecord{ID: ids[2], Incarnation: 9, State: fleet.PeerSuspect})
+	c.agents[ids[0]].ApplyView(suspecting.ViewSettledAt(settledAt, settledAt))
+	require.Equal(t, &Reset{Reason: ResetUnowned}, receive())
 }
