Move the search of owners out of the lookups, and list the owners once a view

Change: owners.go has the lists, kept by service until the view changes or the agent is no newcomer any more. No decision changes.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -208,6 +208,7 @@
 	directory      directory
 	forwardHistory forwardHistory
 	lookups        lookups
+	owners         ownerLists
 	// waiting holds the opening packets that wait for room.
 	waiting waitingRoom
 	// startedAt is when this process started, or zero before Start.
@@ -254,6 +255,7 @@
 		directory:      newDirectory(maxRegisteredPerFlow * config.MaxFlows),
 		forwardHistory: make(forwardHistory),
 		lookups:        newLookups(),
+		owners:         newOwnerLists(false),
 
 		membershipHash: view.MembershipHash(),
 	}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -155,7 +155,7 @@
 // ApplyView puts a new view in force. It returns the flows that must be reset because their
 // service was removed or moved to another address, or their data centre is out.
 func (a *Agent) ApplyView(view *fleet.View) []OwnedFlow {
-	a.view, a.siblings = view, siblingsIn(view, a.config.Self)
+	a.view, a.siblings, a.owners = view, siblingsIn(view, a.config.Self), newOwnerLists(false)
 	a.membershipHash = view.MembershipHash()
 	if backend := view.Backend(a.config.Self); backend != nil {
 		a.slowStart.updateListing(backend)
