--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -64,9 +64,10 @@
 }
 
 // receiveCarriedUnknown decides about a packet, other than an opening packet, of a flow that
-// has no entry. Its caller waits for no opening any more. The packet goes to the registered owner if there is one. Otherwise it is
-// delivered, unless this agent knows all flows of its backend server: the server bounces a
-// packet of a flow that it does not hold, see HandleBouncedPacket.
+// has no entry. Its caller waits for no opening any more. The packet goes to the registered
+// owner if there is one. Otherwise it is delivered, unless this agent knows all flows of its
+// backend server: the server bounces a packet of a flow that it does not hold, see
+// HandleBouncedPacket.
 func (a *Agent) receiveCarriedUnknown(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	a.waiting.forget(received.Packet.Flow())
 	if action, found := a.referToOwner(now, service, received); found {
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -79,8 +79,8 @@
 }
 
 // Guards against documents that are lost or replaced by older ones when links lose and reorder
-// messages, also when the platform is restored from copies meanwhile: revisions never decrease, and once summaries have been exchanged, all processes hold
-// the newest document.
+// messages, also when the platform is restored from copies meanwhile: revisions never decrease,
+// and once summaries have been exchanged, all processes hold the newest document.
 func TestChangesReachEveryProcessAndNeverRevert(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(rapid.IntRange(2, 5).Draw(t, "processes"))
--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -16,8 +16,8 @@
 const maxLinks = 64
 
 // send queues a message on a link. If the message cannot be encoded or the link's queue is
-// full, the message is dropped, counted each under a name of its own, and the link is closed. A link that no longer
-// exists is ignored.
+// full, the message is dropped and counted, under a different name for each, and the link is
+// closed. A link that no longer exists is ignored.
 func (n *Node) send(o control.Send) {
 	n.mu.Lock()
 	l := n.links[o.Link]
