Ask documents themselves whether they are newer than a revision

Cause: the handler of the documents had a switch over the kinds of documents to get at a revision that all of them have.

Change: the interface Document has IsNewerThan, which the embedded revision gives; the switch is gone. A comment says how revisions appear in JSON. Tests of fleet, the documents' handler and the commands pass.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -128,7 +128,7 @@
 	unconfirmed   bool
 	viewFreshness freshness
 	latestChanges recentChanges
-	// hadGracePeriod reports whether, at the last tick, a grace period of the state ran.
+	// hadGracePeriod reports whether, a grace period was running at the last tick.
 	hadGracePeriod bool
 	// documentRequestDeadline is the time until which this process waits for documents that
 	// it requested from one peer, and requests none from another.
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -206,7 +206,8 @@
 // Equal reports whether two instances are published with the same values.
 func (i *Instance) Equal(other *Instance) bool { return *i == *other }
 
-// ServicesDocument is the document "services".
+// ServicesDocument is the document "services". As in the other documents, the fields of the
+// revision stand beside the others in its JSON.
 type ServicesDocument struct {
 	Revision
 	Services []Service `json:"services"`
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -59,6 +59,8 @@
 // Document is one of *ServicesDocument, *BackendsDocument and *InstancesDocument.
 type Document interface {
 	Validate() error
+	// IsNewerThan reports whether the revision of the document is higher than another one.
+	IsNewerThan(other Revision) bool
 	isDocument()
 }
 
--- a/internal/link/operator/documents.go
+++ b/internal/link/operator/documents.go
@@ -76,7 +76,7 @@
 	poll := time.NewTicker(documentPollInterval)
 	defer poll.Stop()
 	for {
-		if document := documentOf(view(), name); revisionOf(document).IsNewerThan(after) {
+		if document := documentOf(view(), name); document.IsNewerThan(after) {
 			return document
 		}
 		select {
@@ -102,16 +102,3 @@
 	}
 	return nil
 }
-
-// revisionOf returns the revision of a document, or the zero revision for nil.
-func revisionOf(document fleet.Document) fleet.Revision {
-	switch d := document.(type) {
-	case *fleet.ServicesDocument:
-		return d.Revision
-	case *fleet.BackendsDocument:
-		return d.Revision
-	case *fleet.InstancesDocument:
-		return d.Revision
-	}
-	return fleet.Revision{}
-}
