Search announced agents that are not listed yet

Cause: a new server's agent announces itself before the platform lists it. A process that has itself just started cannot tell it from one whose entry has lapsed, and gives it new flows. Processes that run for longer ignored the announcement, so that their search for the owner of the flow left it out and ended in a reset.

Change: every process records the announcement. It gives the agent no new flows unless its entry may have lapsed, but searches it as it does agents that have left the list.

TestFlowsAtAnnouncedAgentsAreSearchedButNoneIsPlacedThere fails without it.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -427,6 +427,25 @@
 	require.Equal(t, c.Incarnation(), c.newSummary(epoch).Summary.Incarnation)
 }
 
+// Guards against resets of flows at a server that is not listed yet: a process that has just started
+// takes its agent for one whose entry has lapsed and gives it new flows. Every other process must
+// find them there, and give it none before it is listed.
+func TestFlowsAtAnnouncedAgentsAreSearchedButNoneIsPlacedThere(t *testing.T) {
+	c := New(epoch, Config{Self: fleet.InstanceIDOf("e0"), Incarnation: 1, Role: fleet.RoleBalancer}, rand.New(rand.NewPCG(1, 0)))
+	applyTargets(c, epoch, 2)
+	now := epoch.Add(time.Hour)
+	c.Tick(now)
+	c.Confirm(now)
+	c.HandleLinkUp(now, 1, true)
+	announced := fleet.PeerRecord{ID: fleet.InstanceIDOf("b9"), Incarnation: 1, Announcement: &fleet.Announcement{
+		Name: "b9", DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", Labels: map[string]string{"app": "orders"},
+	}}
+	c.HandleMessage(now, 1, &Message{Records: []fleet.PeerRecord{announced}})
+	target := c.View().Service(fleet.ServiceIDOf("orders")).Target(announced.ID)
+	require.NotNil(t, target, "a search for the owner of a flow must visit the agent")
+	require.False(t, target.IsAccepting())
+}
+
 // Guards against logs that cannot tell which process had a configuration in force, since when
 // and from whom.
 func TestAppliedDocumentsNameSourceAndVersion(t *testing.T) {
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -156,7 +156,7 @@
 	}
 	c.ownRecord.Announcement = config.Announcement
 	c.state.Peers().Merge(now, c.ownRecord)
-	c.state.RecordAnnouncement(now, c.ownRecord)
+	c.state.RecordAnnouncement(now, c.ownRecord, true)
 	c.view = c.state.View(now)
 	return c
 }
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -27,7 +27,7 @@
 	if c.isReplicated(record) {
 		c.pendingRecords[record.ID] = record
 	}
-	if c.canBeLapsed(now) && c.state.RecordAnnouncement(now, record) {
+	if c.state.RecordAnnouncement(now, record, c.canBeLapsed(now)) {
 		c.scheduleRoutingChange(now)
 	}
 	if record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect {
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -54,13 +54,15 @@
 	}
 }
 
-// RecordAnnouncement treats an unlisted agent that has announced its start as one whose
-// entry has lapsed. If all processes start while the platform is unavailable or has lost
-// its leases, no process remembers the agent's entry, and only the announcement makes the
-// agent known. An announcement is ignored if the agent is listed, already departed or not
-// alive, or if the announcement is invalid. RecordAnnouncement reports whether it changes
-// where packets may go.
-func (s *State) RecordAnnouncement(now time.Time, record PeerRecord) bool {
+// RecordAnnouncement records an unlisted agent that has announced its start, so that flows are
+// found there. If canBeLapsed, the agent is treated as one whose entry has lapsed and gets new
+// flows: if all processes start while the platform is unavailable or has lost its leases, no
+// process remembers the agent's entry, and only the announcement makes the agent known. Any other
+// unlisted agent is new and gets new flows once it is listed; processes that have just started
+// cannot tell the two apart and may have given it some before. An announcement is ignored if the
+// agent is listed, already departed or not alive, or if the announcement is invalid.
+// RecordAnnouncement reports whether it changes where packets may go.
+func (s *State) RecordAnnouncement(now time.Time, record PeerRecord, canBeLapsed bool) bool {
 	announced := record.Announcement
 	_, departed := s.departed[record.ID]
 	if announced == nil || departed || s.listedNodes[record.ID] != nil || record.State != PeerAlive {
@@ -73,12 +75,15 @@
 	if InstanceIDOf(announced.Name) != record.ID || instance.check() != nil {
 		return false
 	}
-	s.departed[record.ID] = departedAgent{
+	agent := departedAgent{
 		instance:    instance,
 		backend:     Backend{Name: announced.Name, DataCentre: announced.DataCentre, Labels: announced.Labels},
 		forgetAfter: now.Add(departedLifetime),
-		acceptUntil: now.Add(LapseGrace),
 	}
+	if canBeLapsed {
+		agent.acceptUntil = now.Add(LapseGrace)
+	}
+	s.departed[record.ID] = agent
 	return true
 }
 
