Keep new flows in the data centre that they enter while it has room

Cause: a balancer chose the primary of a new flow among all servers of the service, wherever they are. With n data centres (n-1)/n of the callers' packets, hand-overs and load reports crossed between data centres, although the servers next to the balancer were as idle as the others.

Change: the candidates of a service can be taken near a data centre, whose targets then come first in every choice: primary, copies, hand-overs and the search for the owner. A balancer takes them near its own data centre, an agent near that of the balancer that received the packet. A flow leaves when no server there has room, when the second copy of its opening packet is not answered, or when the server is over 0.5 busy and others are less so, since long flows stay where they are placed. Weights, which now only share out the flows of one data centre, compare a server with those of its data centre, and 12 of the 16 recipients of a load report are there. Only the platform adapter asks for it: its fabric sends a caller's packets to balancers of the caller's data centre. Where a flow's packets enter anywhere, nothing changes. A target is found by its ID in a sorted list instead of a scan of all targets, for each packet.

Ruled out: a share of flows that each data centre may take, computed in the view. Balancers know no load, and the agent that a flow meets does.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -117,6 +117,9 @@
 	// replied that they know all flows of their backend server and do not own this one
 	// are then in Visited.
 	LookedUp bool
+	// Origin is the balancer that received the packet from the fabric, or zero if that is not
+	// known any more.
+	Origin fleet.InstanceID
 	// FromAgent reports whether the sender is another agent, not a balancer.
 	FromAgent bool
 	// Visited lists the agents that the packet has visited. They do not own its flow.
@@ -138,6 +141,9 @@
 	// itself and the agent only forwards their packets. The agent then learns from the
 	// packets that the backend server sends which flows it holds.
 	Carried bool
+	// PlacesNear reports whether a new flow stays in the data centre whose balancers receive its
+	// packets while a backend server there has room.
+	PlacesNear bool
 	// Observer receives latency measurements. If it is nil, they are discarded.
 	Observer Observer
 	// Labels are the labels of the agent's own backend server. They are used for carried
@@ -172,6 +178,9 @@
 	view *fleet.View
 	// siblings holds the instances in view that serve a service together with this agent.
 	siblings []*fleet.Target
+	// nearSiblings is the number of siblings in the data centre of this agent, which come
+	// first.
+	nearSiblings int
 	// flows is the flow table.
 	flows map[flow.ID]*flowEntry
 	// lastAttempt is the attempt number of the flow that was accepted last.
@@ -241,10 +250,9 @@
 	if config.Observer == nil {
 		config.Observer = noopObserver{}
 	}
-	return &Agent{
+	a := &Agent{
 		config:         config,
 		view:           view,
-		siblings:       siblingsIn(view, config.Self),
 		flows:          make(map[flow.ID]*flowEntry),
 		load:           load,
 		admission:      NewAdmission(load),
@@ -259,6 +267,8 @@
 
 		membershipHash: view.MembershipHash(),
 	}
+	a.setSiblings()
+	return a
 }
 
 // Admission returns the admission queue of the backend server.
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -608,7 +608,7 @@
 	a.HandleReport(settledAt, ids[1], Report{Limit: slots, MaxOwned: 9})
 	service := a.view.Service(orders)
 	for range 5 {
-		require.NotNil(t, a.leastLoadedSibling(settledAt, service, flowOf(4000), ids[:1]))
+		require.NotNil(t, a.leastLoadedSibling(settledAt, service.Candidates, flowOf(4000), ids[:1]))
 	}
 	report, _ := a.latestReport(settledAt, ids[1])
 	require.Zero(t, report.Running)
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -111,7 +111,7 @@
 		resolution.Action = &Reset{Reason: refuseReason}
 		return resolution
 	}
-	sibling := a.leastLoadedSibling(now, service, id, resolution.Visited)
+	sibling := a.leastLoadedSibling(now, a.candidates(service, 0), id, resolution.Visited)
 	switch {
 	case sibling == nil:
 		resolution.Action = &Reset{Reason: refuseReason}
@@ -155,7 +155,8 @@
 // ApplyView puts a new view in force. It returns the flows that must be reset because their
 // service was removed or moved to another address, or their data centre is out.
 func (a *Agent) ApplyView(view *fleet.View) []OwnedFlow {
-	a.view, a.siblings, a.owners = view, siblingsIn(view, a.config.Self), newOwnerLists(false)
+	a.view, a.owners = view, newOwnerLists(false)
+	a.setSiblings()
 	a.membershipHash = view.MembershipHash()
 	if backend := view.Backend(a.config.Self); backend != nil {
 		a.slowStart.updateListing(backend)
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -58,6 +58,19 @@
 func (handOver) isPlacementDecision()   {}
 func (refusal) isPlacementDecision()    {}
 
+// candidates returns the candidates of a flow whose packets a balancer receives. Where flows stay
+// near, the data centre of that balancer comes first, or that of this agent if the balancer is
+// not known any more.
+func (a *Agent) candidates(service *fleet.RoutedService, origin fleet.InstanceID) fleet.Candidates {
+	if !a.config.PlacesNear {
+		return service.Candidates
+	}
+	if balancer := a.view.Node(origin); balancer != nil {
+		return service.Near(balancer.DataCentre())
+	}
+	return service.Near(a.config.DataCentre)
+}
+
 // place decides who serves a new flow. A flow that another agent has handed over is not
 // handed over again to balance load.
 func (a *Agent) place(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
@@ -100,7 +113,7 @@
 // reports, or else to the next in rendezvous order. Without a target it refuses the flow.
 func (a *Agent) placeElsewhere(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, reason Reason) placementDecision {
 	visited := a.visitedWithSelf(received.Visited)
-	if target := a.alternativeTarget(now, service, received.Packet.Flow(), visited); target != nil {
+	if target := a.alternativeTarget(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited); target != nil {
 		return handOver{target, reason}
 	}
 	if reason == HandOverConnections {
@@ -114,9 +127,9 @@
 func (a *Agent) placeWhenFull(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	visited := a.visitedWithSelf(received.Visited)
 	if a.admission.HasFreeSlot() {
-		return a.placeEvenly(now, service, received.Packet.Flow(), visited)
+		return a.placeEvenly(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
 	}
-	sibling := a.leastLoadedSibling(now, service, received.Packet.Flow(), visited)
+	sibling := a.leastLoadedSibling(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
 	if sibling == nil {
 		return a.placeWithinObjective(service, received)
 	}
@@ -165,13 +178,18 @@
 }
 
 // placeEvenly hands a share of the flows over to the least utilised candidate while this
-// backend server is busier than the mean.
-func (a *Agent) placeEvenly(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) placementDecision {
-	share := a.handOverShare(now)
+// backend server is busier than the mean: that of its data centre or, above nearUtilisation,
+// that of all.
+func (a *Agent) placeEvenly(now time.Time, candidates fleet.Candidates, id flow.ID, visited []fleet.InstanceID) placementDecision {
+	peers := a.weightPeers()
+	if a.utilisation > nearUtilisation {
+		peers, candidates = a.siblings, candidates.Near("")
+	}
+	share := a.handOverShare(now, peers)
 	if share == 0 || a.random.Float64() >= share {
 		return acceptance{}
 	}
-	sibling := a.leastUtilisedCandidate(now, service, id, visited)
+	sibling := a.leastUtilisedCandidate(now, candidates, id, visited)
 	if sibling == nil {
 		return acceptance{}
 	}
@@ -181,7 +199,7 @@
 // placeByReports applies TwoChoices. Without a report of the second candidate it accepts
 // the flow.
 func (a *Agent) placeByReports(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
-	step := service.NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited))
+	step := a.candidates(service, received.Origin).NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited))
 	if step.Next == nil || !step.Next.IsAccepting() {
 		return acceptance{}
 	}
@@ -193,13 +211,19 @@
 }
 
 // leastLoadedSibling returns the sibling that uses the smallest share of its limit by its
-// latest report. It returns nil if no sibling is known to have a free slot. The placement
-// candidates of the flow take precedence over all others.
-func (a *Agent) leastLoadedSibling(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
-	if best := a.leastLoadedOf(now, slices.Values(service.PlacementCandidates(id.Hash())), visited); best != nil {
+// latest report. It returns nil if no sibling is known to have a free slot. Siblings near
+// take precedence over all others and, among both, the placement candidates of the flow.
+func (a *Agent) leastLoadedSibling(now time.Time, candidates fleet.Candidates, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
+	if best := a.leastLoadedOf(now, slices.Values(candidates.PlacementCandidates(id.Hash())), visited); best != nil {
+		return best
+	}
+	if best := a.leastLoadedOf(now, candidates.SelectedNear(), visited); best != nil {
+		return best
+	}
+	if best := a.leastLoadedOf(now, slices.Values(candidates.Near("").PlacementCandidates(id.Hash())), visited); best != nil {
 		return best
 	}
-	return a.leastLoadedOf(now, service.All(), visited)
+	return a.leastLoadedOf(now, candidates.All(), visited)
 }
 
 // leastLoadedOf returns the eligible target with a free slot that uses the smallest share
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -146,7 +146,7 @@
 		return Resolution{}, false
 	}
 	resolution := Resolution{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
-	target := a.alternativeTarget(now, service, id, resolution.Visited)
+	target := a.alternativeTarget(now, a.candidates(service, 0), id, resolution.Visited)
 	if target == nil || !a.budget.tryWithdraw() {
 		return Resolution{}, false
 	}
@@ -157,9 +157,9 @@
 
 // alternativeTarget returns the least loaded sibling by the latest reports, or else the next
 // accepting candidate of the flow. It returns nil if there is neither.
-func (a *Agent) alternativeTarget(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
-	if sibling := a.leastLoadedSibling(now, service, id, visited); sibling != nil {
+func (a *Agent) alternativeTarget(now time.Time, candidates fleet.Candidates, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
+	if sibling := a.leastLoadedSibling(now, candidates, id, visited); sibling != nil {
 		return sibling
 	}
-	return service.NextAccepting(id.Hash(), visited)
+	return candidates.NextAccepting(id.Hash(), visited)
 }
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -65,12 +65,13 @@
 // retransmission it is another candidate than before, if there is one.
 func (a *Agent) nextCandidate(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) fleet.SearchStep {
 	packet, visited := received.Packet, a.visitedWithSelf(received.Visited)
-	step := service.NextCandidate(packet.Flow().Hash(), visited)
+	candidates := a.candidates(service, received.Origin)
+	step := candidates.NextCandidate(packet.Flow().Hash(), visited)
 	if step.Next == nil {
 		return step
 	}
 	if a.forwardHistory.isRetransmissionTo(now, packet, step.Next.ID()) {
-		other := service.NextCandidate(packet.Flow().Hash(), append(slices.Clone(visited), step.Next.ID()))
+		other := candidates.NextCandidate(packet.Flow().Hash(), append(slices.Clone(visited), step.Next.ID()))
 		if other.Next != nil {
 			step = other
 		}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -151,37 +151,43 @@
 // each agent receives reports from several times as many siblings.
 const reportFanout = 16
 
+// farReportFanout is the number of a report's recipients outside the data centre, where flows
+// stay near and the data centre has enough siblings for the others.
+const farReportFanout = 4
+
 // ReportRecipients returns the siblings that the next report goes to: all of them, or a
 // random choice if there are more than reportFanout.
 func (a *Agent) ReportRecipients() []*fleet.Target {
 	if len(a.siblings) <= reportFanout {
 		return a.siblings
 	}
-	recipients := make([]*fleet.Target, reportFanout)
-	for i, at := range a.random.Perm(len(a.siblings))[:reportFanout] {
-		recipients[i] = a.siblings[at]
+	if !a.config.PlacesNear {
+		return a.randomSiblings(a.siblings, reportFanout)
 	}
-	return recipients
+	near := a.randomSiblings(a.siblings[:a.nearSiblings], reportFanout-farReportFanout)
+	return append(near, a.randomSiblings(a.siblings[a.nearSiblings:], reportFanout-len(near))...)
 }
 
-// siblingsIn returns the instances that serve a service together with the agent self, each
-// once.
-func siblingsIn(view *fleet.View, self fleet.InstanceID) []*fleet.Target {
-	seen := make(map[fleet.InstanceID]bool)
-	var siblings []*fleet.Target
-	for _, service := range view.OneServicePerPool() {
-		if service.Target(self) == nil {
-			continue
-		}
-		for i := range service.Targets() {
-			target := &service.Targets()[i]
-			if target.ID() != self && !seen[target.ID()] {
-				seen[target.ID()] = true
-				siblings = append(siblings, target)
-			}
+// randomSiblings returns a random choice of siblings, at most count.
+func (a *Agent) randomSiblings(siblings []*fleet.Target, count int) []*fleet.Target {
+	var chosen []*fleet.Target
+	for _, at := range a.random.Perm(len(siblings))[:min(count, len(siblings))] {
+		chosen = append(chosen, siblings[at])
+	}
+	return chosen
+}
+
+// setSiblings finds the siblings of this agent in view, those in its data centre first.
+func (a *Agent) setSiblings() {
+	var near, others []*fleet.Target
+	for target := range a.view.Siblings(a.config.Self) {
+		if target.DataCentre() == a.config.DataCentre {
+			near = append(near, target)
+		} else {
+			others = append(others, target)
 		}
 	}
-	return siblings
+	a.siblings, a.nearSiblings = append(near, others...), len(near)
 }
 
 // Report returns the agent's own report. It also updates the average utilisation and
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -55,6 +55,7 @@
 	priority int
 	packet   flow.Packet
 	visited  []fleet.InstanceID
+	origin   fleet.InstanceID
 	placed   bool
 	// giveUpAt is when the caller sends the next copy or, if isLastCopy is set, gives up.
 	giveUpAt   time.Time
@@ -64,6 +65,11 @@
 // isBefore reports whether the opening packet goes before another, older one.
 func (w *waitingOpening) isBefore(older *waitingOpening) bool { return w.priority <= older.priority }
 
+// received returns the opening packet as it was received.
+func (w *waitingOpening) received() *ReceivedPacket {
+	return &ReceivedPacket{Packet: w.packet, Service: w.service, Origin: w.origin, Visited: w.visited, Placed: w.placed}
+}
+
 // waitingRoom holds the waiting opening packets, oldest first.
 type waitingRoom struct {
 	openings []waitingOpening
@@ -144,7 +150,7 @@
 func (a *Agent) postpone(service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if len(received.Visited) < maxFullVisits {
 		visited := a.visitedWithSelf(received.Visited)
-		if next := service.NextAccepting(received.Packet.Flow().Hash(), visited); next != nil {
+		if next := a.candidates(service, received.Origin).NextAccepting(received.Packet.Flow().Hash(), visited); next != nil {
 			return handOver{next, HandOverFull}
 		}
 	}
@@ -168,6 +174,7 @@
 		priority:   service.Priority(),
 		packet:     packet.Clone(),
 		visited:    slices.Clone(received.Visited),
+		origin:     received.Origin,
 		placed:     received.Placed,
 		giveUpAt:   giveUpAt,
 		isLastCopy: isLast,
@@ -230,7 +237,8 @@
 	if service == nil || a.draining || !a.load.isFull() {
 		return true
 	}
-	return a.leastLoadedSibling(now, service, opening.flow, a.visitedWithSelf(opening.visited)) != nil
+	candidates := a.candidates(service, opening.origin)
+	return a.leastLoadedSibling(now, candidates, opening.flow, a.visitedWithSelf(opening.visited)) != nil
 }
 
 // release decides what becomes of an opening packet that need not wait any more.
@@ -239,7 +247,7 @@
 	if service == nil {
 		return opening.resolve(&Reset{Reason: RefuseNotAccepting})
 	}
-	received := &ReceivedPacket{Packet: opening.packet, Service: opening.service, Visited: opening.visited, Placed: opening.placed}
+	received := opening.received()
 	decision := a.placeReleased(now, service, received)
 	return opening.resolve(copyAction(a.applyPlacement(now, service, received, decision)))
 }
@@ -249,7 +257,7 @@
 func (a *Agent) placeReleased(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if a.load.isFull() {
 		visited := a.visitedWithSelf(received.Visited)
-		if sibling := a.leastLoadedSibling(now, service, received.Packet.Flow(), visited); sibling != nil {
+		if sibling := a.leastLoadedSibling(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited); sibling != nil {
 			return handOver{sibling, HandOverFull}
 		}
 	}
--- a/internal/core/agent/weight.go
+++ b/internal/core/agent/weight.go
@@ -31,6 +31,9 @@
 	// maxHandOverShare is the largest share of new flows that is handed over to even out
 	// utilisation.
 	maxHandOverShare = 0.5
+	// nearUtilisation is the utilisation up to which flows stay in the data centre that they
+	// enter, even if servers elsewhere are less busy. Above it requests would begin to queue.
+	nearUtilisation = 0.5
 )
 
 // weightLearner estimates the weight at which the backend server would be as busy
@@ -55,7 +58,7 @@
 	if _, uniform := a.config.Placement.(UniformHash); uniform {
 		return a.weight.published
 	}
-	mean, known := a.meanUtilisation(now)
+	mean, known := a.meanUtilisation(now, a.weightPeers())
 	if !known || a.load.IsCold() || a.draining || mean < minUtilisation {
 		return a.weight.published
 	}
@@ -115,11 +118,21 @@
 	return true
 }
 
-// meanUtilisation averages the utilisation of this backend server and of the siblings that
-// are warm and accept new flows. It reports false if there is no such sibling.
-func (a *Agent) meanUtilisation(now time.Time) (float64, bool) {
+// weightPeers returns the siblings that this backend server should be as busy as: those of its
+// data centre where flows stay near, since no weight moves flows between data centres there, and
+// all siblings elsewhere.
+func (a *Agent) weightPeers() []*fleet.Target {
+	if a.config.PlacesNear {
+		return a.siblings[:a.nearSiblings]
+	}
+	return a.siblings
+}
+
+// meanUtilisation averages the utilisation of this backend server and of the peers that are warm
+// and accept new flows. It reports false if there is no such peer.
+func (a *Agent) meanUtilisation(now time.Time, peers []*fleet.Target) (float64, bool) {
 	sum, count := a.utilisation, 1
-	for _, sibling := range a.Siblings() {
+	for _, sibling := range peers {
 		report, known := a.latestReport(now, sibling.ID())
 		if !known || report.Cold || !sibling.IsAccepting() {
 			continue
@@ -131,9 +144,9 @@
 }
 
 // handOverShare returns the share of new flows to hand over so that the utilisation of this
-// backend server falls to the mean.
-func (a *Agent) handOverShare(now time.Time) float64 {
-	mean, known := a.meanUtilisation(now)
+// backend server falls to the mean of its own and that of the peers.
+func (a *Agent) handOverShare(now time.Time, peers []*fleet.Target) float64 {
+	mean, known := a.meanUtilisation(now, peers)
 	if !known || a.utilisation <= mean*(1+utilisationTolerance) {
 		return 0
 	}
@@ -142,10 +155,10 @@
 
 // leastUtilisedCandidate returns the least utilised of the flow's placement candidates that
 // have a free slot. It returns nil if none is less utilised than this backend server.
-func (a *Agent) leastUtilisedCandidate(now time.Time, service *fleet.RoutedService, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
+func (a *Agent) leastUtilisedCandidate(now time.Time, candidates fleet.Candidates, id flow.ID, visited []fleet.InstanceID) *fleet.Target {
 	var best *fleet.Target
 	lowest := a.utilisation
-	a.eachWithCapacity(now, slices.Values(service.PlacementCandidates(id.Hash())), visited, func(target *fleet.Target, report Report) {
+	a.eachWithCapacity(now, slices.Values(candidates.PlacementCandidates(id.Hash())), visited, func(target *fleet.Target, report Report) {
 		if u := report.utilisation(); u < lowest {
 			best, lowest = target, u
 		}
--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -50,6 +50,10 @@
 	// as long as this balancer runs: if it has no hint, the flow has come from another
 	// balancer and has been registered.
 	PrefersRegistrars bool
+	// DataCentre is the data centre whose targets get new flows while one of them accepts. It
+	// is set where the packets of a flow keep entering at balancers of one data centre, and
+	// empty elsewhere.
+	DataCentre string
 	// SendsResets reports whether a caller gets a reset at once if its new flow cannot be
 	// served.
 	SendsResets bool
@@ -88,7 +92,8 @@
 // before has not answered in time.
 func (b *Balancer) routeOpening(service *fleet.RoutedService, packet flow.Packet, hash uint64) Decision {
 	b.hints.Delete(hash)
-	decision := Decision{Service: service, Target: service.Primary(hash)}
+	candidates := service.Near(b.config.DataCentre)
+	decision := Decision{Service: service, Target: candidates.Primary(hash)}
 	if decision.Target == nil {
 		decision.Drop = DropNoTarget
 		decision.NeedsReset = b.config.SendsResets
@@ -98,8 +103,8 @@
 		return decision
 	}
 	if copies := packet.AcknowledgedToken(); copies > 0 {
-		decision.Suspect = service.NthAccepting(hash, copies-1)
-		decision.Target = service.NthAccepting(hash, copies)
+		decision.Suspect = candidates.NthAccepting(hash, copies-1)
+		decision.Target = candidates.NthAccepting(hash, copies)
 	}
 	// The target of the opening packet knows the owner of the flow, so it gets the flow's
 	// next packets until the owner sends a hint.
@@ -131,7 +136,7 @@
 			return registrar
 		}
 	}
-	return service.FirstReachable(hash)
+	return service.Near(b.config.DataCentre).FirstReachable(hash)
 }
 
 // RecordOwner stores the owner of a flow, as reported by the owner in a hint.
--- a/internal/core/fleet/candidates.go
+++ b/internal/core/fleet/candidates.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"iter"
 	"math"
 	"slices"
 )
@@ -52,21 +53,60 @@
 	r.targets[position], r.hashes[position] = target, hash
 }
 
-// rank returns the ranking of the selected targets that are eligible for a flow.
-func (s *RoutedService) rank(hash uint64, eligible func(*Target) bool) ranking {
-	var ranked ranking
-	for i := range s.targets[:s.selectedCount] {
-		if target := &s.targets[i]; eligible(target) {
-			ranked.insert(target, mixHash(hash, target.id))
+// Candidates are the targets of a service in the order in which they are considered for a
+// flow. Targets in the data centre near come before all others, in each of the choices below,
+// so that a flow stays in the data centre that its packets enter while a target there is
+// eligible.
+type Candidates struct {
+	*pool
+	// near is empty if no data centre comes first.
+	near string
+}
+
+// Near returns the candidates of the flows whose packets enter the system in a data centre.
+// All processes that handle a flow must use the same one. With an empty name no data centre
+// comes first.
+func (c Candidates) Near(dataCentre string) Candidates {
+	return Candidates{c.pool, dataCentre}
+}
+
+// rank returns the ranking of the selected targets that are eligible for a flow: of those near,
+// or of all if none of these is eligible.
+func (c Candidates) rank(hash uint64, eligible func(*Target) bool) ranking {
+	var near, others ranking
+	for i := range c.targets[:c.selectedCount] {
+		target := &c.targets[i]
+		isNear := target.dataCentre == c.near
+		if !isNear && near.count > 0 || !eligible(target) {
+			continue
+		}
+		if isNear {
+			near.insert(target, mixHash(hash, target.id))
+		} else {
+			others.insert(target, mixHash(hash, target.id))
+		}
+	}
+	if near.count > 0 {
+		return near
+	}
+	return others
+}
+
+// SelectedNear yields the selected targets in the data centre that comes first.
+func (c Candidates) SelectedNear() iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		for target := range c.Selected() {
+			if target.dataCentre == c.near && !yield(target) {
+				return
+			}
 		}
 	}
-	return ranked
 }
 
 // PlacementCandidates returns the accepting targets that a new flow is placed among, at
 // most MaxPlacementCandidates, in descending order of their unweighted rendezvous hashes.
-func (s *RoutedService) PlacementCandidates(hash uint64) []*Target {
-	ranked := s.rank(hash, (*Target).IsAccepting)
+func (c Candidates) PlacementCandidates(hash uint64) []*Target {
+	ranked := c.rank(hash, (*Target).IsAccepting)
 	return slices.Clone(ranked.targets[:ranked.count])
 }
 
@@ -75,23 +115,23 @@
 // accepting, they are ignored, so that one process with a broken network path cannot
 // leave a service without targets. Primary returns nil if no target is accepting even
 // then.
-func (s *RoutedService) Primary(hash uint64) *Target {
-	if primary := s.best(hash, (*Target).IsAccepting); primary != nil {
+func (c Candidates) Primary(hash uint64) *Target {
+	if primary := c.best(hash, (*Target).IsAccepting); primary != nil {
 		return primary
 	}
-	return s.best(hash, func(target *Target) bool { return target.accepting })
+	return c.best(hash, func(target *Target) bool { return target.accepting })
 }
 
 // FirstReachable returns the reachable target that is searched first for the owner of an
 // established flow: selected targets before residual ones, and unsuspected selected
 // targets before suspected ones. It returns nil if none is reachable.
-func (s *RoutedService) FirstReachable(hash uint64) *Target {
-	if first := s.bestPreferringUnsuspected(hash, (*Target).IsReachable); first != nil {
+func (c Candidates) FirstReachable(hash uint64) *Target {
+	if first := c.bestPreferringUnsuspected(hash, (*Target).IsReachable); first != nil {
 		return first
 	}
-	for i := s.selectedCount; i < len(s.targets); i++ {
-		if s.targets[i].reachable {
-			return &s.targets[i]
+	for i := c.selectedCount; i < len(c.targets); i++ {
+		if c.targets[i].reachable {
+			return &c.targets[i]
 		}
 	}
 	return nil
@@ -99,8 +139,8 @@
 
 // NextAccepting returns the first accepting candidate of a new flow that is not in
 // visited, or nil if there is none.
-func (s *RoutedService) NextAccepting(hash uint64, visited []InstanceID) *Target {
-	return s.best(hash, func(target *Target) bool {
+func (c Candidates) NextAccepting(hash uint64, visited []InstanceID) *Target {
+	return c.best(hash, func(target *Target) bool {
 		return target.IsAccepting() && !slices.Contains(visited, target.id)
 	})
 }
@@ -108,28 +148,28 @@
 // RelayTarget returns a reachable target outside two data centres, or nil if there is
 // none. Where this process, in the data centre here, cannot reach an agent in the data
 // centre there, the relay target may have a network path to it.
-func (s *RoutedService) RelayTarget(hash uint64, here, there string) *Target {
-	return s.best(hash, func(target *Target) bool {
+func (c Candidates) RelayTarget(hash uint64, here, there string) *Target {
+	return c.best(hash, func(target *Target) bool {
 		return target.reachable && target.dataCentre != here && target.dataCentre != there
 	})
 }
 
 // bestPreferringUnsuspected returns the best eligible target that is not suspected, or
 // the best eligible one if all are.
-func (s *RoutedService) bestPreferringUnsuspected(hash uint64, eligible func(*Target) bool) *Target {
-	best := s.best(hash, func(target *Target) bool { return !target.suspected && eligible(target) })
+func (c Candidates) bestPreferringUnsuspected(hash uint64, eligible func(*Target) bool) *Target {
+	best := c.best(hash, func(target *Target) bool { return !target.suspected && eligible(target) })
 	if best != nil {
 		return best
 	}
-	return s.best(hash, eligible)
+	return c.best(hash, eligible)
 }
 
 // best returns the target with the highest score among the first eligible targets of a
 // flow, or nil if none is eligible. The ranking decides which targets come first.
-func (s *RoutedService) best(hash uint64, eligible func(*Target) bool) *Target {
+func (c Candidates) best(hash uint64, eligible func(*Target) bool) *Target {
 	var best *Target
 	highest := math.Inf(-1)
-	ranked := s.rank(hash, eligible)
+	ranked := c.rank(hash, eligible)
 	for _, target := range ranked.targets[:ranked.count] {
 		if candidateScore := score(hash, target); candidateScore > highest {
 			best, highest = target, candidateScore
@@ -146,25 +186,25 @@
 // first two selected targets by unweighted rendezvous hash that are reachable,
 // unsuspected and not leaving, in two data centres if there are two. Changes of weights
 // do not affect the choice. Entries without an agent are nil.
-func (s *RoutedService) Registrars(hash uint64) [RegistrarCount]*Target {
+func (c Candidates) Registrars(hash uint64) [RegistrarCount]*Target {
 	var chosen [RegistrarCount]*Target
-	chosen[0] = s.chooseRegistrar(hash, func(*Target) bool { return true })
+	chosen[0] = c.chooseRegistrar(hash, func(*Target) bool { return true })
 	if chosen[0] == nil {
 		return chosen
 	}
-	chosen[1] = s.chooseRegistrar(hash, func(target *Target) bool { return target.dataCentre != chosen[0].dataCentre })
+	chosen[1] = c.chooseRegistrar(hash, func(target *Target) bool { return target.dataCentre != chosen[0].dataCentre })
 	if chosen[1] == nil {
-		chosen[1] = s.chooseRegistrar(hash, func(target *Target) bool { return target.id != chosen[0].id })
+		chosen[1] = c.chooseRegistrar(hash, func(target *Target) bool { return target.id != chosen[0].id })
 	}
 	return chosen
 }
 
 // chooseRegistrar returns the first eligible target that can be a registrar, or nil.
-func (s *RoutedService) chooseRegistrar(hash uint64, eligible func(*Target) bool) *Target {
+func (c Candidates) chooseRegistrar(hash uint64, eligible func(*Target) bool) *Target {
 	var best *Target
 	var highest uint64
-	for i := range s.targets[:s.selectedCount] {
-		target := &s.targets[i]
+	for i := range c.targets[:c.selectedCount] {
+		target := &c.targets[i]
 		if !target.reachable || target.suspected || target.leaving || !eligible(target) {
 			continue
 		}
@@ -177,18 +217,22 @@
 
 // NthAccepting returns the target for an opening packet with a number of earlier copies:
 // the primary for the first packet, the next accepting candidate for the first copy, and
-// so on. If there are too few accepting candidates it returns the primary, which is nil
-// if there is none. More than maxCopyTargets copies count as maxCopyTargets.
-func (s *RoutedService) NthAccepting(hash uint64, copies uint32) *Target {
+// so on. Later copies go to any data centre, since two targets near have not answered. If
+// there are too few accepting candidates it returns the primary, which is nil if there is
+// none. More than maxCopyTargets copies count as maxCopyTargets.
+func (c Candidates) NthAccepting(hash uint64, copies uint32) *Target {
 	var visited [maxCopyTargets]InstanceID
-	primary := s.Primary(hash)
+	primary := c.Primary(hash)
 	target := primary
 	for n := range min(copies, maxCopyTargets) {
 		if target == nil {
 			return primary
 		}
 		visited[n] = target.id
-		target = s.NextAccepting(hash, visited[:n+1])
+		if n > 0 {
+			c = c.Near("")
+		}
+		target = c.NextAccepting(hash, visited[:n+1])
 	}
 	if target == nil {
 		return primary
@@ -219,7 +263,7 @@
 // selected targets first, then suspected ones, then residual owners. Of the remaining
 // selected targets in a group, the one with the highest score among the first
 // MaxPlacementCandidates by unweighted hash comes next.
-func (s *RoutedService) NextCandidate(hash uint64, visited []InstanceID) SearchStep {
+func (c Candidates) NextCandidate(hash uint64, visited []InstanceID) SearchStep {
 	var step SearchStep
 	unvisited := func(target *Target) bool {
 		if slices.Contains(visited, target.id) {
@@ -233,13 +277,13 @@
 		}
 		return true
 	}
-	step.Next = s.bestPreferringUnsuspected(hash, unvisited)
+	step.Next = c.bestPreferringUnsuspected(hash, unvisited)
 	if step.Next != nil {
 		return step
 	}
-	for i := s.selectedCount; i < len(s.targets); i++ {
-		if unvisited(&s.targets[i]) {
-			step.Next = &s.targets[i]
+	for i := c.selectedCount; i < len(c.targets); i++ {
+		if unvisited(&c.targets[i]) {
+			step.Next = &c.targets[i]
 			return step
 		}
 	}
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"iter"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -76,7 +78,7 @@
 // goes. Two registrars store which agent owns the flow.
 type RoutedService struct {
 	*route
-	*pool
+	Candidates
 }
 
 // ID returns the service's identifier.
@@ -89,13 +91,13 @@
 func (s *RoutedService) Address() flow.Address { return s.address }
 
 // Targets returns the selected targets, then the residual ones.
-func (s *RoutedService) Targets() []Target { return s.targets }
+func (p *pool) Targets() []Target { return p.targets }
 
 // All yields the selected targets, then the residual ones.
-func (s *RoutedService) All() iter.Seq[*Target] {
+func (p *pool) All() iter.Seq[*Target] {
 	return func(yield func(*Target) bool) {
-		for i := range s.targets {
-			if !yield(&s.targets[i]) {
+		for i := range p.targets {
+			if !yield(&p.targets[i]) {
 				return
 			}
 		}
@@ -103,10 +105,10 @@
 }
 
 // Selected yields the selected targets, which may get new flows.
-func (s *RoutedService) Selected() iter.Seq[*Target] {
+func (p *pool) Selected() iter.Seq[*Target] {
 	return func(yield func(*Target) bool) {
-		for i := range s.targets[:s.selectedCount] {
-			if !yield(&s.targets[i]) {
+		for i := range p.targets[:p.selectedCount] {
+			if !yield(&p.targets[i]) {
 				return
 			}
 		}
@@ -114,18 +116,21 @@
 }
 
 // Target returns the target of an instance, or nil if there is none.
-func (s *RoutedService) Target(id InstanceID) *Target { return s.target(id) }
+func (p *pool) Target(id InstanceID) *Target { return p.target(id) }
 
 // target returns the target of an instance, or nil if there is none.
 func (p *pool) target(id InstanceID) *Target {
-	for i := range p.targets {
-		if p.targets[i].id == id {
-			return &p.targets[i]
+	for _, part := range [][]Target{p.targets[:p.selectedCount], p.targets[p.selectedCount:]} {
+		if i, found := slices.BinarySearchFunc(part, id, compareTargetID); found {
+			return &part[i]
 		}
 	}
 	return nil
 }
 
+// compareTargetID compares the ID of a target with another one.
+func compareTargetID(target Target, id InstanceID) int { return cmp.Compare(target.id, id) }
+
 // HasSelectorFor reports whether the service has a selector for the data centre.
 func (s *RoutedService) HasSelectorFor(dataCentre string) bool { return s.hasSelectorFor(dataCentre) }
 
@@ -246,7 +251,7 @@
 	if residualPool := v.residualPools[index]; residualPool != nil {
 		targetPool = residualPool
 	}
-	routedService := &RoutedService{route, targetPool}
+	routedService := &RoutedService{route, Candidates{pool: targetPool}}
 	v.services[index].Store(routedService)
 	return routedService
 }
@@ -275,6 +280,43 @@
 
 // OneServicePerPool returns one service for each pool of targets. Together these services
 // have all targets.
+// Targets yields the targets of all services, each once.
+func (v *View) Targets() iter.Seq[*Target] {
+	return distinctTargets(v.onePerPool)
+}
+
+// Siblings yields the other targets of the services that an instance is a target of, each once.
+func (v *View) Siblings(id InstanceID) iter.Seq[*Target] {
+	var shared []*RoutedService
+	for _, service := range v.onePerPool {
+		if service.Target(id) != nil {
+			shared = append(shared, service)
+		}
+	}
+	return func(yield func(*Target) bool) {
+		for target := range distinctTargets(shared) {
+			if target.id != id && !yield(target) {
+				return
+			}
+		}
+	}
+}
+
+// distinctTargets yields the targets of some services, each once.
+func distinctTargets(services []*RoutedService) iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		seen := make(map[InstanceID]bool)
+		for _, service := range services {
+			for target := range service.All() {
+				if !seen[target.id] && !yield(target) {
+					return
+				}
+				seen[target.id] = true
+			}
+		}
+	}
+}
+
 func (v *View) OneServicePerPool() []*RoutedService { return v.onePerPool }
 
 // MembershipHash returns a number that depends on the targets that can be registrars and
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -62,6 +62,9 @@
 	Node node.Options
 	// Format parses the packets of the platform and stores tags in them.
 	Format Format
+	// PlacesNear reports whether new flows stay in the data centre whose balancers receive
+	// their packets while a backend server there has room.
+	PlacesNear bool
 }
 
 // Carrier is a running agent that forwards carried flows.
@@ -144,6 +147,7 @@
 		MaxHandOvers: s.Connections * handOversPerFlow,
 		Placement:    core.HandOverWhenFull{},
 		Carried:      true,
+		PlacesNear:   options.PlacesNear,
 		Observer:     exchange.NewObserver(counters),
 		Labels:       s.Labels,
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -24,6 +24,7 @@
 func fillReceivedPacket(received *core.ReceivedPacket, header *datagram.Header, packet flow.Packet) {
 	received.Packet = packet
 	received.Service = fleet.ServiceID(header.Service)
+	received.Origin = fleet.InstanceID(header.Origin)
 	received.Revision = fleet.UnpackRevision(header.Revision)
 	received.Placed = header.Flags&datagram.Placed != 0
 	received.Searched = header.Flags&datagram.Searched != 0
