Hand former selectors to newcomers, and search all agents in a fleet of any size

Cause: a process that starts does not know which servers a service selected before a change, and so searched and probed all agents for 60 s, but only up to 64 of them (MaxNewcomerSearch). Above that it searched the service's own targets only, without a word: in a fleet of 136 agents a flow whose route had moved to another service was denied by every process that had restarted since. The flow test at 68, 136 and 512 agents fails on the code before, with a reset.

Change: a summary says how far back its sender knows the changes of selectors. A peer with the same services document that knows more sends its former selectors, which the newcomer takes over with their span. Only if everything has restarted does nobody know; then all agents are searched and probed whatever their number. What leaves a service is limited to 2,000 datagrams a second for each agent: beyond, a packet is dropped and counted, and its flow not denied.

The test for newcomers' probes asserted the old limit, that other services are not probed above 64 agents. That was the fault; it now asserts, as strictly, that 68 and 256 servers of each service are all probed. The cluster of the route tests marks its newcomers by their state instead of a start time, since that is what decides now.

Agents and probers share the lists of targets and siblings, which each collected for itself before.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -69,11 +69,13 @@
 	DropDataCentreOut        Reason = "drop_data_centre_out"
 	DropCandidateUnreachable Reason = "drop_candidate_unreachable"
 	DropViewUnsettled        Reason = "drop_view_unsettled"
-	DropViewStale            Reason = "drop_view_stale"
-	DropClosingUnowned       Reason = "drop_closing_unowned"
-	DropOpeningPending       Reason = "drop_opening_pending"
-	DropTableFull            Reason = "drop_table_full"
-	DropNoTarget             Reason = "drop_no_target"
+	// DropSearchLimit means that too many agents outside the service have been searched.
+	DropSearchLimit    Reason = "drop_search_limit"
+	DropViewStale      Reason = "drop_view_stale"
+	DropClosingUnowned Reason = "drop_closing_unowned"
+	DropOpeningPending Reason = "drop_opening_pending"
+	DropTableFull      Reason = "drop_table_full"
+	DropNoTarget       Reason = "drop_no_target"
 
 	ResetUnowned         Reason = "reset_unowned"
 	ResetOwnerLost       Reason = "reset_owner_lost"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
@@ -218,6 +220,8 @@
 	forwardHistory forwardHistory
 	lookups        lookups
 	owners         ownerLists
+	// outsiders limits the search outside the services of flows.
+	outsiders *rate.Limiter
 	// waiting holds the opening packets that wait for room.
 	waiting waitingRoom
 	// startedAt is when this process started, or zero before Start.
@@ -264,6 +268,7 @@
 		forwardHistory: make(forwardHistory),
 		lookups:        newLookups(),
 		owners:         newOwnerLists(false),
+		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
 
 		membershipHash: view.MembershipHash(),
 	}
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -143,7 +143,7 @@
 	if a.lookups.flows[id] != nil {
 		return true
 	}
-	if len(a.lookups.flows) >= maxLookups || len(a.queryTargets(now, service, received.Visited)) == 0 {
+	if len(a.lookups.flows) >= maxLookups || !a.hasQueryTarget(now, service, received.Visited) {
 		return false
 	}
 	a.lookups.flows[id] = &lookup{service: service.ID(), startedAt: now, deadline: now.Add(queryInterval + lookupTimeout)}
@@ -210,7 +210,7 @@
 	a.lookups.lastRound++
 	number := a.lookups.lastRound
 	a.lookups.rounds[number] = queryRound{flows: flows, deadline: now.Add(lookupTimeout)}
-	targets := a.queryTargets(now, service, nil)
+	targets := a.queryTargets(now, service)
 	queries := make([]OwnershipQuery, 0, len(targets))
 	for _, target := range targets {
 		queries = append(queries, OwnershipQuery{Target: target, Round: number, Flows: flows})
--- a/internal/core/agent/owners.go
+++ b/internal/core/agent/owners.go
@@ -20,23 +20,51 @@
 	return ownerLists{includeOthers: includeOthers, byService: make(map[fleet.ServiceID][]*fleet.Target)}
 }
 
-// queryTargets returns the agents that may own a flow, have not been visited and are likely to
-// reply: those that are reachable and not suspected.
-func (a *Agent) queryTargets(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) []*fleet.Target {
+// Limits on the datagrams that an agent sends to agents outside a service to search them for
+// owners of its flows. They bound the cost of the search in a fleet of any size. What exceeds
+// them is not searched, and its flow not denied.
+const (
+	// outsiderRate is in datagrams per second.
+	outsiderRate = 2000
+	// outsiderBurst is in datagrams.
+	outsiderBurst = 2000
+)
+
+// queryTargets returns the agents to query in one round for the owners of a service's flows. The
+// agents outside the service are among them if outsiderRate allows it.
+func (a *Agent) queryTargets(now time.Time, service *fleet.RoutedService) []*fleet.Target {
+	owners := a.possibleOwners(now, service)
+	inside := len(service.Targets())
+	if outside := len(owners) - inside; outside > 0 && !a.outsiders.AllowN(now, outside) {
+		owners = owners[:inside]
+	}
 	var targets []*fleet.Target
-	for _, target := range a.possibleOwners(now, service) {
-		if target.ID() == a.config.Self || !target.IsReachable() || target.IsSuspected() || slices.Contains(visited, target.ID()) {
-			continue
+	for _, target := range owners {
+		if a.isLikelyToReply(target, nil) {
+			targets = append(targets, target)
 		}
-		targets = append(targets, target)
 	}
 	return targets
 }
 
+// hasQueryTarget reports whether there is an agent to query for the owner of a flow that has
+// not been visited.
+func (a *Agent) hasQueryTarget(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) bool {
+	return slices.ContainsFunc(a.possibleOwners(now, service), func(target *fleet.Target) bool {
+		return a.isLikelyToReply(target, visited)
+	})
+}
+
+// isLikelyToReply reports whether a target is another agent that has not been visited, is
+// reachable and is not suspected.
+func (a *Agent) isLikelyToReply(target *fleet.Target, visited []fleet.InstanceID) bool {
+	return target.ID() != a.config.Self && target.IsReachable() && !target.IsSuspected() && !slices.Contains(visited, target.ID())
+}
+
 // possibleOwners returns the agents that may own flows of a service: its targets and, if this
-// agent is a newcomer, all other agents unless there are too many.
+// agent may not know the service's former selectors, all other agents.
 func (a *Agent) possibleOwners(now time.Time, service *fleet.RoutedService) []*fleet.Target {
-	searchesAll := a.config.Carried && fleet.IsNewcomer(a.startedAt, now)
+	searchesAll := a.config.Carried && a.view.LacksHistory(now)
 	if a.owners.includeOthers != searchesAll {
 		a.owners = newOwnerLists(searchesAll)
 	}
@@ -48,45 +76,35 @@
 	return owners
 }
 
-// listOwners returns the targets of a service and, if searchesAll, all other agents unless there
-// are too many.
+// listOwners returns the targets of a service and, if searchesAll, all other agents.
 func (a *Agent) listOwners(service *fleet.RoutedService, searchesAll bool) []*fleet.Target {
 	owners := slices.Collect(service.All())
 	if !searchesAll {
 		return owners
 	}
-	listed := make(map[fleet.InstanceID]bool, len(owners))
-	for _, target := range owners {
-		listed[target.ID()] = true
-	}
-	for _, other := range a.view.OneServicePerPool() {
-		for target := range other.All() {
-			if !listed[target.ID()] {
-				listed[target.ID()] = true
-				owners = append(owners, target)
-			}
+	for other := range a.view.Targets() {
+		if service.Target(other.ID()) == nil {
+			owners = append(owners, other)
 		}
 	}
-	if len(owners) > fleet.MaxNewcomerSearch {
-		return owners[:len(service.Targets())]
-	}
 	return owners
 }
 
 // nextOutsider returns the next agent to visit that is not a target of the service, or nil if
-// there is none, the packet was relayed, or this agent is no newcomer. It leaves out agents that
-// are suspected: a packet sent there is most likely lost, and few of them own a flow of the service.
-func (a *Agent) nextOutsider(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
+// there is none, the packet was relayed, or this agent knows the former selectors. It leaves out
+// agents that are suspected: a packet sent there is most likely lost, and few of them own a flow
+// of the service. It reports false if outsiderRate does not allow the visit.
+func (a *Agent) nextOutsider(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) (*fleet.Target, bool) {
 	if received.Relayed {
-		return nil
+		return nil, true
 	}
 	visited := a.visitedWithSelf(received.Visited)
 	for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
-		if target.IsReachable() && !target.IsSuspected() && !slices.Contains(visited, target.ID()) {
-			return target
+		if a.isLikelyToReply(target, visited) {
+			return target, a.outsiders.AllowN(now, 1)
 		}
 	}
-	return nil
+	return nil, true
 }
 
 // ownerTarget returns the target of an agent that owns a flow of a service, or nil if it is
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,8 +17,12 @@
 
 // newSharedCluster returns a cluster whose service orders selects the servers of orders, b0 and
 // b1, and those of the archive, b2 and b3.
-func newSharedCluster(t require.TestingT) *testCluster {
-	c := newTestCluster(t, 4)
+func newSharedCluster(t require.TestingT) *testCluster { return newSharedClusterOf(t, 4) }
+
+// newSharedClusterOf returns a cluster like newSharedCluster with a number of agents: all but b0
+// and b1 are the archive's.
+func newSharedClusterOf(t require.TestingT, agents int) *testCluster {
+	c := newTestCluster(t, agents)
 	_, backends, _ := c.state.Documents()
 	next := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: append([]fleet.Backend(nil), backends.Backends...)}
 	for i := range next.Backends[2:] {
@@ -101,6 +106,64 @@
 	}
 }
 
+// The same must hold in a fleet of any size: the flow is found or, where the search of all agents
+// would cost too much, at least not denied. After a restart of everything hundreds of flows are
+// searched at once, and the datagrams that leave the service must stay within their limit.
+func TestFlowsAtFormerServersAreNotDeniedInAFleetOfAnySize(t *testing.T) {
+	for _, agents := range []int{68, 136, 512} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			c := newSharedClusterOf(t, agents)
+			owner := c.openAtArchive(t, 4000)
+			c.selectApps(t, c.state, 4, "orders")
+			c.applyViewAt(settledAt)
+			c.restartWithoutHistory(t, c.ids())
+			found, action := c.routePacket(t, c.ids()[0], receivedPacket(4000, flow.Established, 77))
+			require.IsType(t, &Deliver{}, action)
+			require.Equal(t, owner, found)
+
+			a := c.agents[c.ids()[0]]
+			var forwarded, dropped int
+			for port := range uint16(2 * outsiderBurst) {
+				packet := receivedPacket(5000+port, flow.Established, 77)
+				packet.Visited, packet.LookedUp = c.ids()[1:2], true
+				switch action := a.ResumeAfterLookup(settledAt, packet).(type) {
+				case *Forward:
+					forwarded++
+				case *Drop:
+					require.Equal(t, DropSearchLimit, action.Reason)
+					dropped++
+				default:
+					require.Fail(t, "a flow must not be denied before all agents were searched")
+				}
+			}
+			require.LessOrEqual(t, forwarded, outsiderBurst)
+			require.Positive(t, dropped)
+		})
+	}
+}
+
+// An agent that starts while others know the service's former servers takes them over, and then
+// neither searches nor probes the rest of the fleet.
+func TestNewcomersTakeFormerSelectorsOverFromPeers(t *testing.T) {
+	c := newSharedClusterOf(t, 136)
+	owner := c.openAtArchive(t, 4000)
+	c.selectApps(t, c.state, 4, "orders")
+	c.applyViewAt(settledAt)
+	c.state.StartHistory(settledAt.Add(-time.Hour))
+	fresh := c.stateWithoutHistory(t)
+	require.True(t, fresh.View(settledAt).LacksHistory(settledAt))
+	require.True(t, fresh.MergeHistory(settledAt, c.state.History(settledAt)))
+	view := fresh.View(settledAt)
+	require.False(t, view.LacksHistory(settledAt))
+	require.NotNil(t, view.Service(orders).Target(owner), "the former server must be a candidate")
+	require.True(t, view.Service(orders).Target(owner).IsResidual())
+	require.False(t, fresh.MergeHistory(settledAt, c.state.History(settledAt)), "nothing is left to learn")
+
+	other := c.stateWithoutHistory(t)
+	c.selectApps(t, other, 5, "archive")
+	require.False(t, other.MergeHistory(settledAt, c.state.History(settledAt)), "a change between the two documents may be known to neither")
+}
+
 // restartWithoutHistory restarts agents which then know only the documents in force.
 func (c *testCluster) restartWithoutHistory(t require.TestingT, ids []fleet.InstanceID) {
 	fresh := c.stateWithoutHistory(t)
@@ -111,9 +174,11 @@
 	}
 }
 
-// stateWithoutHistory returns a state that holds only the documents in force.
+// stateWithoutHistory returns the state of a process that has just started and holds only the
+// documents in force.
 func (c *testCluster) stateWithoutHistory(t require.TestingT) *fleet.State {
 	fresh := fleet.NewState()
+	fresh.StartHistory(settledAt.Add(-time.Second))
 	services, backends, instances := c.state.Documents()
 	for _, document := range []fleet.Document{services, backends, instances} {
 		_, err := fresh.Apply(settledAt, document)
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -10,8 +10,8 @@
 
 // search decides about a packet of a flow that this agent does not own. The packet goes to
 // a registrar of the flow, is held while the owner is looked up, or is forwarded to the
-// next candidate, then to the other agents while this one is a newcomer and all candidates
-// could be reached. When none is left, a closing packet is dropped. For any other
+// next candidate, then to the other agents if this one may not know the service's former
+// selectors and all candidates could be reached. When none is left, a closing packet is dropped. For any other
 // packet, handleUnreachableCandidates decides if a candidate could not be reached;
 // otherwise the caller gets a reset if the search proves that no agent owns the flow, and
 // the packet is dropped if it does not.
@@ -24,7 +24,11 @@
 	}
 	step := a.nextCandidate(now, service, received)
 	if step.Next == nil && !step.Skipped {
-		step.Next = a.nextOutsider(now, service, received)
+		outsider, allowed := a.nextOutsider(now, service, received)
+		if !allowed {
+			return a.dropPacket(DropSearchLimit)
+		}
+		step.Next = outsider
 	}
 	switch {
 	case step.Next != nil:
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -155,6 +155,7 @@
 		viewFreshness:   freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(maxFirstReadDelay))))},
 	}
 	c.ownRecord.Announcement = config.Announcement
+	c.state.StartHistory(now)
 	c.state.Peers().Merge(now, c.ownRecord)
 	c.state.RecordAnnouncement(now, c.ownRecord, true)
 	c.view = c.state.View(now)
@@ -286,6 +287,8 @@
 		c.receiveDigests(id, message.Digests)
 	case message.Change != nil:
 		c.receiveChange(now, id, message.Change)
+	case message.History != nil:
+		c.receiveHistory(now, message.History)
 	}
 	for _, record := range message.Records {
 		c.mergeRecord(now, record)
@@ -297,8 +300,8 @@
 	return c.takeOutputs()
 }
 
-// receiveSummary sends the documents that the peer requests, and requests documents if the
-// peer has newer ones. Otherwise it takes the view of this process as confirmed, and takes over
+// receiveSummary sends the documents that the peer requests and the former selectors that it
+// lacks, and requests documents if the peer has newer ones. Otherwise it takes the view of this process as confirmed, and takes over
 // the peer's view age if that is lower than the age known here. The peer tables are compared only
 // if both processes have the same instances document, since that document decides which records a
 // table keeps.
@@ -321,11 +324,21 @@
 			c.recordConfirmation(now, now.Add(-summary.ViewAge), id)
 		}
 	}
+	if summary.Revisions.Services == ownRevisions.Services && fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) {
+		c.emit(Send{Link: id, Message: &Message{History: c.state.History(now)}})
+	}
 	if summary.Revisions.Instances == ownRevisions.Instances {
 		c.compareTables(id, l, summary.TableDigest)
 	}
 }
 
+// receiveHistory takes over the former selectors that a peer knows.
+func (c *Controller) receiveHistory(now time.Time, history *fleet.SelectorHistory) {
+	if c.state.MergeHistory(now, history) {
+		c.scheduleRoutingChange(now)
+	}
+}
+
 // compareTables sends the digests of all buckets to a peer whose table digest differed in
 // two consecutive summaries. A single difference may come from a record that is still being
 // gossiped.
@@ -377,6 +390,7 @@
 		Revisions:   c.state.Revisions(),
 		ViewAge:     age,
 		TableDigest: c.tableDigest(),
+		HistorySpan: c.state.HistorySpan(now),
 	}}
 }
 
--- /dev/null
+++ b/internal/core/control/history_test.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// exchange delivers the messages in outputs of one controller to another over their only link,
+// and the replies, until neither sends any more.
+func exchange(now time.Time, from, to *Controller, outputs []Output) {
+	for _, output := range outputs {
+		if send, ok := output.(Send); ok {
+			exchange(now, to, from, to.HandleMessage(now, send.Link, send.Message))
+		}
+	}
+}
+
+// selecting returns a services document in which orders selects the servers of some apps.
+func selecting(number uint64, apps ...string) *fleet.ServicesDocument {
+	document := &fleet.ServicesDocument{Services: []fleet.Service{{
+		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp",
+		Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {"app": apps}},
+	}}}
+	document.Number = number
+	return document
+}
+
+// A process that joins a running fleet of hundreds of agents must know at once which servers a
+// service had before, since it denies flows that none of its candidates owns.
+func TestNewcomerReceivesFormerSelectorsOnItsFirstLink(t *testing.T) {
+	const link = LinkID(1)
+	veteran := newProbedFleet(68)
+	joinsAt := epoch.Add(time.Hour)
+	veteran.ApplyDocument(joinsAt.Add(-2*time.Second), selecting(2, "orders", "patterns"))
+	veteran.ApplyDocument(joinsAt.Add(-time.Second), selecting(3, "orders"))
+	newcomer := New(joinsAt, Config{Self: fleet.InstanceIDOf("orders-1"), Incarnation: 2, Role: fleet.RoleAgent, DataCentre: "north"}, rand.New(rand.NewPCG(2, 2)))
+	former := fleet.InstanceIDOf("patterns-7")
+
+	newcomer.HandleLinkUp(joinsAt, link, true)
+	exchange(joinsAt, veteran, newcomer, veteran.HandleLinkUp(joinsAt, link, false))
+	require.True(t, newcomer.View().CanRoute())
+	require.True(t, newcomer.View().LacksHistory(joinsAt), "the documents alone do not tell former selectors")
+
+	afterDocuments := joinsAt.Add(summaryInterval)
+	exchange(afterDocuments, newcomer, veteran, newcomer.Tick(afterDocuments))
+	newcomer.Tick(afterDocuments.Add(TickInterval))
+	view := newcomer.View()
+	require.False(t, view.LacksHistory(afterDocuments))
+	target := view.Service(fleet.ServiceIDOf("orders")).Target(former)
+	require.NotNil(t, target)
+	require.True(t, target.IsResidual())
+	require.Len(t, newcomer.prober.order, 67+68, "the former servers of orders are siblings whose reachability matters")
+}
+
+// Processes that start together know equally little and must not tell each other so again and
+// again.
+func TestProcessesThatStartTogetherExchangeNoHistory(t *testing.T) {
+	const link = LinkID(1)
+	one, other := newProbedFleet(4), newProbedFleet(4)
+	other.state.StartHistory(epoch.Add(300 * time.Millisecond))
+	one.HandleLinkUp(epoch, link, true)
+	for _, output := range one.HandleMessage(epoch, link, other.newSummary(epoch)) {
+		if send, ok := output.(Send); ok {
+			require.Nil(t, send.Message.History)
+		}
+	}
+}
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -13,6 +13,8 @@
 	Digests *Digests
 	Records []fleet.PeerRecord
 	Change  *Change
+	// History is sent to a peer that knows former selectors for a shorter time than the sender.
+	History *fleet.SelectorHistory
 }
 
 // Summary is the heartbeat of a link. It describes the state of the sender, so that the
@@ -30,6 +32,8 @@
 	WantsDocuments bool
 	// TableDigest is the digest of the sender's peer table.
 	TableDigest uint64
+	// HistorySpan is how far back the sender knows the changes of selectors.
+	HistorySpan time.Duration
 }
 
 // digestBucketCount is the number of buckets, each with a digest of its own, into which the
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -125,26 +123,20 @@
 }
 
 // peersToProbe returns the peers whose reachability matters to this process: all targets for a
-// balancer, the siblings for an agent, and for an agent that is a newcomer all targets that it
-// searches for the owners of flows.
+// balancer, the siblings for an agent, and all targets for an agent that may not know the former
+// selectors of all services and so searches all agents for the owners of flows.
 func (c *Controller) peersToProbe(now time.Time) []fleet.InstanceID {
-	siblings, targets := make(map[fleet.InstanceID]bool), make(map[fleet.InstanceID]bool)
-	for _, service := range c.view.OneServicePerPool() {
-		isSibling := service.Target(c.config.Self) != nil
-		for target := range service.All() {
-			targets[target.ID()] = true
-			if isSibling {
-				siblings[target.ID()] = true
-			}
+	targets := c.view.Targets()
+	if c.config.Role == fleet.RoleAgent && !c.view.LacksHistory(now) {
+		targets = c.view.Siblings(c.config.Self)
+	}
+	var peers []fleet.InstanceID
+	for target := range targets {
+		if target.ID() != c.config.Self {
+			peers = append(peers, target.ID())
 		}
 	}
-	searchesAll := fleet.IsNewcomer(c.startedAt, now) && len(targets) <= fleet.MaxNewcomerSearch
-	peers := targets
-	if c.config.Role == fleet.RoleAgent && !searchesAll {
-		peers = siblings
-	}
-	delete(peers, c.config.Self)
-	return slices.Collect(maps.Keys(peers))
+	return peers
 }
 
 // probeDuePeers handles the probes that have timed out and sends those that are due. After two
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -52,7 +53,7 @@
 }
 
 // A newcomer searches the agents of other services, too, so it must know which of them are
-// unreachable. In a large fleet it searches only its siblings.
+// unreachable, in a fleet of any size.
 func TestNewcomersProbeAllAgentsThatTheySearch(t *testing.T) {
 	other := fleet.InstanceIDOf("patterns-0")
 	c := newProbedFleet(2)
@@ -65,5 +66,12 @@
 	require.Len(t, peers, 1, "an agent that is no newcomer probes its siblings")
 	require.NotContains(t, peers, other)
 
-	require.NotContains(t, probed(newProbedFleet(fleet.MaxNewcomerSearch), epoch), other)
+	for _, servers := range []int{68, 256} {
+		large := newProbedFleet(servers)
+		peers := make(map[fleet.InstanceID]bool)
+		for second := range 20 {
+			maps.Copy(peers, probed(large, epoch.Add(time.Duration(second)*time.Second)))
+		}
+		require.Len(t, peers, 2*servers-1)
+	}
 }
--- a/internal/core/fleet/newcomer.go
+++ b/internal/core/fleet/newcomer.go
@@ -1,18 +1,87 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // A process that has just started does not know which backend servers a service selected before a
 // change of its selectors. Answers this pattern: an operator moves a service to other backend
-// servers, and later all processes restart while long flows are still open at the former servers.
-// A newcomer therefore searches all agents for the owner of a flow, and probes them.
-const (
-	// newcomerPeriod is how long after its start a process is a newcomer.
-	newcomerPeriod = formerLifetime
-	// MaxNewcomerSearch is the number of agents up to which newcomers search all of them.
-	MaxNewcomerSearch = 64
-)
+// servers, and later processes restart while long flows are still open at the former servers.
+// A process takes the former selectors over from its peers. If all processes have restarted, no
+// peer knows them; for as long as the former selectors count, each process then searches all
+// agents for the owner of a flow, and probes them.
+
+// maxHistorySkew is how much further back than its own a peer's history must reach before a
+// process takes it over. Processes that start together differ by less and know the same.
+const maxHistorySkew = time.Second
+
+// SelectorHistory is what a process knows of former selectors, as sent to its peers.
+type SelectorHistory struct {
+	_ struct{} `cbor:",toarray"`
+	// Services is the revision of the services document that the history leads to.
+	Services Revision
+	// Span is how long the sender, or a process that it learned from, has seen all changes.
+	Span   time.Duration
+	Former []FormerSelectors
+}
+
+// FormerSelectors are selectors that a service had before a change.
+type FormerSelectors struct {
+	_         struct{} `cbor:",toarray"`
+	Service   ServiceID
+	Selectors map[string]Selector
+	// Remaining is how much longer they count.
+	Remaining time.Duration
+}
+
+// StartHistory records when this process started, which has seen no change of selectors before.
+func (s *State) StartHistory(now time.Time) { s.historySince = now }
+
+// HistorySpan returns how far back this process knows the changes of selectors.
+func (s *State) HistorySpan(now time.Time) time.Duration { return now.Sub(s.historySince) }
+
+// ExtendsHistory reports whether a process that knows the changes of selectors for a span back can
+// tell more to another one, whose span is shorter and does not cover all former selectors.
+func ExtendsHistory(span, other time.Duration) bool {
+	return lacksHistory(other) && span > other+maxHistorySkew
+}
+
+// lacksHistory reports whether a process that knows the changes of selectors for a span back may
+// not know the former selectors of all services.
+func lacksHistory(span time.Duration) bool { return span < formerLifetime }
+
+// History returns the former selectors that this process knows.
+func (s *State) History(now time.Time) *SelectorHistory {
+	history := &SelectorHistory{Services: s.services.Revision, Span: s.HistorySpan(now)}
+	for id, remembered := range s.former {
+		for _, f := range remembered {
+			history.Former = append(history.Former, FormerSelectors{Service: id, Selectors: f.selectors, Remaining: f.forgetAfter.Sub(now)})
+		}
+	}
+	return history
+}
+
+// MergeHistory takes over the former selectors that a peer knows, and reports whether it did. It
+// does not if the peer had another services document: a change between the two may be known to
+// neither process.
+func (s *State) MergeHistory(now time.Time, history *SelectorHistory) bool {
+	if history.Services != s.services.Revision || !ExtendsHistory(history.Span, s.HistorySpan(now)) {
+		return false
+	}
+	former := maps.Clone(s.former)
+	for _, f := range history.Former {
+		known := slices.ContainsFunc(former[f.Service], func(own formerSelectors) bool { return selectorsKey(own.selectors) == selectorsKey(f.Selectors) })
+		if !known && len(former[f.Service]) < maxFormerSelectors {
+			former[f.Service] = append(slices.Clone(former[f.Service]), formerSelectors{f.Selectors, now.Add(f.Remaining)})
+		}
+	}
+	s.former = former
+	s.routes = newRouteTable(&s.services, s.former)
+	s.historySince = now.Add(-history.Span)
+	return true
+}
 
-// IsNewcomer reports whether a process that started at an instant may not know the former
-// selectors of all services.
-func IsNewcomer(startedAt, now time.Time) bool { return now.Sub(startedAt) < newcomerPeriod }
+// LacksHistory reports whether this process may not know the former selectors of all services.
+func (v *View) LacksHistory(now time.Time) bool { return lacksHistory(now.Sub(v.historySince)) }
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -28,6 +28,9 @@
 	departed map[InstanceID]departedAgent
 	// former holds the selectors that services had before, newest first.
 	former map[ServiceID][]formerSelectors
+	// historySince is from when on this process, or one that it learned from, has seen all
+	// changes of selectors.
+	historySince time.Time
 	// restored holds what was known before the platform was last restored from a copy.
 	restored beforeRestore
 }
@@ -167,6 +170,8 @@
 		backends:    s.backendsWithLapsed(now),
 		draining:    make(map[string]bool, len(s.services.Draining)),
 		settledAt:   settledAt,
+
+		historySince: s.historySince,
 	}
 	view.documents.services, view.documents.backends, view.documents.instances = s.services, s.backends, s.instances
 	for _, dataCentre := range append(slices.Clone(s.services.Draining), s.restored.draining...) {
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -211,7 +211,9 @@
 	// draining holds the data centres that get no new flows.
 	draining  map[string]bool
 	settledAt time.Time
-	documents struct {
+	// historySince is State.historySince.
+	historySince time.Time
+	documents    struct {
 		services  ServicesDocument
 		backends  BackendsDocument
 		instances InstancesDocument
@@ -278,8 +280,6 @@
 	}
 }
 
-// OneServicePerPool returns one service for each pool of targets. Together these services
-// have all targets.
 // Targets yields the targets of all services, each once.
 func (v *View) Targets() iter.Seq[*Target] {
 	return distinctTargets(v.onePerPool)
@@ -317,6 +317,8 @@
 	}
 }
 
+// OneServicePerPool returns one service for each pool of targets. Together these services
+// have all targets.
 func (v *View) OneServicePerPool() []*RoutedService { return v.onePerPool }
 
 // MembershipHash returns a number that depends on the targets that can be registrars and
