Follow up missed probes of all peers that a cut silences at once

Cause: the two probes that a process sends in each 50 ms tick counted both its regular round and the probes that follow a miss. When a cut silences 30 peers, traffic shows it (the copies of opening packets), and each is probed at once; the two further probes that decide went out two a tick, so the last peer counted as unreachable after 1.5 s and more, the later the more peers.

Change: probes that follow a miss have a limit of their own, 32 a tick. There are at most two for each peer that falls silent, so they cost nothing at rest. The regular round keeps its two a tick beside them.

Measured: the test cuts 30 of 68 and 256 siblings with traffic to all of them; all count as unreachable within 0.5 s of the traffic's sign, no other peer does.

--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -11,8 +11,11 @@
 // less often, but more processes probe it.
 const (
 	// probesPerTick is the maximum number of regular probes per tick. Probes sent by
-	// probeAtOnce are not counted.
+	// probeAtOnce and those that follow a miss are not counted.
 	probesPerTick = 2
+	// followUpsPerTick is the maximum number of probes per tick that follow a miss. It is
+	// higher, since a cut silences many peers at once.
+	followUpsPerTick = 32
 	// probeInterval is the minimum time between two regular probes of a peer. After a miss
 	// the peer is due at once, until it has maxMisses misses.
 	probeInterval = 250 * time.Millisecond
@@ -52,8 +55,8 @@
 	s.dueAt = now.Add(probeInterval)
 }
 
-// prober schedules at most probesPerTick probes per tick: first those of peers that did not
-// reply to the last probe but have fewer than maxMisses misses, then those of all peers in
+// prober schedules the probes of a tick: at most followUpsPerTick of peers that did not reply to
+// the last probe but have fewer than maxMisses misses, and at most probesPerTick of all peers in
 // round-robin order.
 type prober struct {
 	states map[fleet.InstanceID]*probeState
@@ -98,18 +101,21 @@
 	}
 }
 
-// startDueProbes returns at most probesPerTick peers to probe now, and records a probe as sent
-// to each.
+// startDueProbes returns the peers to probe now, and records a probe as sent to each.
 func (p *prober) startDueProbes(now time.Time) []fleet.InstanceID {
 	var due []fleet.InstanceID
 	for id, state := range p.states {
-		if len(due) < probesPerTick && state.misses > 0 && state.misses < maxMisses && state.isDue(now) {
+		if len(due) == followUpsPerTick {
+			break
+		}
+		if state.misses > 0 && state.misses < maxMisses && state.isDue(now) {
 			state.recordSent(now)
 			due = append(due, id)
 		}
 	}
+	limit := len(due) + probesPerTick
 	for range p.order {
-		if len(due) >= probesPerTick {
+		if len(due) == limit {
 			break
 		}
 		id := p.order[p.nextIndex%len(p.order)]
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -75,3 +75,50 @@
 		require.Len(t, peers, 2*servers-1)
 	}
 }
+
+// A cut silences many peers at once. Those that traffic goes to must be found unreachable within
+// half a second of it, whatever the number of peers, and the cut must not read as the failure of
+// others.
+func TestCutIsNoticedOnPathsWithTrafficWithinHalfASecond(t *testing.T) {
+	const (
+		noticeTime = 500 * time.Millisecond
+		// copyInterval is the time after which a caller's second opening packet shows that
+		// the first one was not answered.
+		copyInterval = 200 * time.Millisecond
+	)
+	for _, servers := range []int{7, 68, 256} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			c := newProbedFleet(servers)
+			probed(c, epoch)
+			cutAt := epoch.Add(time.Second)
+			cut := make(map[fleet.InstanceID]bool)
+			for i := 1; i <= min(servers-1, 30); i++ {
+				cut[fleet.InstanceIDOf(fmt.Sprintf("orders-%d", i))] = true
+			}
+			noticed := make(map[fleet.InstanceID]time.Time)
+			for now := cutAt; now.Before(cutAt.Add(time.Second)); now = now.Add(TickInterval) {
+				outputs := c.Tick(now)
+				if now.Equal(cutAt.Add(copyInterval)) {
+					for id := range cut {
+						outputs = append(outputs, c.ProbePeer(now, id)...)
+					}
+				}
+				for _, output := range outputs {
+					if probe, ok := output.(Probe); ok && !cut[probe.Node.ID()] {
+						c.HandleProbeReply(now, probe.Node.ID(), 1, fleet.DefaultWeight)
+					}
+				}
+				for id := range c.prober.states {
+					if _, known := noticed[id]; c.state.Peers().IsUnreachable(id) && !known {
+						noticed[id] = now
+					}
+				}
+			}
+			require.Len(t, noticed, len(cut))
+			for id, at := range noticed {
+				require.True(t, cut[id])
+				require.LessOrEqual(t, at.Sub(cutAt.Add(copyInterval)), noticeTime)
+			}
+		})
+	}
+}
