--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -146,7 +146,7 @@
 // neither searches nor probes the rest of the fleet.
 func TestNewcomersTakeFormerSelectorsOverFromPeers(t *testing.T) {
 	c := newSharedClusterOf(t, 136)
-	owner := c.openAtArchive(t, 4000)
+	owner := c.openAtArchive(t, 4001)
 	c.selectApps(t, c.state, 4, "orders")
 	c.applyViewAt(settledAt)
 	c.state.StartHistory(settledAt.Add(-time.Hour))
