Give a server that is first listed after a restore its flows at once

Cause: what a restore remembers as leaving were all nodes shown as leaving, and an agent that has announced itself before the platform lists it is shown so too, to be searched but get no new flows.

Change: an agent that only its announcement makes known is marked as new and not remembered as leaving. One whose entry may have lapsed is as before.

Measured: the test fails on the code before (the server does not accept) and passes now.

--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -18,6 +18,9 @@
 	// acceptUntil is the time until which the agent still gets new flows, because its
 	// entry may only have lapsed. It is zero if the entry was leaving or not leased.
 	acceptUntil time.Time
+	// isNew reports whether the platform has never listed the agent, which only its
+	// announcement makes known.
+	isNew bool
 }
 
 // LapseGrace is how long an agent whose entry has disappeared without being marked as
@@ -79,6 +82,7 @@
 		instance:    instance,
 		backend:     Backend{Name: announced.Name, DataCentre: announced.DataCentre, Labels: announced.Labels},
 		forgetAfter: now.Add(departedLifetime),
+		isNew:       !canBeLapsed,
 	}
 	if canBeLapsed {
 		agent.acceptUntil = now.Add(LapseGrace)
--- a/internal/core/fleet/restore.go
+++ b/internal/core/fleet/restore.go
@@ -36,11 +36,12 @@
 	s.restored.until = now.Add(restoreGrace)
 }
 
-// leavingAgents returns the agents that are leaving or have left.
+// leavingAgents returns the agents that are leaving or have left. New ones, which the platform
+// does not list yet, are not among them.
 func (s *State) leavingAgents(now time.Time) map[InstanceID]bool {
 	leaving := make(map[InstanceID]bool)
 	for id, node := range s.nodes(now) {
-		if node.leaving {
+		if node.leaving && !s.departed[id].isNew {
 			leaving[id] = true
 		}
 	}
--- a/internal/core/fleet/restore_test.go
+++ b/internal/core/fleet/restore_test.go
@@ -58,3 +58,27 @@
 	require.Equal(t, started.Add(-time.Hour), view.Backend(second).StartedAt)
 	require.False(t, view.draining["south"])
 }
+
+// Guards against a new server that gets no flows for restoreGrace: the platform is restored
+// between the announcement of its agent and its first entry in the list.
+func TestServerFirstListedAfterARestoreGetsFlowsAtOnce(t *testing.T) {
+	state := newState(t, 2)
+	added := InstanceIDOf("b2")
+	announcement := &Announcement{
+		Name: "b2", DataCentre: "north", Data: "127.0.0.1:7000", Control: "127.0.0.1:7001", Labels: map[string]string{"app": "orders"},
+	}
+	record := PeerRecord{ID: added, Incarnation: 1, Announcement: announcement}
+	state.Peers().Merge(epoch, record)
+	require.True(t, state.RecordAnnouncement(epoch, record, false))
+	require.False(t, orders(state).Target(added).IsAccepting(), "a server that is not listed yet gets no flows")
+
+	for _, document := range restoredDocuments(state, func(_ *ServicesDocument, b *BackendsDocument, i *InstancesDocument) {
+		b.Backends = append(b.Backends, Backend{Name: "b2", DataCentre: "north", Labels: announcement.Labels})
+		i.Instances = append(i.Instances, listedInstance("b2", RoleAgent, "north"))
+	}) {
+		_, err := state.Apply(epoch, document)
+		require.NoError(t, err)
+	}
+	require.True(t, state.isRestoring(epoch))
+	require.True(t, orders(state).Target(added).IsAccepting())
+}
