Dial and probe peers of the own data centre first

Cause: control links went to random processes, so in five data centres four fifths of each change, record and summary crossed between them, on every link; and the 40 probes a second went to all targets alike, although most packets now stay in the data centre.

Change: two of the three links that a process dials go to peers of its own data centre, if there are as many, and one to another; half of the probes of a tick go to near peers while one is due, the rest to all others. A fleet in one data centre behaves as before.

Measured: the simulation now has five data centres, and a test at 200 and 730 processes asserts the stated targets: a change in force everywhere within 4 s, at most 9,000 bytes a second on links at rest, and at most half of the bytes across. The probe test that sets its peers by hand names them as near; its assertions are as before.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -232,7 +232,7 @@
 func TestPeerIsProbedAfterEachMissOneProbeAtATime(t *testing.T) {
 	p := newProber()
 	id := fleet.InstanceIDOf("b0")
-	p.setPeers([]fleet.InstanceID{id})
+	p.setPeers([]fleet.InstanceID{id}, nil)
 	now := epoch
 	for range maxMisses {
 		require.Equal(t, []fleet.InstanceID{id}, p.startDueProbes(now))
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -50,6 +50,10 @@
 	confirmTimeout = 2 * time.Second
 	// wantedDialledLinks is the number of links that a process dials and keeps.
 	wantedDialledLinks = 3
+	// wantedNearLinks is how many of them go to peers in the data centre of the process, if
+	// there are as many. Each change then crosses between data centres on few links and
+	// spreads inside them on the others.
+	wantedNearLinks = 2
 	// maxRecordsPerMessage is the largest number of peer records in one message.
 	maxRecordsPerMessage = 512
 )
--- a/internal/core/control/history_test.go
+++ b/internal/core/control/history_test.go
@@ -54,7 +54,7 @@
 	target := view.Service(fleet.ServiceIDOf("orders")).Target(former)
 	require.NotNil(t, target)
 	require.True(t, target.IsResidual())
-	require.Len(t, newcomer.prober.order, 67+68, "the former servers of orders are siblings whose reachability matters")
+	require.Len(t, newcomer.prober.near.peers, 67+68, "the former servers of orders are siblings whose reachability matters")
 }
 
 // Processes that start together know equally little and must not tell each other so again and
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -34,10 +34,10 @@
 
 // maintainLinks closes links that have timed out, surplus accepted links, and dialled links
 // that are due for replacement. It dials one peer at a time, at randomised intervals, until
-// there are wantedDialledLinks dialled links.
+// there are wantedDialledLinks dialled links, wantedNearLinks of them near.
 func (c *Controller) maintainLinks(now time.Time) {
 	c.closeSurplusLinks(now)
-	dialled := 0
+	dialled, near := 0, 0
 	for id, l := range c.links {
 		switch {
 		case now.After(l.timeoutAt):
@@ -47,6 +47,9 @@
 			c.closeLink(id)
 		case l.dialled:
 			dialled++
+			if node := c.view.Node(l.peer); node != nil && c.isNear(node) {
+				near++
+			}
 		}
 	}
 	if dialled >= wantedDialledLinks || now.Before(c.nextDialAt) {
@@ -57,7 +60,7 @@
 		interval = firstDialInterval
 	}
 	c.nextDialAt = now.Add(interval/2 + time.Duration(c.random.Int64N(int64(interval))))
-	if endpoint, found := c.pickDialEndpoint(); found {
+	if endpoint, found := c.pickDialEndpoint(near < wantedNearLinks); found {
 		c.emit(OpenLink{Control: endpoint})
 	}
 }
@@ -100,32 +103,43 @@
 	c.emit(CloseLink{Link: id})
 }
 
+// isNear reports whether a node is in the data centre of this process.
+func (c *Controller) isNear(node *fleet.Node) bool { return node.DataCentre() == c.config.DataCentre }
+
 // pickDialEndpoint returns the control endpoint of a random node that has no link yet, or of
-// the next seed if the view holds no other node. It reports false if there is none.
-func (c *Controller) pickDialEndpoint() (netip.AddrPort, bool) {
+// the next seed if the view holds no other node. The node is near or not as wanted, unless there
+// are only others. It reports false if there is none.
+func (c *Controller) pickDialEndpoint(wantsNear bool) (netip.AddrPort, bool) {
 	linked := make(map[fleet.InstanceID]bool, len(c.links))
 	for _, l := range c.links {
 		linked[l.peer] = true
 	}
-	var candidates []netip.AddrPort
+	var wanted, rest []netip.AddrPort
 	others := 0
 	for id, node := range c.view.Nodes() {
 		if id == c.config.Self {
 			continue
 		}
 		others++
-		if !linked[id] {
-			candidates = append(candidates, node.Control())
+		switch {
+		case linked[id]:
+		case c.isNear(node) == wantsNear:
+			wanted = append(wanted, node.Control())
+		default:
+			rest = append(rest, node.Control())
 		}
 	}
 	if others == 0 && len(c.config.Seeds) > 0 {
 		c.lastSeedIndex++
 		return c.config.Seeds[c.lastSeedIndex%len(c.config.Seeds)], true
 	}
-	if len(candidates) == 0 {
+	if len(wanted) == 0 {
+		wanted = rest
+	}
+	if len(wanted) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return candidates[c.random.IntN(len(candidates))], true
+	return wanted[c.random.IntN(len(wanted))], true
 }
 
 // nodeName returns the name of a node, or an empty string if the view does not hold it.
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -10,8 +11,9 @@
 // limited independently of the size of the fleet: in a larger fleet each process probes a peer
 // less often, but more processes probe it.
 const (
-	// probesPerTick is the maximum number of regular probes per tick. Probes sent by
-	// probeAtOnce and those that follow a miss are not counted.
+	// probesPerTick is the maximum number of regular probes per tick. Half of them go to
+	// peers in the data centre of the process while any of these is due, since most packets
+	// go there. Probes sent by probeAtOnce and those that follow a miss are not counted.
 	probesPerTick = 2
 	// followUpsPerTick is the maximum number of probes per tick that follow a miss. It is
 	// higher, since a cut silences many peers at once.
@@ -56,12 +58,17 @@
 }
 
 // prober schedules the probes of a tick: at most followUpsPerTick of peers that did not reply to
-// the last probe but have fewer than maxMisses misses, and at most probesPerTick of all peers in
-// round-robin order.
+// the last probe but have fewer than maxMisses misses, and at most probesPerTick of all peers,
+// near and far ones each in round-robin order.
 type prober struct {
-	states map[fleet.InstanceID]*probeState
-	// order holds all peers, and nextIndex the position of the next one in turn.
-	order     []fleet.InstanceID
+	states    map[fleet.InstanceID]*probeState
+	near, far probeRound
+}
+
+// probeRound is a round-robin order of peers.
+type probeRound struct {
+	peers []fleet.InstanceID
+	// nextIndex is the position of the next peer in turn.
 	nextIndex int
 }
 
@@ -69,17 +76,20 @@
 	return &prober{states: make(map[fleet.InstanceID]*probeState)}
 }
 
-// setPeers replaces the peers to probe. Peers that remain keep their probe state.
-func (p *prober) setPeers(peers []fleet.InstanceID) {
-	states := make(map[fleet.InstanceID]*probeState, len(peers))
-	for _, id := range peers {
-		if known := p.states[id]; known != nil {
-			states[id] = known
-		} else {
-			states[id] = new(probeState)
+// setPeers replaces the peers to probe, those near and those far. Peers that remain keep their
+// probe state.
+func (p *prober) setPeers(near, far []fleet.InstanceID) {
+	states := make(map[fleet.InstanceID]*probeState, len(near)+len(far))
+	for _, peers := range [][]fleet.InstanceID{near, far} {
+		for _, id := range peers {
+			if known := p.states[id]; known != nil {
+				states[id] = known
+			} else {
+				states[id] = new(probeState)
+			}
 		}
 	}
-	p.states, p.order = states, peers
+	p.states, p.near.peers, p.far.peers = states, near, far
 }
 
 // forgetPending drops the probes that await a reply, and all counts of missed probes. It is
@@ -113,13 +123,22 @@
 			due = append(due, id)
 		}
 	}
-	limit := len(due) + probesPerTick
-	for range p.order {
+	near := p.startRound(now, &p.near, probesPerTick/2)
+	far := p.startRound(now, &p.far, probesPerTick-len(near))
+	rest := p.startRound(now, &p.near, probesPerTick-len(near)-len(far))
+	return slices.Concat(due, near, far, rest)
+}
+
+// startRound returns the next peers in turn whose probe is due, at most limit, and records a
+// probe as sent to each.
+func (p *prober) startRound(now time.Time, round *probeRound, limit int) []fleet.InstanceID {
+	var due []fleet.InstanceID
+	for range round.peers {
 		if len(due) == limit {
 			break
 		}
-		id := p.order[p.nextIndex%len(p.order)]
-		p.nextIndex = (p.nextIndex + 1) % len(p.order)
+		id := round.peers[round.nextIndex%len(round.peers)]
+		round.nextIndex = (round.nextIndex + 1) % len(round.peers)
 		if state := p.states[id]; state.isDue(now) {
 			state.recordSent(now)
 			due = append(due, id)
@@ -128,21 +147,24 @@
 	return due
 }
 
-// peersToProbe returns the peers whose reachability matters to this process: all targets for a
-// balancer, the siblings for an agent, and all targets for an agent that may not know the former
-// selectors of all services and so searches all agents for the owners of flows.
-func (c *Controller) peersToProbe(now time.Time) []fleet.InstanceID {
+// peersToProbe returns the peers whose reachability matters to this process, near and far: all
+// targets for a balancer, the siblings for an agent, and all targets for an agent that may not
+// know the former selectors of all services and so searches all agents for the owners of flows.
+func (c *Controller) peersToProbe(now time.Time) (near, far []fleet.InstanceID) {
 	targets := c.view.Targets()
 	if c.config.Role == fleet.RoleAgent && !c.view.LacksHistory(now) {
 		targets = c.view.Siblings(c.config.Self)
 	}
-	var peers []fleet.InstanceID
 	for target := range targets {
-		if target.ID() != c.config.Self {
-			peers = append(peers, target.ID())
+		switch {
+		case target.ID() == c.config.Self:
+		case target.DataCentre() == c.config.DataCentre:
+			near = append(near, target.ID())
+		default:
+			far = append(far, target.ID())
 		}
 	}
-	return peers
+	return near, far
 }
 
 // probeDuePeers handles the probes that have timed out and sends those that are due. After two
--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -29,6 +29,8 @@
 	// agentsPerBalancer is the number of agents for each balancer.
 	agentsPerBalancer = 3
 	seedCount         = 3
+	// dataCentreCount is the number of data centres that the processes are in, by turns.
+	dataCentreCount = 5
 )
 
 // simulation runs the controllers of a whole fleet, their links and the platform in simulated
@@ -56,9 +58,12 @@
 	// routesSince is the time at which the process first published a view that can route. It
 	// is zero before.
 	routesSince time.Time
-	// sentBytes is the encoded size of all messages sent on links, and digestMessages the
-	// number of those that hold digests of the peer table.
-	sentBytes, digestMessages int
+	// sentBytes is the encoded size of all messages sent on links, crossedBytes that of those
+	// to other data centres, and digestMessages the number of those that hold digests of the
+	// peer table.
+	sentBytes, crossedBytes, digestMessages int
+	// servicesRevision is the revision of the services document in the view.
+	servicesRevision uint64
 	// refusedLinks counts the incoming links rejected because of maxLinks, and peakLinks is the largest
 	// number of links at a time.
 	refusedLinks int
@@ -104,12 +109,12 @@
 	}
 	for i := range size {
 		config := control.Config{
-			Self: fleet.InstanceIDOf(nameOf(i)), Incarnation: 1, Role: roleOf(i), DataCentre: "north",
+			Self: fleet.InstanceIDOf(nameOf(i)), Incarnation: 1, Role: roleOf(i), DataCentre: dataCentreOf(i),
 			Control: endpointOf(i), Seeds: seeds,
 		}
 		if config.Role == fleet.RoleAgent {
 			config.Announcement = &fleet.Announcement{
-				Name: nameOf(i), DataCentre: "north", Data: endpointOf(i).String(), Control: endpointOf(i).String(),
+				Name: nameOf(i), DataCentre: dataCentreOf(i), Data: endpointOf(i).String(), Control: endpointOf(i).String(),
 				Labels: map[string]string{"app": "orders"},
 			}
 		}
@@ -126,6 +131,9 @@
 	return s
 }
 
+// dataCentreOf returns the data centre of process i, such that each has balancers and agents.
+func dataCentreOf(i int) string { return fmt.Sprintf("centre-%d", i/(agentsPerBalancer+1)%dataCentreCount) }
+
 func nameOf(i int) string { return fmt.Sprintf("instance-%d", i) }
 
 func roleOf(i int) fleet.Role {
@@ -148,9 +156,9 @@
 			continue
 		}
 		instances.Instances = append(instances.Instances, fleet.Instance{
-			Name: nameOf(i), Role: fleet.RoleAgent, DataCentre: "north", Data: endpointOf(i).String(), Control: endpointOf(i).String(), State: fleet.StateLive,
+			Name: nameOf(i), Role: fleet.RoleAgent, DataCentre: dataCentreOf(i), Data: endpointOf(i).String(), Control: endpointOf(i).String(), State: fleet.StateLive,
 		})
-		backends.Backends = append(backends.Backends, fleet.Backend{Name: nameOf(i), DataCentre: "north", Labels: map[string]string{"app": "orders"}})
+		backends.Backends = append(backends.Backends, fleet.Backend{Name: nameOf(i), DataCentre: dataCentreOf(i), Labels: map[string]string{"app": "orders"}})
 	}
 	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: revision}, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp",
@@ -213,6 +221,7 @@
 				s.perform(p, p.controller.HandleProbeReply(s.now, o.Node.ID(), 1, fleet.DefaultWeight))
 			})
 		case control.PublishView:
+			p.servicesRevision = o.View.Revisions().Services.Number
 			if p.routesSince.IsZero() && o.View.CanRoute() {
 				p.routesSince = s.now
 			}
@@ -230,6 +239,9 @@
 		panic(err)
 	}
 	p.sentBytes += len(encoded)
+	if dataCentreOf(p.index) != dataCentreOf(far.process.index) {
+		p.crossedBytes += len(encoded)
+	}
 	if o.Message.Digests != nil {
 		p.digestMessages++
 	}
@@ -317,6 +329,41 @@
 	require.Zero(t, late, "processes that cannot route %s after the start", within)
 }
 
+// Guards against control traffic and delays that grow with the fleet: at hundreds of processes a
+// change must be in force everywhere in time, control must stay within its bytes at rest, and most
+// of what a change costs must stay inside the data centres.
+func TestChangesSpreadInTimeAndMostlyInsideDataCentres(t *testing.T) {
+	const (
+		inForceWithin = 4 * time.Second
+		// restBytes is the limit of the bytes that a process sends on links, in bytes a second.
+		restBytes = 9000
+		// crossShare is the largest share of bytes that may cross between data centres. With
+		// links to random peers it would be four fifths.
+		crossShare = 0.5
+		restPeriod = time.Second
+	)
+	for size, changes := range map[int]int{200: 3, 730: 1} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			s := newSimulation(size, servesAll)
+			s.run(4 * time.Second)
+			sent, crossed := func(p *process) int { return p.sentBytes }, func(p *process) int { return p.crossedBytes }
+			sentBefore, crossedBefore := s.sum(sent), s.sum(crossed)
+			s.run(restPeriod)
+			require.LessOrEqual(t, (s.sum(sent)-sentBefore)/int(restPeriod.Seconds())/size, restBytes, "bytes a second at rest")
+			for change := range changes {
+				revision := uint64(2 + change)
+				s.publishAgents(revision, size)
+				s.run(inForceWithin)
+				for _, p := range s.processes {
+					require.Equal(t, revision, p.servicesRevision, "process %d", p.index)
+				}
+			}
+			share := float64(s.sum(crossed)-crossedBefore) / float64(s.sum(sent)-sentBefore)
+			require.LessOrEqual(t, share, crossShare)
+		})
+	}
+}
+
 // BenchmarkColdStart measures the time until processes can route after the whole fleet has started
 // at once, and the traffic on control links during the start and at rest.
 func BenchmarkColdStart(b *testing.B) {
