Poll many agents at once for the owner of a flow that nobody knows

Cause: an agent that has restarted beside a server can neither claim nor deny a flow; only the server can, by bouncing the packet.

Change: the agent that no registrar helps polls: it sends copies of the flow's held packets to the six placement candidates that come first, then to 64 agents at a time. Each answers: a denial when the server bounces the packet or the agent knows all its flows, a claim when the server has not bounced it for 25 ms. A claim ends the poll. An agent that has replied to a query that it does not know all flows is not queried again for a second. Nobody sends lists of visited agents for this any more, so their limit of 256 is not met.

Ruled out: denying by what a restart of the agent shows. Its server may have run all the while.

Tests: 7, 136 and 512 agents, a dead flow takes 1, 4 and 9 round trips and each agent is polled once; a claim ends the poll; a silent agent delays it until it is unreachable; agents that know nothing are not queried for each flow. Tests that asserted the next single step of the search now assert the poll of the same agents (routechange, lookup); retransmissions that go from agent to agent remain for relayed packets and are tested with one; the bound of lookups is asserted as before, with that of polls behind it.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -3,7 +3,7 @@
 import "github.com/radishmast/radishmast/internal/core/fleet"
 
 // Action is what the caller of the Agent must do with a packet: one of *Deliver, *Forward,
-// *Hold, *AwaitView, *Wait, *Reset and *Drop.
+// *Hold, *AwaitView, *Wait, *Deny, *Reset and *Drop.
 type Action interface{ isAction() }
 
 // Deliver hands the packet to the backend server or, where flows are not carried, to the
@@ -12,6 +12,9 @@
 	// SendHint reports whether the balancer must be sent a hint that this agent owns the
 	// flow.
 	SendHint bool
+	// Claims reports whether the sender polled for the owner of the flow and must be told that
+	// this agent owns it.
+	Claims bool
 	// Opens reports whether the packet opens a new flow. The stack must first discard the
 	// state of an earlier flow with the same addresses and ports.
 	Opens bool
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -122,6 +122,11 @@
 	// Origin is the balancer that received the packet from the fabric, or zero if that is not
 	// known any more.
 	Origin fleet.InstanceID
+	// Polled reports whether the sender polls many agents and must be told if this one owns the
+	// flow or not.
+	Polled bool
+	// Sender is the process that sent the packet here.
+	Sender fleet.InstanceID
 	// FromAgent reports whether the sender is another agent, not a balancer.
 	FromAgent bool
 	// Visited lists the agents that the packet has visited. They do not own its flow.
@@ -219,7 +224,12 @@
 	directory      directory
 	forwardHistory forwardHistory
 	lookups        lookups
-	owners         ownerLists
+	// polls holds the polls in progress, and pendingClaims the claims that follow from those of
+	// other agents.
+	polls         map[flow.ID]*pollState
+	pendingClaims map[flow.ID]pendingClaim
+
+	owners ownerLists
 	// outsiders limits the search outside the services of flows.
 	outsiders *rate.Limiter
 	// waiting holds the opening packets that wait for room.
@@ -240,6 +250,7 @@
 
 	// The actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
+	deny    Deny
 	hold    Hold
 
 	awaitView AwaitView
@@ -267,6 +278,8 @@
 		directory:      newDirectory(maxRegisteredPerFlow * config.MaxFlows),
 		forwardHistory: make(forwardHistory),
 		lookups:        newLookups(),
+		polls:          make(map[flow.ID]*pollState),
+		pendingClaims:  make(map[flow.ID]pendingClaim),
 		owners:         newOwnerLists(false),
 		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
 
@@ -283,6 +296,7 @@
 // packet came through another agent and is not an opening packet.
 func (a *Agent) deliverPacket(received *ReceivedPacket) Action {
 	a.deliver.Opens = false
+	a.deliver.Claims = received.Polled
 	a.deliver.SendHint = received.FromAgent && received.Packet.Kind() != flow.Opening
 	return &a.deliver
 }
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -70,12 +70,15 @@
 // HandleBouncedPacket.
 func (a *Agent) receiveCarriedUnknown(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	a.waiting.forget(received.Packet.Flow())
-	if action, found := a.referToOwner(now, service, received); found {
+	if action, found := a.referToOwner(now, service, received); found && !received.Polled {
 		return action
 	}
 	if a.knowsAllFlows(now) {
 		return a.search(now, service, received)
 	}
+	if received.Polled {
+		return a.answerPoll(now, received)
+	}
 	return a.deliverSpeculatively()
 }
 
@@ -114,6 +117,9 @@
 // is delivered, since the backend server may hold the flow from before a restart of this
 // agent.
 func (a *Agent) receiveCarriedHandedOver(now time.Time, service *fleet.RoutedService, entry *flowEntry, received *ReceivedPacket) Action {
+	if received.Polled {
+		return a.answerPoll(now, received)
+	}
 	target := handOverTarget(service, entry, received)
 	if target == nil {
 		return a.deliverSpeculatively()
@@ -195,6 +201,7 @@
 // lost its flows and is assumed to be cold.
 func (a *Agent) HandleBouncedPacket(now time.Time, received *ReceivedPacket) Action {
 	a.responses.recordResponse(now)
+	delete(a.pendingClaims, received.Packet.Flow())
 	service := a.view.Service(received.Service)
 	if service == nil {
 		return a.dropPacket(DropUnknownService)
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -105,7 +105,15 @@
 			at = a.Target.ID()
 			action = c.agents[at].Receive(settledAt, packet)
 		case *Hold:
-			action = runLookup(t, c.agents, at, packet)
+			if c.agents[at].polls[packet.Packet.Flow()] == nil {
+				action = runLookup(t, c.agents, at, packet)
+				continue
+			}
+			found, result := c.runPoll(t, at, packet)
+			if _, delivered := result.(*Deliver); delivered {
+				return found, result
+			}
+			action = result
 		default:
 			return at, action
 		}
@@ -114,6 +122,37 @@
 	return 0, nil
 }
 
+// runPoll polls other agents with a held packet. It returns the agent whose backend server accepts
+// the packet and its action or, if all deny the flow, the agent at and the action that follows.
+func (c *testCluster) runPoll(t require.TestingT, at fleet.InstanceID, packet *ReceivedPacket) (fleet.InstanceID, Action) {
+	a := c.agents[at]
+	for {
+		polls := a.Polls(settledAt)
+		require.Len(t, polls, 1)
+		var results []LookupResult
+		for _, target := range polls[0].Targets {
+			c.forwardCount++
+			polled := *packet
+			polled.Polled, polled.FromAgent, polled.Visited = true, true, []fleet.InstanceID{at}
+			action := c.agents[target.ID()].Receive(settledAt, &polled)
+			if _, delivered := action.(*Deliver); delivered {
+				if c.deliverToBackend(target.ID(), packet.Packet) {
+					delete(a.polls, packet.Packet.Flow())
+					return target.ID(), action
+				}
+				action = c.agents[target.ID()].HandleBouncedPacket(settledAt, &polled)
+			}
+			require.IsType(t, &Deny{}, action)
+			results = append(results, a.HandleDenial(settledAt, target.ID(), packet.Packet.Flow())...)
+		}
+		if len(results) > 0 {
+			packet.LookedUp = true
+			packet.Visited = append(packet.Visited, results[0].DeniedBy...)
+			return at, a.ResumeAfterLookup(settledAt, packet)
+		}
+	}
+}
+
 // open opens a flow through the given agent and returns its owner.
 func (c *testCluster) open(t require.TestingT, at fleet.InstanceID, port uint16) fleet.InstanceID {
 	owner, action := c.routePacket(t, at, receivedPacket(port, flow.Opening, 0))
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -26,6 +26,9 @@
 	maxLookups = 512
 	// maxQueryFlows is the maximum number of flows in one query.
 	maxQueryFlows = 64
+	// unawarePeriod is how long an agent is not queried after it replied that it does not know
+	// all flows of its backend server: it can hardly deny others either, and is polled.
+	unawarePeriod = time.Second
 	// startTolerance is how much earlier than the agent its backend server may have
 	// started such that the agent still knows all its flows. After a loss of power a
 	// server may be back before its agent. An earlier process of the agent would have had
@@ -69,8 +72,15 @@
 	// Owner is the agent that replied that it owns the flow, or nil if none did.
 	Owner *fleet.Target
 	// DeniedBy lists the agents that replied that they know all flows of their backend
-	// server and do not own this one.
+	// server and do not own this one, or whose server has bounced its packet.
 	DeniedBy []fleet.InstanceID
+	// Claimed reports whether the owner was found by a poll, so that it has got the packets that
+	// were sent with it.
+	Claimed bool
+	// GivenUp reports whether a poll ended without an answer of some agents.
+	GivenUp bool
+	// Silent lists the agents that gave no reply in time. They must be probed.
+	Silent []fleet.InstanceID
 }
 
 // lookup is the lookup of the owner of one flow.
@@ -100,13 +110,16 @@
 	lastRound uint32
 	// nextRoundAt is the earliest time of the next round of queries.
 	nextRoundAt time.Time
+	// unaware holds until when agents are not queried, since they replied that they do not know
+	// all flows of their backend server.
+	unaware map[fleet.InstanceID]time.Time
 	// unqueried is the number of lookups that wait for their round of queries.
 	unqueried int
 }
 
 // newLookups returns lookups without any in progress.
 func newLookups() lookups {
-	return lookups{flows: make(map[flow.ID]*lookup), rounds: make(map[uint32]queryRound)}
+	return lookups{flows: make(map[flow.ID]*lookup), rounds: make(map[uint32]queryRound), unaware: make(map[fleet.InstanceID]time.Time)}
 }
 
 // knowsAllFlows reports whether this process knows every flow that can be open at its
@@ -151,13 +164,16 @@
 	return true
 }
 
-// NextLookupTime returns when OwnershipQueries or ExpireLookups must be called next. It reports
-// false if no lookup is in progress.
+// NextLookupTime returns when OwnershipQueries, ExpireLookups, Polls or ExpirePolls must be called
+// next. It reports false if no lookup and no poll is in progress.
 func (a *Agent) NextLookupTime(now time.Time) (time.Time, bool) {
+	due, _ := a.nextPollTime()
 	if a.lookups.unqueried > 0 {
-		return latest(now, a.lookups.nextRoundAt), true
+		if round := latest(now, a.lookups.nextRoundAt); due.IsZero() || round.Before(due) {
+			due = round
+		}
+		return due, true
 	}
-	var due time.Time
 	for _, l := range a.lookups.flows {
 		if due.IsZero() || l.deadline.Before(due) {
 			due = l.deadline
@@ -244,6 +260,9 @@
 	if !found {
 		return nil
 	}
+	if !reply.KnowsAllFlows {
+		a.lookups.unaware[from] = now.Add(unawarePeriod)
+	}
 	var results []LookupResult
 	for i, id := range round.flows {
 		l := a.lookups.flows[id]
@@ -293,7 +312,9 @@
 	var results []LookupResult
 	for id, l := range a.lookups.flows {
 		if l.queried && !now.Before(l.deadline) {
-			results = append(results, a.finishLookup(now, id, l, nil))
+			result := a.finishLookup(now, id, l, nil)
+			result.Silent = l.awaiting
+			results = append(results, result)
 		}
 	}
 	for number, r := range a.lookups.rounds {
--- a/internal/core/agent/owners.go
+++ b/internal/core/agent/owners.go
@@ -40,18 +40,28 @@
 	}
 	var targets []*fleet.Target
 	for _, target := range owners {
-		if a.isLikelyToReply(target, nil) {
+		if a.isLikelyToReply(target, nil) && a.isAware(now, target) {
 			targets = append(targets, target)
 		}
 	}
 	return targets
 }
 
+// isAware reports whether a target may know all flows of its backend server, so that it is worth
+// querying.
+func (a *Agent) isAware(now time.Time, target *fleet.Target) bool {
+	until, unaware := a.lookups.unaware[target.ID()]
+	if unaware && !now.Before(until) {
+		delete(a.lookups.unaware, target.ID())
+	}
+	return !now.Before(until)
+}
+
 // hasQueryTarget reports whether there is an agent to query for the owner of a flow that has
 // not been visited.
 func (a *Agent) hasQueryTarget(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) bool {
 	return slices.ContainsFunc(a.possibleOwners(now, service), func(target *fleet.Target) bool {
-		return a.isLikelyToReply(target, visited)
+		return a.isLikelyToReply(target, visited) && a.isAware(now, target)
 	})
 }
 
--- /dev/null
+++ b/internal/core/agent/poll_test.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// The load replayed here comes after a loss of power: agents and servers have restarted, the
+// platform does not say yet when, and packets of flows that no server holds arrive.
+
+// lookUp runs the lookup of a packet's flow at an agent and returns the action that follows.
+func (c *testCluster) lookUp(t require.TestingT, at fleet.InstanceID, packet *ReceivedPacket) Action {
+	packet.Referred = true
+	c.agents[at].Receive(settledAt, packet)
+	require.IsType(t, &Hold{}, c.agents[at].HandleBouncedPacket(settledAt, packet))
+	return runLookup(t, c.agents, at, packet)
+}
+
+// A dead flow must be reset after few round trips, not after a step for every agent, each with a
+// longer list of those visited.
+func TestDeadFlowIsResetAfterFewRoundTripsInAFleetOfAnySize(t *testing.T) {
+	for agents, roundTrips := range map[int]int{7: 1, 136: 4, 512: 9} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			c := newTestCluster(t, agents)
+			at := c.ids()[0]
+			a := c.agents[at]
+			packet := receivedPacket(4000, flow.Established, 77)
+			require.IsType(t, &Hold{}, c.lookUp(t, at, packet))
+			var results []LookupResult
+			polled := 0
+			for range roundTrips {
+				require.Empty(t, results)
+				polls := a.Polls(settledAt)
+				require.Len(t, polls, 1)
+				require.LessOrEqual(t, len(polls[0].Targets), maxPolled)
+				for _, target := range polls[0].Targets {
+					polled++
+					results = append(results, a.HandleDenial(settledAt, target.ID(), packet.Packet.Flow())...)
+				}
+			}
+			require.Len(t, results, 1)
+			require.Equal(t, agents-1, polled)
+			packet.Visited = results[0].DeniedBy
+			require.Equal(t, &Reset{Reason: ResetUnowned}, a.ResumeAfterLookup(settledAt, packet))
+		})
+	}
+}
+
+// pollForDeadFlow has an agent look up a flow that nobody knows, and returns the agent and the
+// flow's packet, which is held for a poll.
+func (c *testCluster) pollForDeadFlow(t require.TestingT) (*Agent, *ReceivedPacket) {
+	packet := receivedPacket(4000, flow.Established, 77)
+	require.IsType(t, &Hold{}, c.lookUp(t, c.ids()[0], packet))
+	return c.agents[c.ids()[0]], packet
+}
+
+// The owner of a living flow is among the first agents polled, and its claim ends the poll before
+// all others get copies.
+func TestClaimEndsThePoll(t *testing.T) {
+	c := newTestCluster(t, 136)
+	a, packet := c.pollForDeadFlow(t)
+	id := packet.Packet.Flow()
+	targets := a.Polls(settledAt)[0].Targets
+	require.Len(t, targets, firstPolled)
+	for _, target := range targets[1:] {
+		require.Empty(t, a.HandleDenial(settledAt, target.ID(), id))
+		require.Empty(t, a.HandleDenial(settledAt, target.ID(), id), "a denial must count once")
+	}
+	require.Empty(t, a.Polls(settledAt), "no other agent is polled while the last one may own the flow")
+	results := a.HandleClaim(settledAt, targets[0].ID(), id)
+	require.Len(t, results, 1)
+	require.True(t, results[0].Claimed)
+	require.Equal(t, targets[0].ID(), results[0].Owner.ID())
+	require.Empty(t, a.HandleClaim(settledAt, targets[0].ID(), id))
+	_, pending := a.NextLookupTime(settledAt)
+	require.False(t, pending)
+}
+
+// A machine stays away after the loss of power, and no process suspects it yet. The poll must go on
+// without it, and the flow must be denied only once the machine's agent counts as unreachable.
+func TestSilentAgentDelaysThePollUntilItIsUnreachable(t *testing.T) {
+	for _, unreachable := range []bool{true, false} {
+		t.Run(fmt.Sprint(unreachable), func(t *testing.T) {
+			c := newTestCluster(t, 20)
+			c.setIdempotent(t, true)
+			a, packet := c.pollForDeadFlow(t)
+			id := packet.Packet.Flow()
+			silent := a.Polls(settledAt)[0].Targets[0].ID()
+			polled := map[fleet.InstanceID]bool{}
+			now := settledAt
+			for ; now.Before(settledAt.Add(3 * pollInterval)); now = now.Add(pollInterval / 4) {
+				for _, state := range a.polls {
+					for _, agent := range slices.Clone(state.awaiting) {
+						polled[agent] = true
+						if agent != silent {
+							require.Empty(t, a.HandleDenial(now, agent, id))
+						}
+					}
+				}
+				a.Polls(now)
+			}
+			require.Len(t, polled, 19)
+			results, toProbe := a.ExpirePolls(now)
+			require.Empty(t, results)
+			require.Equal(t, []fleet.InstanceID{silent}, toProbe)
+			if !unreachable {
+				now = now.Add(pollPatience)
+				results, _ = a.ExpirePolls(now)
+				require.Equal(t, []LookupResult{{Flow: id, GivenUp: true}}, results)
+				return
+			}
+			c.state.Peers().SetReachable(now, silent, false)
+			c.applyViewAt(now)
+			a.Polls(now.Add(pollInterval))
+			results, _ = a.ExpirePolls(now.Add(pollInterval))
+			require.Len(t, results, 1)
+			require.Len(t, results[0].DeniedBy, 18)
+			packet.LookedUp, packet.Visited = true, results[0].DeniedBy
+			require.Equal(t, &Reset{Reason: ResetOwnerLost}, a.ResumeAfterLookup(settledAt, packet))
+		})
+	}
+}
+
+// An agent that was polled must answer itself, not pass the packet on.
+func TestPolledPacketIsAnsweredNotForwarded(t *testing.T) {
+	c := newTestCluster(t, 12)
+	ids := c.ids()
+	a := c.agents[ids[1]]
+	poll := func(port uint16, token uint32) *ReceivedPacket {
+		packet := receivedPacket(port, flow.Established, token)
+		packet.Polled, packet.FromAgent, packet.Sender, packet.Visited = true, true, ids[0], ids[:1]
+		return packet
+	}
+	packet := poll(4000, 77)
+	require.IsType(t, &Deliver{}, a.Receive(settledAt, packet), "only the server knows whether it holds the flow")
+	require.Empty(t, a.Claims(settledAt))
+	require.IsType(t, &Deny{}, a.HandleBouncedPacket(settledAt, packet))
+	require.Empty(t, a.Claims(settledAt.Add(claimDelay)))
+
+	a.StoreRegistrations(settledAt, ids[2], []uint64{packet.Packet.Flow().Hash()})
+	require.Equal(t, &Deliver{}, a.Receive(settledAt, packet), "the registered owner is polled as well")
+	require.Equal(t, []Claim{{Poller: ids[0], Flow: packet.Packet.Flow()}}, a.Claims(settledAt.Add(claimDelay)), "the server has not bounced the packet")
+
+	opening := receivedPacket(4001, flow.Opening, 0)
+	opening.Placed = true
+	_, action := c.routePacket(t, ids[1], opening)
+	require.IsType(t, &Deliver{}, action)
+	require.True(t, a.Receive(settledAt, poll(4001, c.backends[ids[1]].token)).(*Deliver).Claims)
+
+	c.startAgents(epoch)
+	c.setBackendStarts(t, epoch)
+	require.IsType(t, &Deny{}, a.Receive(settledAt, poll(4002, 77)), "an agent that knows all flows need not ask its server")
+}
+
+// Agents that know nothing after a restart must not be queried for each of thousands of flows
+// before they are polled.
+func TestAgentsThatKnowNothingAreNotQueriedForEachFlow(t *testing.T) {
+	c := newTestCluster(t, 136)
+	a, _ := c.pollForDeadFlow(t)
+	for port := range uint16(100) {
+		packet := receivedPacket(5000+port, flow.Established, 77)
+		packet.Referred = true
+		a.Receive(settledAt, packet)
+		require.IsType(t, &Hold{}, a.HandleBouncedPacket(settledAt, packet))
+	}
+	require.Empty(t, a.OwnershipQueries(settledAt.Add(queryInterval)))
+	require.Len(t, a.polls, 101)
+	packet := receivedPacket(6000, flow.Established, 77)
+	packet.Referred = true
+	later := settledAt.Add(unawarePeriod)
+	a.RecordViewConfirmed(later)
+	require.IsType(t, &Hold{}, a.HandleBouncedPacket(later, packet))
+	require.Len(t, a.OwnershipQueries(later), 135, "the platform may have told them since")
+}
+
+// Polls are bounded like lookups.
+func TestPollsAreBounded(t *testing.T) {
+	c := newTestCluster(t, 20)
+	a := c.agents[c.ids()[0]]
+	for port := range uint16(2 * maxPolls) {
+		packet := receivedPacket(1000+port, flow.Established, 77)
+		packet.LookedUp = true
+		a.ResumeAfterLookup(settledAt, packet)
+	}
+	require.Len(t, a.polls, maxPolls)
+}
--- a/internal/core/fleet/candidates.go
+++ b/internal/core/fleet/candidates.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"iter"
 	"math"
 	"slices"
@@ -154,6 +155,42 @@
 	})
 }
 
+// SearchOrder returns the eligible targets in the order in which they are searched for the owner
+// of a flow: unsuspected before suspected ones, selected before residual ones, near before other
+// ones, and among these by their unweighted rendezvous hashes.
+func (c Candidates) SearchOrder(hash uint64, eligible func(*Target) bool) []InstanceID {
+	var targets []*Target
+	for target := range c.All() {
+		if eligible(target) {
+			targets = append(targets, target)
+		}
+	}
+	slices.SortFunc(targets, func(a, b *Target) int {
+		return cmp.Or(
+			compareBool(a.suspected, b.suspected),
+			compareBool(a.residual, b.residual),
+			compareBool(a.dataCentre != c.near, b.dataCentre != c.near),
+			cmp.Compare(mixHash(hash, b.id), mixHash(hash, a.id)),
+		)
+	})
+	ids := make([]InstanceID, len(targets))
+	for i, target := range targets {
+		ids[i] = target.id
+	}
+	return ids
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // bestPreferringUnsuspected returns the best eligible target that is not suspected, or
 // the best eligible one if all are.
 func (c Candidates) bestPreferringUnsuspected(hash uint64, eligible func(*Target) bool) *Target {
--- a/internal/daemon/carrier/packethandler.go
+++ b/internal/daemon/carrier/packethandler.go
@@ -106,8 +106,10 @@
 	return nil
 }
 
-// releaseWaiting processes the opening packets whose wait for room is over.
+// releaseWaiting processes the opening packets whose wait for room is over, and claims the polled
+// flows that the backend server holds.
 func (h *packetHandler) releaseWaiting(now time.Time) {
+	h.SendClaims(now)
 	h.carrier.mu.Lock()
 	released := h.carrier.core.ReleaseWaiting(now)
 	h.carrier.mu.Unlock()
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -94,6 +94,10 @@
 		d.handleOwnershipQuery(header, body)
 	case datagram.OwnershipReply:
 		d.handleOwnershipReply(header, body)
+	case datagram.OwnershipDenial:
+		d.handlePollAnswer(header, body, d.Core.HandleDenial)
+	case datagram.OwnershipClaim:
+		d.handlePollAnswer(header, body, d.Core.HandleClaim)
 	default:
 		d.Counters.Add("drop_unexpected_kind", 1)
 	}
@@ -169,13 +173,16 @@
 	d.Core.RecordViewConfirmed(d.Node.ConfirmedAt())
 	switch action := decide(now, &d.received).(type) {
 	case *core.Deliver:
-		wantsHint, opens := action.SendHint, action.Opens
+		wantsHint, opens, claims := action.SendHint, action.Opens, action.Claims
 		tag := d.Delivery.AssignTag(header)
 		d.Mutex.Unlock()
 		d.deliver(packet, tag, opens)
 		if wantsHint {
 			d.sendHint(header)
 		}
+		if claims {
+			d.answerPoll(datagram.OwnershipClaim, d.received.Sender, packet.Flow())
+		}
 	case *core.Forward:
 		forwardAction := *action
 		d.Mutex.Unlock()
@@ -192,6 +199,9 @@
 		if !held {
 			d.dropStale(1)
 		}
+	case *core.Deny:
+		d.Mutex.Unlock()
+		d.answerPoll(datagram.OwnershipDenial, d.received.Sender, packet.Flow())
 	case *core.Wait:
 		d.Mutex.Unlock()
 		d.recordDecision("wait", "", "")
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -31,6 +31,8 @@
 	received.Relayed = header.Flags&datagram.Relayed != 0
 	received.Referred = header.Flags&datagram.Referred != 0
 	received.LookedUp = header.Flags&datagram.LookedUp != 0
+	received.Polled = header.Flags&datagram.Polled != 0
+	received.Sender = fleet.InstanceID(header.From)
 	received.FromAgent = header.From != header.Origin
 	received.Visited = received.Visited[:0]
 	for _, id := range header.Visited {
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,8 @@
 	header datagram.Header
 	// body is the packet.
 	body []byte
+	// polled reports whether copies of the packet have been sent to the agents polled last.
+	polled bool
 }
 
 // HeldPackets holds packets while the owners of their flows are looked up, those that arrive
@@ -172,19 +175,30 @@
 	return true
 }
 
-// runLookupRound sends the queries that are due and ends the lookups that have timed out.
+// runLookupRound sends the queries and polls that are due and ends the lookups and polls that have
+// timed out.
 func (d *Dispatcher) runLookupRound(now time.Time) {
 	d.Mutex.Lock()
 	queries := d.Core.OwnershipQueries(now)
 	results := d.Core.ExpireLookups(now)
+	pollResults, silent := d.Core.ExpirePolls(now)
 	d.Mutex.Unlock()
+	d.probe(silent)
 	for i := range queries {
 		d.sendOwnershipQuery(&queries[i])
 	}
-	d.resume(now, results)
+	d.sendPolls(now)
+	d.resume(now, append(results, pollResults...))
 	d.Delivery.Flush()
 }
 
+// probe probes agents that have not answered.
+func (d *Dispatcher) probe(agents []fleet.InstanceID) {
+	for _, id := range agents {
+		d.Node.ProbeNow(id)
+	}
+}
+
 // sleep waits for a duration. It reports false as soon as ctx is done.
 func sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
@@ -243,10 +257,26 @@
 	d.resume(now, results)
 }
 
-// resume processes the held packets of flows whose lookups have ended. They are dropped and
-// counted if the view has expired meanwhile. A packet is forwarded
-// to the flow's owner. If none was found, the core decides again, and agents that denied
-// owning the flow count as visited.
+// packetsToResume returns the held packets of a flow that need something more after its lookup or
+// poll: none if the poll was given up, and if the owner was found by a poll those that it has not
+// got.
+func (d *Dispatcher) packetsToResume(result *core.LookupResult, packets []heldPacket) []heldPacket {
+	switch {
+	case result.GivenUp:
+		d.Counters.Add("drop_poll_unanswered", len(packets))
+		return nil
+	case result.Claimed && result.Owner == nil:
+		return nil
+	case result.Claimed:
+		return slices.DeleteFunc(packets, func(packet heldPacket) bool { return packet.polled })
+	}
+	return packets
+}
+
+// resume processes the held packets of flows whose lookups or polls have ended. They are dropped
+// and counted if the view has expired meanwhile. Otherwise a packet is forwarded to the flow's owner. If none was
+// found, the core decides again, and agents that denied owning the flow count as visited. Agents
+// that gave no answer are probed at once.
 func (d *Dispatcher) resume(now time.Time, results []core.LookupResult) {
 	for i := range results {
 		result := &results[i]
@@ -254,6 +284,8 @@
 		packets := d.HeldPackets.byFlow[result.Flow]
 		delete(d.HeldPackets.byFlow, result.Flow)
 		d.Mutex.Unlock()
+		d.probe(result.Silent)
+		packets = d.packetsToResume(result, packets)
 		if !d.Node.IsValid(now) {
 			d.Counters.Add("drop_view_expired", len(packets))
 			continue
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -62,6 +62,12 @@
 	OwnershipQuery
 	// OwnershipReply answers an OwnershipQuery.
 	OwnershipReply
+	// OwnershipDenial answers a polled packet whose flow the sender does not own. The body holds
+	// the ID of the flow.
+	OwnershipDenial
+	// OwnershipClaim answers a polled packet whose flow the sender owns. The body holds the ID of
+	// the flow.
+	OwnershipClaim
 )
 
 // Flags describe what the sender of a caller's packet has decided or found out about it. The
@@ -83,6 +89,9 @@
 	// LookedUp marks a packet for which the owner of its flow has been looked up by
 	// ownership queries.
 	LookedUp
+	// Polled marks a packet that its sender sends to many agents at once. Each answers with an
+	// OwnershipClaim or an OwnershipDenial.
+	Polled
 )
 
 // Header precedes the body of every datagram. It is encoded as a CBOR array, so the order
