Call a platform that is down as often in a fleet of any size

Cause: until its view is first confirmed every process read the platform at once, and a view older than 2.2 s made every process read, each with its own backoff.

Change: the first reads go out in order: processes that peers dial first, then, after 100 ms for the documents to spread, by rank with a millisecond between two for the first 64, as the platform may serve few of its machines, then 40 ms. A stale view is read by rank, 40 ms apart, without the limit of 0.6 s after which all read. After a failed read a process that is no reader waits 25 ms for each known node, half a second at least. A process whose link a full seed refuses knows that others run, and puts its first read off for 0.5 s, three seconds at most; a seed closes surplus links also while the platform is down once announcements tell peers whom else to dial.

The test that 300 processes can route within 0.5 s although the platform serves one in twenty passes as before.

--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,13 +20,28 @@
 	// the platform as well.
 	staleAfter = 1600 * time.Millisecond
 	// delayPerRank is the time by which each further process reads later than the one
-	// before it in rank, so that the result of the first one saves the others their read.
+	// before it in rank, so that the result of the first one saves the others their read, and
+	// a platform that is down gets few calls in a fleet of any size.
 	delayPerRank = 40 * time.Millisecond
-	// maxRankDelay limits the delay that a process adds because of its rank.
-	maxRankDelay = 600 * time.Millisecond
+	// firstReaderCount is the number of processes by rank that make their first read soon one
+	// after the other, at intervals of firstDelayPerRank: after a start of the whole fleet the
+	// platform may serve few of its machines.
+	firstReaderCount  = 64
+	firstDelayPerRank = time.Millisecond
+	// firstReadPatience is how long a process that is no seed waits for the documents that
+	// seeds have read, and for peers that show its rank: after its start, and after each seed
+	// that refused a link since it had too many.
+	firstReadPatience = 100 * time.Millisecond
+	// maxFirstReadPatience is how long after its start it waits at most.
+	maxFirstReadPatience = 3 * time.Second
 	// maxFirstReadDelay limits the random delay of the first read, which spreads the reads of
 	// processes that all start at once.
 	maxFirstReadDelay = 10 * time.Millisecond
+	// retryDelayPerNode and minRetryDelay give the time after which a process that is no
+	// reader reads again after a failed read, so that all of them together call a platform
+	// that is down as often in a fleet of any size.
+	retryDelayPerNode = 25 * time.Millisecond
+	minRetryDelay     = 500 * time.Millisecond
 	// minConfirmationAdvance is the minimum time between two confirmations of the view that
 	// are both gossiped at once. Others wait for the next summary.
 	minConfirmationAdvance = 500 * time.Millisecond
@@ -44,24 +60,73 @@
 	// firstReadAt is the earliest time of the first read if no peer has confirmed the view
 	// before. It has no effect once confirmedAt is set.
 	firstReadAt time.Time
+	// latestFirstReadAt is the latest time to which refused links put off firstReadAt.
+	latestFirstReadAt time.Time
+	// isSeed reports whether peers dial this process first.
+	isSeed bool
+	// retryAt is the earliest time of the next read after a failed one, unless this process is
+	// a reader with links.
+	retryAt time.Time
+}
+
+// newFreshness returns the freshness of a process that starts now. random draws the delay of its
+// first read.
+func newFreshness(now time.Time, isSeed bool, random *rand.Rand) freshness {
+	f := freshness{isSeed: isSeed, firstReadAt: now.Add(time.Duration(random.Int64N(int64(maxFirstReadDelay))))}
+	if !isSeed {
+		f.firstReadAt = f.firstReadAt.Add(firstReadPatience)
+	}
+	f.latestFirstReadAt = now.Add(maxFirstReadPatience)
+	return f
+}
+
+// HandleLinkRefused records that a peer refused a link because it had too many. A process without
+// peers then puts off its first read, since others that run read for it.
+func (c *Controller) HandleLinkRefused(now time.Time) {
+	f := &c.viewFreshness
+	if len(c.links) > 0 || f.isSeed {
+		return
+	}
+	if putOff := now.Add(dialInterval); putOff.Before(f.latestFirstReadAt) {
+		f.firstReadAt = putOff
+	}
 }
 
 // ShouldReadPlatform reports whether this process should read the platform now. Until the view
-// is first confirmed, each process reads from firstReadAt on. After that, readers always read,
+// is first confirmed, each process reads from its first read on. After that, readers always read,
 // and another process reads only if the view is older than staleAfter plus the delay for its
-// rank.
+// rank. After a failed read, a process that is no reader or has no links waits until retryAt.
 func (c *Controller) ShouldReadPlatform(now time.Time) bool {
 	f := &c.viewFreshness
 	switch {
+	case (f.readRank >= readerCount || len(c.links) == 0) && now.Before(f.retryAt):
+		return false
 	case f.confirmedAt.IsZero():
-		return !now.Before(f.firstReadAt)
+		return !now.Before(f.firstReadAt.Add(f.firstReadDelay()))
 	case f.readRank < readerCount:
 		return true
 	}
-	delay := min(time.Duration(f.readRank-readerCount)*delayPerRank, maxRankDelay)
+	delay := time.Duration(f.readRank-readerCount) * delayPerRank
 	return now.After(f.confirmedAt.Add(staleAfter + delay))
 }
 
+// firstReadDelay returns the delay of the first read that is due to the rank of this process.
+func (f *freshness) firstReadDelay() time.Duration {
+	switch {
+	case f.isSeed:
+		return 0
+	case f.readRank < firstReaderCount:
+		return time.Duration(f.readRank) * firstDelayPerRank
+	}
+	return time.Duration(f.readRank) * delayPerRank
+}
+
+// RecordReadFailure records that this process could not read the platform.
+func (c *Controller) RecordReadFailure(now time.Time) {
+	delay := max(minRetryDelay, time.Duration(len(c.view.Nodes()))*retryDelayPerNode)
+	c.viewFreshness.retryAt = now.Add(delay)
+}
+
 // FirstReadDelay returns the time until firstReadAt: this process does not read the platform
 // before then unless a peer confirms the view first. It is zero once that time has passed.
 func (c *Controller) FirstReadDelay(now time.Time) time.Duration {
--- a/internal/core/control/links.go
+++ b/internal/core/control/links.go
@@ -69,17 +69,23 @@
 // whole fleet, all processes dial the same few seeds.
 const maxAcceptedLinks = 12
 
-// learningTime is the minimum time for which an accepted link stays open once this process can
-// route, so that the peer receives the documents before its link is closed as surplus.
+// learningTime is the minimum time for which an accepted link stays open once this process knows
+// others, so that the peer learns of them before its link is closed as surplus.
 const learningTime = 250 * time.Millisecond
 
+// canRefer reports whether the peers of this process have learned from it whom else to dial: from
+// the documents or, while the platform is down, from the announcements of others.
+func (c *Controller) canRefer() bool {
+	return c.view.CanRoute() || len(c.view.Nodes()) > maxAcceptedLinks
+}
+
 // closeSurplusLinks closes accepted links beyond maxAcceptedLinks once their peers have had
-// learningTime to receive the documents. These peers then dial others, which they know from
-// the documents, and gossip what they have received.
+// learningTime to learn of others. These peers then dial those, and gossip what they have
+// received.
 func (c *Controller) closeSurplusLinks(now time.Time) {
 	accepted := 0
 	for _, l := range c.links {
-		if !c.view.CanRoute() {
+		if !c.canRefer() {
 			l.closableAt = now.Add(learningTime)
 		}
 		if !l.dialled {
--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -70,6 +71,12 @@
 	if err != nil {
 		n.counters.Add("retry_link_dial", 1)
 		n.logger.WithError(err).Debug("control link not established; the controller dials again")
+		if errors.Is(err, link.ErrRefused) {
+			n.Enqueue(func(now time.Time) []control.Output {
+				n.controller.HandleLinkRefused(now)
+				return nil
+			})
+		}
 		return
 	}
 	n.runLink(ctx, l, true)
--- a/internal/daemon/node/source.go
+++ b/internal/daemon/node/source.go
@@ -20,6 +20,8 @@
 	Apply(document fleet.Document)
 	// ConfirmUnchanged records that the platform was read and has not changed.
 	ConfirmUnchanged()
+	// RecordReadFailure records that the platform could not be read.
+	RecordReadFailure()
 	// AwaitReadDue waits until this process should read the platform, because it is one of
 	// the fleet's readers or its peers have not confirmed the view recently. It reports
 	// false if ctx is done.
@@ -42,6 +44,16 @@
 	n.inputs <- func(now time.Time) []control.Output { return n.controller.Confirm(now) }
 }
 
+// RecordReadFailure makes the control goroutine record that the platform could not be read. It
+// waits while the queue of the control goroutine is full.
+func (n *Node) RecordReadFailure() {
+	n.inputs <- func(now time.Time) []control.Output {
+		n.controller.RecordReadFailure(now)
+		n.updateReadDue(now)
+		return nil
+	}
+}
+
 // AwaitReadDue waits until this process should read the platform. It reports false if ctx is
 // done.
 func (n *Node) AwaitReadDue(ctx context.Context) bool {
--- a/internal/link/control/link.go
+++ b/internal/link/control/link.go
@@ -34,6 +34,9 @@
 // messages more slowly than they are sent.
 var ErrSlowPeer = errors.New("send queue is full")
 
+// ErrRefused reports that a peer refuses a link because it has too many.
+var ErrRefused = errors.New("peer has too many control links")
+
 // Counter counts events by name.
 type Counter interface {
 	Add(name string, delta int)
@@ -55,13 +58,17 @@
 	return &Link{conn: conn, peer: peer, keys: keys, queue: make(chan []byte, sendQueueLength), counter: counter}
 }
 
-// Dial opens a link to a peer's control endpoint. It fails after dialTimeout. Messages
+// Dial opens a link to a peer's control endpoint. It fails after dialTimeout, and with ErrRefused if
+// the peer has too many links. Messages
 // are sent and received while Run runs.
 func Dial(ctx context.Context, peer netip.AddrPort, client *http.Client, keys Keys, counter Counter) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	url := fmt.Sprintf("ws://%s%s", peer, Path)
 	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: client})
+	if response != nil && response.StatusCode == http.StatusServiceUnavailable {
+		err = ErrRefused
+	}
 	if err != nil {
 		return nil, fmt.Errorf("dial control link to %s: %w", peer, err)
 	}
