--- a/internal/cmd/commands/commands_test.go
+++ b/internal/cmd/commands/commands_test.go
@@ -75,6 +75,8 @@
 		{"backends-south", []string{"backends", "--data-centre", "south", "--platform", p.URL()}, false, 0},
 		{"explain-table", []string{"explain", "--platform", p.URL(), "orders"}, true, 0},
 		{"explain-flow", []string{"explain", "--platform", p.URL(), "--caller", "10.1.0.1:40000", "orders"}, true, 0},
+		{"explain-flow-near", []string{"explain", "--platform", p.URL(), "--caller", "10.1.0.1:40000", "--data-centre", "south", "orders"}, true, 0},
+		{"explain-data-centre", []string{"explain", "--platform", p.URL(), "--data-centre", "south", "orders"}, true, 2},
 		{"explain-unknown", []string{"explain", "--platform", p.URL(), "reports"}, true, 2},
 		{"explain-caller", []string{"explain", "--platform", p.URL(), "--caller", "me", "orders"}, true, 2},
 		{"status-no-node", []string{"status", "--node", ""}, true, 2},
--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -24,9 +24,12 @@
 	Platform cmdutil.PlatformFlag
 	// Caller is the address and port of the caller whose flow is explained. If it is empty,
 	// the backend servers are explained instead.
-	Caller  string
-	Service string
-	JSON    bool
+	Caller string
+	// DataCentre is the data centre that the caller's packets enter, or empty where they enter
+	// anywhere.
+	DataCentre string
+	Service    string
+	JSON       bool
 }
 
 // NewCmdExplain returns the command radishmast explain.
@@ -35,13 +38,16 @@
 	flags := cmdutil.NewFlagSet("radishmast explain", f.Streams)
 	opts.Platform.Register(flags)
 	flags.StringVar(&opts.Caller, "caller", "", "caller's IPv4 address and port; shows the candidates of its flow")
+	flags.StringVar(&opts.DataCentre, "data-centre", "", "data centre that the caller's packets enter, if its flows stay near")
 	flags.BoolVar(&opts.JSON, "json", false, "print JSON")
 	return &ffcli.Command{
 		Name:       "explain",
-		ShortUsage: "radishmast explain --platform URL [--caller ADDR] SERVICE",
+		ShortUsage: "radishmast explain --platform URL [--caller ADDR [--data-centre NAME]] SERVICE",
 		ShortHelp:  "Show which backend servers a service selects and why, or which candidates a flow has.",
 		LongHelp: "Examples:\n  radishmast explain --platform http://10.0.0.1:8500 orders\n" +
 			"  radishmast explain --platform http://10.0.0.1:8500 --caller 10.1.0.1:40000 orders\n" +
+			"Where flows stay in the data centre that they enter, name it:\n" +
+			"  radishmast explain --platform http://10.0.0.1:8500 --caller 10.1.0.1:40000 --data-centre north orders\n" +
 			"A daemon's control endpoint can be given instead of the platform:\n  radishmast explain --platform http://10.0.0.7:7001 orders",
 		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
@@ -63,6 +69,9 @@
 		}
 		caller = parsed
 	}
+	if opts.DataCentre != "" && opts.Caller == "" {
+		return cmdutil.Usagef("--data-centre names where a caller's packets enter; give --caller as well")
+	}
 	documents, err := opts.Platform.ReadDocuments(ctx, opts.Factory)
 	if err != nil {
 		return err
@@ -144,17 +153,17 @@
 
 // flowRoles returns the roles of a target for a flow, separated by commas: primary, placement
 // candidate and registrar, in the words of the command's output.
-func flowRoles(service *fleet.RoutedService, hash uint64, target *fleet.Target) string {
+func flowRoles(candidates fleet.Candidates, hash uint64, target *fleet.Target) string {
 	var roles []string
-	if primary := service.Primary(hash); primary != nil && primary.ID() == target.ID() {
+	if primary := candidates.Primary(hash); primary != nil && primary.ID() == target.ID() {
 		roles = append(roles, "decides about it")
 	}
-	for _, placement := range service.PlacementCandidates(hash) {
+	for _, placement := range candidates.PlacementCandidates(hash) {
 		if placement.ID() == target.ID() {
 			roles = append(roles, "may be given it")
 		}
 	}
-	for _, registrar := range service.Registrars(hash) {
+	for _, registrar := range candidates.Registrars(hash) {
 		if registrar != nil && registrar.ID() == target.ID() {
 			roles = append(roles, "is told who owns it")
 		}
@@ -170,15 +179,16 @@
 	if err != nil {
 		return err
 	}
-	service := view.Service(fleet.ServiceIDOf(opts.Service))
-	hash := flow.NewID(service.Address(), caller).Hash()
+	routed := view.Service(fleet.ServiceIDOf(opts.Service))
+	hash := flow.NewID(routed.Address(), caller).Hash()
+	near := routed.Near(opts.DataCentre)
 	var visited []fleet.InstanceID
 	candidates := []candidate{}
-	for step := service.NextCandidate(hash, visited); step.Next != nil; step = service.NextCandidate(hash, visited) {
+	for step := near.NextCandidate(hash, visited); step.Next != nil; step = near.NextCandidate(hash, visited) {
 		visited = append(visited, step.Next.ID())
 		candidates = append(candidates, candidate{
 			Order: len(visited), Name: step.Next.Name(), DataCentre: step.Next.DataCentre(),
-			Accepting: step.Next.IsAccepting(), Roles: flowRoles(service, hash, step.Next),
+			Accepting: step.Next.IsAccepting(), Roles: flowRoles(near, hash, step.Next),
 		})
 	}
 	table := cmdutil.Table{Header: []string{"ORDER", "BACKEND SERVER", "DATA CENTRE", "TAKES NEW FLOWS", "PART"}}
