Split the tests of carried flows and of the fleet of processes by behaviour

Change: the cluster of agents, slow start and unresponsive servers have files of their own, and so have the processes of the fleet.

--- /dev/null
+++ b/internal/core/agent/response_test.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
+
+// A backend server stops answering. New flows must be retried on another agent, and only trials
+// go to the server until it answers again.
+func TestUnansweredOpeningIsRetriedOnAnotherAgent(t *testing.T) {
+	c := newTestCluster(t, 2)
+	ids := c.ids()
+	a := c.agents[ids[0]]
+	packet := receivedPacket(4000, flow.Opening, 0)
+	packet.Placed = true
+	require.IsType(t, &Deliver{}, a.Receive(settledAt, packet))
+	require.Empty(t, a.RetryOverdue(settledAt.Add(responseTimeout-time.Millisecond)))
+	late := settledAt.Add(responseTimeout)
+	retries := a.RetryOverdue(late)
+	require.Len(t, retries, 1)
+	require.Equal(t, ids[1], retries[0].Action.(*Forward).Target.ID())
+	require.Equal(t, []byte("packet"), retries[0].Opening)
+	require.True(t, a.IsTrialOnly())
+	require.IsType(t, &Deliver{}, a.Receive(late, receivedPacket(4001, flow.Opening, 0)), "one opening packet must be delivered as a trial")
+	require.IsType(t, &Forward{}, a.Receive(late, receivedPacket(4002, flow.Opening, 0)))
+	a.HandleBackendPacket(late, flow.Reply{Flow: flowOf(4001), HandshakeToken: 9, IsHandshakeReply: true})
+	require.False(t, a.IsTrialOnly())
+	require.IsType(t, &Deliver{}, a.Receive(late, receivedPacket(4003, flow.Opening, 0)))
+}
+
+// A backend server does not answer beyond the reset timeout. Callers may be made to repeat their
+// requests elsewhere only if requests are idempotent.
+func TestFlowsOfAnUnresponsiveServerAreResetOnlyIfIdempotent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := newTestCluster(t, 2)
+		c.setIdempotent(t, idempotent)
+		c.applyView()
+		id := c.open(t, c.ids()[0], 4000)
+		a := c.agents[id]
+		packet := receivedPacket(4001, flow.Opening, 0)
+		packet.Placed = true
+		delivered := settledAt.Add(time.Millisecond)
+		a.Receive(delivered, packet)
+		a.RetryOverdue(delivered.Add(responseTimeout))
+		require.IsType(t, &Deliver{}, a.Receive(delivered.Add(responseTimeout), receivedPacket(4000, flow.Established, 77)))
+		action := a.Receive(delivered.Add(resetTimeout), receivedPacket(4000, flow.Established, 77))
+		if idempotent {
+			require.Equal(t, &Reset{Reason: ResetServerSilent}, action)
+		} else {
+			require.IsType(t, &Deliver{}, action)
+		}
+	}
+}
+
+// A backend server answers no opening packet. Guards against retries that multiply the load.
+func TestRetriesOfUnansweredOpeningsAreLimitedToAShareOfFlows(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.agents[c.ids()[0]]
+	retried := 0
+	now := settledAt
+	for port := range uint16(90) {
+		packet := receivedPacket(5000+port, flow.Opening, 0)
+		packet.Placed = true
+		a.Receive(now, packet)
+		a.responses.recordResponse(now)
+		now = now.Add(responseTimeout)
+		retried += len(a.RetryOverdue(now))
+	}
+	require.LessOrEqual(t, retried, 90*depositPerFlow/retryCost+initialBalance/retryCost+1)
+}
+
+// An agent restarts next to a backend server that was removed. The agent announces the
+// server all the same, since it cannot know of the removal. After maxBouncedOpenings
+// bounced opening packets the server must get trials only. A listed server that bounces as
+// many must not be affected, since it may just be full for a moment.
+func TestUnlistedServerThatBouncesOpeningsGetsTrialsOnly(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		c := newTestCluster(t, 2)
+		id := c.ids()[0]
+		if !listed {
+			_, backends, instances := c.state.Documents()
+			for _, document := range []fleet.Document{
+				&fleet.InstancesDocument{Revision: fleet.Revision{Number: 2}, Leased: true, Instances: instances.Instances[1:]},
+				&fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}, Backends: backends.Backends[1:]},
+			} {
+				_, err := c.state.Apply(epoch, document)
+				require.NoError(t, err)
+			}
+			c.applyView()
+		}
+		c.backends[id].refuses = true
+		for port := range uint16(maxBouncedOpenings) {
+			require.False(t, c.agents[id].IsTrialOnly())
+			packet := receivedPacket(4000+port, flow.Opening, 0)
+			packet.Placed = true
+			c.routePacket(t, id, packet)
+		}
+		require.Equal(t, !listed, c.agents[id].IsTrialOnly(), "only an unlisted server may be restricted to trials")
+		c.backends[id].refuses = false
+		packet := receivedPacket(5000, flow.Opening, 0)
+		packet.Placed = true
+		owner, _ := c.routePacket(t, id, packet)
+		require.Equal(t, id, owner, "one opening packet must be delivered as a trial")
+		require.False(t, c.agents[id].IsTrialOnly())
+	}
+}
