Poll agents that know nothing for ten seconds before they are queried again

Cause: an agent that does not know all flows of its server was queried again after a second. Change: ten seconds. A poll reaches the same agents, and costs an agent that has learned what its server holds one message and one answer, as a query does.

--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -27,8 +27,8 @@
 	// maxQueryFlows is the maximum number of flows in one query.
 	maxQueryFlows = 64
 	// unawarePeriod is how long an agent is not queried after it replied that it does not know
-	// all flows of its backend server: it can hardly deny others either, and is polled.
-	unawarePeriod = time.Second
+	// all flows of its backend server: it is polled, which costs no more if it has learned since.
+	unawarePeriod = 10 * time.Second
 	// startTolerance is how much earlier than the agent its backend server may have
 	// started such that the agent still knows all its flows. After a loss of power a
 	// server may be back before its agent. An earlier process of the agent would have had
