Do not suspect a peer again soon after it has refuted a suspicion

Cause: two data centres that cannot reach each other while others reach both. Each process of one side counts each agent of the other as silent and gossips a suspicion, the agent refutes it, and the next process suspects it anew: each process has an interval of 5 s of its own, so suspicions and refutations grow with the product of processes and agents.

Change: a refutation shows that the peer lives, so a process that sees one waits for 5 s before it suspects that peer again. It still counts the peer as unreachable for itself.

--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -27,7 +27,7 @@
 	// unreachable.
 	maxMisses = 3
 	// minSuspicionInterval is the minimum time between two suspicions of a peer that this
-	// process gossips.
+	// process gossips, and from the refutation of any suspicion to the next one.
 	minSuspicionInterval = 5 * time.Second
 )
 
@@ -92,6 +92,14 @@
 	p.states, p.near.peers, p.far.peers = states, near, far
 }
 
+// recordRefutation records that a peer has refuted a suspicion. It lives, so that its silence towards
+// this process shows a broken path: for minSuspicionInterval this process does not suspect it again.
+func (p *prober) recordRefutation(now time.Time, id fleet.InstanceID) {
+	if state := p.states[id]; state != nil {
+		state.nextSuspicionAt = now.Add(minSuspicionInterval)
+	}
+}
+
 // forgetPending drops the probes that await a reply, and all counts of missed probes. It is
 // called after a pause of this process.
 func (p *prober) forgetPending() {
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -30,8 +30,11 @@
 	if c.state.RecordAnnouncement(now, record, c.canBeLapsed(now)) {
 		c.scheduleRoutingChange(now)
 	}
-	if record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect {
+	switch {
+	case record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect:
 		c.probeAtOnce(now, record.ID)
+	case old.State == fleet.PeerSuspect && record.Incarnation == old.Incarnation:
+		c.prober.recordRefutation(now, record.ID)
 	}
 	if changesRouting(old, record) {
 		c.hasUrgentRecord = c.hasUrgentRecord || old.Incarnation != 0
--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -48,8 +48,11 @@
 	documents []fleet.Document
 	// platformServes reports whether the platform answers reads of process i.
 	platformServes func(i int) bool
-	// reads counts the reads of the platform.
-	reads int
+	// reads counts the reads of the platform, and refutations the suspicions that their
+	// targets have refuted.
+	reads, refutations int
+	// isCut reports whether two processes cannot reach each other. It is nil if all can.
+	isCut func(a, b *process) bool
 }
 
 // process is one simulated process.
@@ -227,9 +230,16 @@
 		case control.CloseLink:
 			s.disconnect(p, o.Link)
 		case control.Probe:
+			if s.isCut != nil && s.isCut(p, s.endpoints[o.Node.Control()]) {
+				continue
+			}
 			s.schedule(2*latency, func() {
 				s.perform(p, p.controller.HandleProbeReply(s.now, o.Node.ID(), 1, fleet.DefaultWeight))
 			})
+		case control.ReportEvent:
+			if o.Event == control.EventSuspicionRefuted {
+				s.refutations++
+			}
 		case control.PublishView:
 			p.servicesRevision = o.View.Revisions().Services.Number
 			if p.routesSince.IsZero() && o.View.CanRoute() {
@@ -248,6 +258,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if s.isCut != nil && s.isCut(p, far.process) {
+		return
+	}
 	p.sentBytes += len(encoded)
 	if dataCentreOf(p.index) != dataCentreOf(far.process.index) {
 		p.crossedBytes += len(encoded)
@@ -375,6 +388,32 @@
 	}
 }
 
+// Two data centres cannot reach each other while the others reach both. Guards against suspicions of
+// living agents that each process of the other side gossips, and each agent refutes, again and again:
+// they would cost bytes that grow with the square of the fleet, and keep agents from getting flows.
+func TestSuspicionsDuringACutDoNotGrowWithTheProcessesThatAreCutOff(t *testing.T) {
+	const (
+		size = 200
+		// period is shorter than the interval at which one process may repeat a suspicion.
+		period = 4 * time.Second
+	)
+	s := newSimulation(size, servesAll)
+	s.run(3 * time.Second)
+	isIn := func(p *process, dataCentre string) bool { return dataCentreOf(p.index) == dataCentre }
+	s.isCut = func(a, b *process) bool {
+		return isIn(a, "centre-0") && isIn(b, "centre-1") || isIn(a, "centre-1") && isIn(b, "centre-0")
+	}
+	s.run(period)
+	cutAgents := 0
+	for _, p := range s.processes {
+		if roleOf(p.index) == fleet.RoleAgent && (isIn(p, "centre-0") || isIn(p, "centre-1")) {
+			cutAgents++
+		}
+	}
+	require.Positive(t, s.refutations)
+	require.LessOrEqual(t, s.refutations, cutAgents, "an agent must not be suspected again soon after it has refuted a suspicion")
+}
+
 // Guards against a stampede on the platform while it is down, after a start of the whole fleet and
 // in operation, and against a slow return: the calls must not grow with the fleet, and the first
 // process to reach the platform again must spare the others theirs.
