Claim a polled flow only if the server has shown a sign of life

Cause: an agent claimed a polled flow if its server had not bounced the packet for 25 ms. A server that has gone silent bounces nothing, so its agent would claim each flow that is polled for: the poll would end, and a dead flow would never be denied.

Change: a claim needs that the server has sent something since the packet was delivered. An agent whose silent server's flows are reset, as their requests may be repeated, denies the flow.

Measured: the test of an agent with a silent server fails without it (a claim after 25 ms).

--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -77,7 +77,7 @@
 		return a.search(now, service, received)
 	}
 	if received.Polled {
-		return a.answerPoll(now, received)
+		return a.answerPoll(now, service, received)
 	}
 	return a.deliverSpeculatively()
 }
@@ -118,7 +118,7 @@
 // agent.
 func (a *Agent) receiveCarriedHandedOver(now time.Time, service *fleet.RoutedService, entry *flowEntry, received *ReceivedPacket) Action {
 	if received.Polled {
-		return a.answerPoll(now, received)
+		return a.answerPoll(now, service, received)
 	}
 	target := handOverTarget(service, entry, received)
 	if target == nil {
--- a/internal/core/agent/poll.go
+++ b/internal/core/agent/poll.go
@@ -32,9 +32,11 @@
 	pollPatience = 500 * time.Millisecond
 	// maxPolls is the maximum number of flows that are polled for at the same time.
 	maxPolls = 512
-	// claimDelay is how long the backend server may take to bounce a packet. If it has not, it
-	// holds the flow.
+	// claimDelay is how long the backend server may take to bounce a packet. If it has not, but
+	// has sent something else since, it holds the flow.
 	claimDelay = 25 * time.Millisecond
+	// claimLifetime is how long the agent waits for such a sign of a server that is silent.
+	claimLifetime = time.Second
 )
 
 // Deny is the action for a packet that came by a poll and whose flow this agent does not own. The
@@ -256,25 +258,35 @@
 
 // pendingClaim is a claim that is due unless the backend server bounces the packet before.
 type pendingClaim struct {
-	poller fleet.InstanceID
-	dueAt  time.Time
+	poller      fleet.InstanceID
+	deliveredAt time.Time
 }
 
-// answerPoll returns the action for a packet that came by a poll and that the backend server may
-// hold the flow of. The flow is claimed if the server does not bounce the packet.
-func (a *Agent) answerPoll(now time.Time, received *ReceivedPacket) Action {
-	if len(a.pendingClaims) < maxPolls {
-		a.pendingClaims[received.Packet.Flow()] = pendingClaim{received.Sender, now.Add(claimDelay)}
+// answerPoll decides about a packet that came by a poll and whose flow the backend server may
+// hold. The packet is delivered, and the flow claimed if the server does not bounce it. If the
+// callers of a silent server's flows are reset, the flow is denied.
+func (a *Agent) answerPoll(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	if a.responses.isPastResetTimeout(now) && service.IsIdempotent() {
+		return &a.deny
+	}
+	id := received.Packet.Flow()
+	if _, pending := a.pendingClaims[id]; !pending && len(a.pendingClaims) < maxPolls {
+		a.pendingClaims[id] = pendingClaim{received.Sender, now}
 	}
 	return a.deliverSpeculatively()
 }
 
-// Claims returns the claims that are due.
+// Claims returns the claims that are due. A server that has sent nothing since the packet was
+// delivered may be dead: its agent claims nothing.
 func (a *Agent) Claims(now time.Time) []Claim {
 	var due []Claim
 	for id, pending := range a.pendingClaims {
-		if !now.Before(pending.dueAt) {
+		age := now.Sub(pending.deliveredAt)
+		hasResponded := a.responses.lastResponseAt.After(pending.deliveredAt)
+		if age >= claimDelay && hasResponded {
 			due = append(due, Claim{Poller: pending.poller, Flow: id})
+		}
+		if age >= claimDelay && hasResponded || age >= claimLifetime {
 			delete(a.pendingClaims, id)
 		}
 	}
--- a/internal/core/agent/poll_test.go
+++ b/internal/core/agent/poll_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -145,7 +146,9 @@
 
 	a.StoreRegistrations(settledAt, ids[2], []uint64{packet.Packet.Flow().Hash()})
 	require.Equal(t, &Deliver{}, a.Receive(settledAt, packet), "the registered owner is polled as well")
-	require.Equal(t, []Claim{{Poller: ids[0], Flow: packet.Packet.Flow()}}, a.Claims(settledAt.Add(claimDelay)), "the server has not bounced the packet")
+	a.HandleBackendPacket(settledAt.Add(time.Millisecond), flow.Reply{Flow: flowOf(4009), HandshakeToken: 1, IsHandshakeReply: true})
+	require.Empty(t, a.Claims(settledAt.Add(claimDelay-1)))
+	require.Equal(t, []Claim{{Poller: ids[0], Flow: packet.Packet.Flow()}}, a.Claims(settledAt.Add(claimDelay)), "the server lives and has not bounced the packet")
 
 	opening := receivedPacket(4001, flow.Opening, 0)
 	opening.Placed = true
@@ -158,6 +161,29 @@
 	require.IsType(t, &Deny{}, a.Receive(settledAt, poll(4002, 77)), "an agent that knows all flows need not ask its server")
 }
 
+// A server that has gone silent bounces nothing. Its agent must not claim all flows that are polled
+// for, which would keep each of them from being denied.
+func TestAgentOfASilentServerClaimsNoFlow(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.setIdempotent(t, true)
+	c.applyView()
+	ids := c.ids()
+	a := c.agents[ids[1]]
+	packet := receivedPacket(4000, flow.Established, 77)
+	packet.Polled, packet.FromAgent, packet.Sender = true, true, ids[0]
+	require.IsType(t, &Deliver{}, a.Receive(settledAt, packet))
+	for age := time.Duration(0); age <= 2*claimLifetime; age += claimDelay {
+		require.Empty(t, a.Claims(settledAt.Add(age)))
+	}
+	require.Empty(t, a.pendingClaims)
+
+	opening := receivedPacket(4001, flow.Opening, 0)
+	opening.Placed = true
+	require.IsType(t, &Deliver{}, a.Receive(settledAt, opening))
+	a.RetryOverdue(settledAt.Add(responseTimeout))
+	require.IsType(t, &Deny{}, a.Receive(settledAt.Add(resetTimeout), packet), "flows of a silent server are reset if their requests may be repeated")
+}
+
 // Agents that know nothing after a restart must not be queried for each of thousands of flows
 // before they are polled.
 func TestAgentsThatKnowNothingAreNotQueriedForEachFlow(t *testing.T) {
