Run the simulations of large fleets side by side in the tests

Cause: the simulations with 730 processes ran one after the other, three minutes for the package beside other load. Change: their subtests are parallel; assertions and sizes are as before.

--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -368,6 +368,7 @@
 	)
 	for size, changes := range map[int]int{200: 3, 730: 1} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			s := newSimulation(size, servesAll)
 			s.run(4 * time.Second)
 			sent, crossed := func(p *process) int { return p.sentBytes }, func(p *process) int { return p.crossedBytes }
@@ -392,6 +393,7 @@
 // living agents that each process of the other side gossips, and each agent refutes, again and again:
 // they would cost bytes that grow with the square of the fleet, and keep agents from getting flows.
 func TestSuspicionsDuringACutDoNotGrowWithTheProcessesThatAreCutOff(t *testing.T) {
+	t.Parallel()
 	const (
 		size = 200
 		// period is shorter than the interval at which one process may repeat a suspicion.
@@ -428,6 +430,7 @@
 	for _, isStart := range []bool{true, false} {
 		for _, size := range []int{14, 200, 730} {
 			t.Run(fmt.Sprintf("start=%t/%d", isStart, size), func(t *testing.T) {
+				t.Parallel()
 				isUp := !isStart
 				s := newSimulation(size, func(int) bool { return isUp })
 				if !isStart {
