End polls whose agents become unreachable, and read at once without links

Silent agents were reported for a probe in each round, some hundred times a second, into the bounded queue that also carries replies to probes. A process that is cut off from all others but not from the platform waited for its rank, 40 ms for each reachable agent, before it read a stale view: seconds with a hundred agents, minutes with thousands. All processes began their rounds of probes at the same peer.

Change: a poll goes on with the next agents; an agent is reported once, when it falls silent; a process without links does not wait for its rank nor, after a failed read, for the number of nodes; from rank 50 on ranks are 5 ms apart; rounds of probes begin at a random position. A poll that is given up is logged as a decision.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -73,7 +73,10 @@
 	DropCandidateUnreachable Reason = "drop_candidate_unreachable"
 	DropViewUnsettled        Reason = "drop_view_unsettled"
 	// DropSearchLimit means that too many agents outside the service have been searched.
-	DropSearchLimit    Reason = "drop_search_limit"
+	DropSearchLimit Reason = "drop_search_limit"
+	// DropPollUnanswered means that some polled agents, one of which may own the flow, gave no
+	// answer.
+	DropPollUnanswered Reason = "drop_poll_unanswered"
 	DropViewStale      Reason = "drop_view_stale"
 	DropClosingUnowned Reason = "drop_closing_unowned"
 	DropOpeningPending Reason = "drop_opening_pending"
--- a/internal/core/agent/cluster_test.go
+++ b/internal/core/agent/cluster_test.go
@@ -125,7 +125,7 @@
 func (c *testCluster) runPoll(t require.TestingT, at fleet.InstanceID, packet *ReceivedPacket) (fleet.InstanceID, Action) {
 	a := c.agents[at]
 	for {
-		polls := a.Polls(settledAt)
+		polls, _ := a.Polls(settledAt)
 		require.Len(t, polls, 1)
 		var results []LookupResult
 		for _, target := range polls[0].Targets {
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -130,7 +130,7 @@
 	require.Equal(t, []fleet.InstanceID{owner}, results[0].Silent)
 	packet.LookedUp, packet.Visited = true, results[0].DeniedBy
 	require.IsType(t, &Hold{}, querier.ResumeAfterLookup(settledAt, packet))
-	polls := querier.Polls(settledAt)
+	polls, _ := querier.Polls(settledAt)
 	require.Len(t, polls, 1)
 	require.Len(t, polls[0].Targets, 1)
 	require.Equal(t, owner, polls[0].Targets[0].ID())
--- a/internal/core/agent/poll.go
+++ b/internal/core/agent/poll.go
@@ -144,26 +144,36 @@
 	return agents, len(agents) == 0 || a.outsiders.AllowN(now, len(agents))
 }
 
-// Polls returns the polls that are due.
-func (a *Agent) Polls(now time.Time) []Poll {
-	var due []Poll
+// Polls returns the polls that are due, and the agents that have fallen silent, which must be
+// probed.
+func (a *Agent) Polls(now time.Time) (due []Poll, silent []fleet.InstanceID) {
 	for id, state := range a.polls {
 		if now.Before(state.dueAt) {
 			continue
 		}
 		if state.sends == maxPollSends {
+			silent = append(silent, state.awaiting...)
 			state.advance(now)
 		}
-		targets := a.targetsInView(now, state, state.awaiting)
-		if len(state.awaiting) == 0 {
-			targets = a.targetsInView(now, state, state.silent)
-		} else {
-			state.sends++
-		}
+		targets := a.nextTargets(now, state)
 		state.dueAt = now.Add(pollInterval)
 		due = append(due, Poll{Flow: id, Targets: targets})
 	}
-	return due
+	slices.Sort(silent)
+	return due, slices.Compact(silent)
+}
+
+// nextTargets returns the targets to poll now: those in awaiting, the next ones if none of these is
+// reachable any more, or the silent ones if none remains.
+func (a *Agent) nextTargets(now time.Time, state *pollState) []*fleet.Target {
+	for state.giveUpAt.IsZero() {
+		if targets := a.targetsInView(now, state, state.awaiting); len(targets) > 0 {
+			state.sends++
+			return targets
+		}
+		state.advance(now)
+	}
+	return a.targetsInView(now, state, state.silent)
 }
 
 // targetsInView returns the targets of polled agents. It forgets those that are not in view or not
@@ -219,11 +229,10 @@
 
 // ExpirePolls returns the results of the polls in which all agents have denied the flow or are not
 // reachable any more, and of those that are given up because some have given no answer for
-// pollPatience: one of them may own the flow, and the caller retransmits. It also returns the
-// silent agents, which must be probed.
-func (a *Agent) ExpirePolls(now time.Time) (results []LookupResult, silent []fleet.InstanceID) {
+// pollPatience: one of them may own the flow, and the caller retransmits.
+func (a *Agent) ExpirePolls(now time.Time) []LookupResult {
+	var results []LookupResult
 	for id, state := range a.polls {
-		silent = append(silent, state.silent...)
 		switch {
 		case state.isOver():
 			results = append(results, LookupResult{Flow: id, DeniedBy: state.deniedBy})
@@ -234,8 +243,7 @@
 		}
 		delete(a.polls, id)
 	}
-	slices.Sort(silent)
-	return results, slices.Compact(silent)
+	return results
 }
 
 // nextPollTime returns when Polls and ExpirePolls must be called next. It reports false if there
--- a/internal/core/agent/poll_test.go
+++ b/internal/core/agent/poll_test.go
@@ -37,7 +37,7 @@
 			polled := 0
 			for range roundTrips {
 				require.Empty(t, results)
-				polls := a.Polls(settledAt)
+				polls, _ := a.Polls(settledAt)
 				require.Len(t, polls, 1)
 				require.LessOrEqual(t, len(polls[0].Targets), maxPolled)
 				for _, target := range polls[0].Targets {
@@ -67,13 +67,15 @@
 	c := newTestCluster(t, 136)
 	a, packet := c.pollForDeadFlow(t)
 	id := packet.Packet.Flow()
-	targets := a.Polls(settledAt)[0].Targets
+	polls, _ := a.Polls(settledAt)
+	targets := polls[0].Targets
 	require.Len(t, targets, firstPolled)
 	for _, target := range targets[1:] {
 		require.Empty(t, a.HandleDenial(settledAt, target.ID(), id))
 		require.Empty(t, a.HandleDenial(settledAt, target.ID(), id), "a denial must count once")
 	}
-	require.Empty(t, a.Polls(settledAt), "no other agent is polled while the last one may own the flow")
+	polls, _ = a.Polls(settledAt)
+	require.Empty(t, polls, "no other agent is polled while the last one may own the flow")
 	results := a.HandleClaim(settledAt, targets[0].ID(), id)
 	require.Len(t, results, 1)
 	require.True(t, results[0].Claimed)
@@ -92,8 +94,10 @@
 			c.setIdempotent(t, true)
 			a, packet := c.pollForDeadFlow(t)
 			id := packet.Packet.Flow()
-			silent := a.Polls(settledAt)[0].Targets[0].ID()
+			first, _ := a.Polls(settledAt)
+			silent := first[0].Targets[0].ID()
 			polled := map[fleet.InstanceID]bool{}
+			var toProbe []fleet.InstanceID
 			now := settledAt
 			for ; now.Before(settledAt.Add(3 * pollInterval)); now = now.Add(pollInterval / 4) {
 				for _, state := range a.polls {
@@ -104,22 +108,22 @@
 						}
 					}
 				}
-				a.Polls(now)
+				_, fallenSilent := a.Polls(now)
+				toProbe = append(toProbe, fallenSilent...)
 			}
 			require.Len(t, polled, 19)
-			results, toProbe := a.ExpirePolls(now)
-			require.Empty(t, results)
+			require.Empty(t, a.ExpirePolls(now))
 			require.Equal(t, []fleet.InstanceID{silent}, toProbe)
 			if !unreachable {
 				now = now.Add(pollPatience)
-				results, _ = a.ExpirePolls(now)
+				results := a.ExpirePolls(now)
 				require.Equal(t, []LookupResult{{Flow: id, GivenUp: true}}, results)
 				return
 			}
 			c.state.Peers().SetReachable(now, silent, false)
 			c.applyViewAt(now)
 			a.Polls(now.Add(pollInterval))
-			results, _ = a.ExpirePolls(now.Add(pollInterval))
+			results := a.ExpirePolls(now.Add(pollInterval))
 			require.Len(t, results, 1)
 			require.Len(t, results[0].DeniedBy, 18)
 			packet.LookedUp, packet.Visited = true, results[0].DeniedBy
@@ -128,6 +132,42 @@
 	}
 }
 
+// All agents that would be polled first go silent together, as in a cut. The poll must go on with the
+// others instead of waiting for ever.
+func TestPollGoesOnWhenThoseToBePolledBecomeUnreachable(t *testing.T) {
+	c := newTestCluster(t, 20)
+	a, packet := c.pollForDeadFlow(t)
+	for _, state := range a.polls {
+		for _, id := range state.awaiting {
+			c.state.Peers().SetReachable(settledAt, id, false)
+		}
+	}
+	c.applyViewAt(settledAt)
+	var results []LookupResult
+	for range 2 {
+		polls, _ := a.Polls(settledAt)
+		require.Len(t, polls, 1)
+		for _, target := range polls[0].Targets {
+			results = append(results, a.HandleDenial(settledAt, target.ID(), packet.Packet.Flow())...)
+		}
+	}
+	require.Len(t, results, 1)
+	require.Len(t, results[0].DeniedBy, 19-firstPolled)
+}
+
+// A service is removed while its flows are polled for. Guards against polls that never end.
+func TestPollEndsWhenItsServiceIsRemoved(t *testing.T) {
+	c := newTestCluster(t, 20)
+	a, _ := c.pollForDeadFlow(t)
+	services, _, _ := c.state.Documents()
+	_, err := c.state.Apply(settledAt, &fleet.ServicesDocument{Revision: fleet.Revision{Number: services.Number + 1}})
+	require.NoError(t, err)
+	c.applyViewAt(settledAt)
+	a.Polls(settledAt)
+	require.Len(t, a.ExpirePolls(settledAt), 1)
+	require.Empty(t, a.polls)
+}
+
 // An agent that was polled must answer itself, not pass the packet on.
 func TestPolledPacketIsAnsweredNotForwarded(t *testing.T) {
 	c := newTestCluster(t, 12)
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -205,7 +205,7 @@
 	}
 	a := c.agents[ids[0]]
 	require.IsType(t, &Hold{}, receive(), "a newcomer must search the agents of other services")
-	polls := a.Polls(settledAt)
+	polls, _ := a.Polls(settledAt)
 	require.Len(t, polls, 1)
 	require.Len(t, polls[0].Targets, 1)
 	require.Equal(t, ids[2], polls[0].Targets[0].ID())
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -8,11 +8,11 @@
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
-// search decides about a packet of a flow that this agent does not own. One that came by
-// a poll is denied. Otherwise the packet goes to a registrar of the flow, is held while the owner
-// is looked up or polled for, or is forwarded to the next candidate, then to the other agents if this one may not know the service's former
-// selectors and all candidates could be reached. When none is left, a closing packet is dropped. For any other
-// packet, handleUnreachableCandidates decides if a candidate could not be reached;
+// search decides about a packet of a flow that this agent does not own. One that came by a poll
+// is denied. Otherwise the packet goes to a registrar of the flow, is held while the owner is
+// looked up or polled for, or is forwarded to the next candidate, then to the other agents if
+// this one may not know the service's former selectors and all candidates could be reached. When
+// none is left, a closing packet is dropped. For any other packet, handleUnreachableCandidates decides if a candidate could not be reached;
 // otherwise the caller gets a reset if the search proves that no agent owns the flow, and
 // the packet is dropped if it does not.
 func (a *Agent) search(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -230,7 +230,7 @@
 // Guards against two probes to a peer at a time, and against a peer that is not probed again
 // after a miss.
 func TestPeerIsProbedAfterEachMissOneProbeAtATime(t *testing.T) {
-	p := newProber()
+	p := newProber(0)
 	id := fleet.InstanceIDOf("b0")
 	p.setPeers([]fleet.InstanceID{id}, nil)
 	now := epoch
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -150,7 +150,7 @@
 		state:           fleet.NewState(),
 		ownRecord:       fleet.PeerRecord{ID: config.Self, Incarnation: config.Incarnation},
 		links:           make(map[LinkID]*link),
-		prober:          newProber(),
+		prober:          newProber(random.IntN(maxFirstIndex)),
 		pendingRecords:  make(map[fleet.InstanceID]fleet.PeerRecord),
 		startedAt:       now,
 		lastTick:        now,
@@ -306,7 +306,8 @@
 }
 
 // receiveSummary sends the documents that the peer requests and the former selectors that it
-// lacks, and requests documents if the peer has newer ones. Otherwise it takes the view of this process as confirmed, and takes over
+// lacks, and requests documents if the peer has newer ones. Otherwise it takes the view of this
+// process as confirmed, and takes over
 // the peer's view age if that is lower than the age known here. The peer tables are compared only
 // if both processes have the same instances document, since that document decides which records a
 // table keeps.
--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -21,8 +21,11 @@
 	staleAfter = 1600 * time.Millisecond
 	// delayPerRank is the time by which each further process reads later than the one
 	// before it in rank, so that the result of the first one saves the others their read, and
-	// a platform that is down gets few calls in a fleet of any size.
-	delayPerRank = 40 * time.Millisecond
+	// a platform that is down gets few calls. From rank lateRank on it is lateDelayPerRank: if
+	// so many have not reached the platform, each may have to read for itself.
+	delayPerRank     = 40 * time.Millisecond
+	lateRank         = 50
+	lateDelayPerRank = 5 * time.Millisecond
 	// firstReaderCount is the number of processes by rank that make their first read soon one
 	// after the other, at intervals of firstDelayPerRank: after a start of the whole fleet the
 	// platform may serve few of its machines.
@@ -39,7 +42,8 @@
 	maxFirstReadDelay = 10 * time.Millisecond
 	// retryDelayPerNode and minRetryDelay give the time after which a process that is no
 	// reader reads again after a failed read, so that all of them together call a platform
-	// that is down as often in a fleet of any size.
+	// that is down as often in a fleet of any size. A process without links waits only for
+	// minRetryDelay.
 	retryDelayPerNode = 25 * time.Millisecond
 	minRetryDelay     = 500 * time.Millisecond
 	// minConfirmationAdvance is the minimum time between two confirmations of the view that
@@ -95,7 +99,7 @@
 // ShouldReadPlatform reports whether this process should read the platform now. Until the view
 // is first confirmed, each process reads from its first read on. After that, readers always read,
 // and another process reads only if the view is older than staleAfter plus the delay for its
-// rank. After a failed read, a process that is no reader or has no links waits until retryAt.
+// rank, which a process without links does not wait for, as no peer can tell it anything. After a failed read, a process that is no reader or has no links waits until retryAt.
 func (c *Controller) ShouldReadPlatform(now time.Time) bool {
 	f := &c.viewFreshness
 	switch {
@@ -105,9 +109,16 @@
 		return !now.Before(f.firstReadAt.Add(f.firstReadDelay()))
 	case f.readRank < readerCount:
 		return true
+	case len(c.links) == 0:
+		return now.After(f.confirmedAt.Add(staleAfter))
 	}
-	delay := time.Duration(f.readRank-readerCount) * delayPerRank
-	return now.After(f.confirmedAt.Add(staleAfter + delay))
+	return now.After(f.confirmedAt.Add(staleAfter + rankDelay(f.readRank-readerCount)))
+}
+
+// rankDelay returns how much later than the first process one with a rank reads.
+func rankDelay(rank int) time.Duration {
+	early, late := min(rank, lateRank), max(rank-lateRank, 0)
+	return time.Duration(early)*delayPerRank + time.Duration(late)*lateDelayPerRank
 }
 
 // firstReadDelay returns the delay of the first read that is due to the rank of this process.
@@ -118,12 +129,15 @@
 	case f.readRank < firstReaderCount:
 		return time.Duration(f.readRank) * firstDelayPerRank
 	}
-	return time.Duration(f.readRank) * delayPerRank
+	return rankDelay(f.readRank)
 }
 
 // RecordReadFailure records that this process could not read the platform.
 func (c *Controller) RecordReadFailure(now time.Time) {
-	delay := max(minRetryDelay, time.Duration(len(c.view.Nodes()))*retryDelayPerNode)
+	delay := minRetryDelay
+	if len(c.links) > 0 {
+		delay = max(delay, time.Duration(len(c.view.Nodes()))*retryDelayPerNode)
+	}
 	c.viewFreshness.retryAt = now.Add(delay)
 }
 
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -215,3 +215,18 @@
 	n.converge(now)
 	require.Equal(t, n.controllers[0].tableDigest(), n.controllers[1].tableDigest())
 }
+
+// A process that is cut off from all others, but not from the platform, must read for itself as soon as
+// its view is stale, whatever its rank in a large fleet: changes must be in force there in time, too.
+func TestProcessWithoutLinksReadsAsSoonAsItsViewIsStale(t *testing.T) {
+	c := New(epoch, Config{Self: fleet.InstanceIDOf("balancer"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
+	c.ApplyDocument(epoch, agentInstances(6500, 5))
+	stale := epoch.Add(staleAfter + time.Millisecond)
+	c.HandleLinkUp(epoch, 1, true)
+	require.False(t, c.ShouldReadPlatform(stale), "peers of lower rank read first")
+	c.HandleLinkDown(1)
+	require.True(t, c.ShouldReadPlatform(stale))
+	c.RecordReadFailure(stale)
+	require.False(t, c.ShouldReadPlatform(stale))
+	require.True(t, c.ShouldReadPlatform(stale.Add(minRetryDelay)), "no peer can tell it of a change meanwhile")
+}
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -68,14 +68,23 @@
 // probeRound is a round-robin order of peers.
 type probeRound struct {
 	peers []fleet.InstanceID
-	// nextIndex is the position of the next peer in turn.
+	// nextIndex, modulo the number of peers, is the position of the next one in turn.
 	nextIndex int
 }
 
-func newProber() *prober {
-	return &prober{states: make(map[fleet.InstanceID]*probeState)}
+// newProber returns a prober without peers. Its rounds begin at a position that differs between
+// processes, so that those that start together do not probe the same peer at the same time.
+func newProber(firstIndex int) *prober {
+	return &prober{
+		states: make(map[fleet.InstanceID]*probeState),
+		near:   probeRound{nextIndex: firstIndex},
+		far:    probeRound{nextIndex: firstIndex},
+	}
 }
 
+// maxFirstIndex limits the random position at which the rounds of probes begin.
+const maxFirstIndex = 1 << 20
+
 // setPeers replaces the peers to probe, those near and those far. Peers that remain keep their
 // probe state.
 func (p *prober) setPeers(near, far []fleet.InstanceID) {
@@ -146,7 +155,7 @@
 			break
 		}
 		id := round.peers[round.nextIndex%len(round.peers)]
-		round.nextIndex = (round.nextIndex + 1) % len(round.peers)
+		round.nextIndex++
 		if state := p.states[id]; state.isDue(now) {
 			state.recordSent(now)
 			due = append(due, id)
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -12,6 +12,7 @@
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/link/clock"
+	"github.com/radishmast/radishmast/internal/link/operator"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
@@ -180,15 +181,13 @@
 func (d *Dispatcher) runLookupRound(now time.Time) {
 	d.Mutex.Lock()
 	queries := d.Core.OwnershipQueries(now)
-	results := d.Core.ExpireLookups(now)
-	pollResults, silent := d.Core.ExpirePolls(now)
+	results := append(d.Core.ExpireLookups(now), d.Core.ExpirePolls(now)...)
 	d.Mutex.Unlock()
-	d.probe(silent)
 	for i := range queries {
 		d.sendOwnershipQuery(&queries[i])
 	}
 	d.sendPolls(now)
-	d.resume(now, append(results, pollResults...))
+	d.resume(now, results)
 	d.Delivery.Flush()
 }
 
@@ -263,7 +262,7 @@
 func (d *Dispatcher) packetsToResume(result *core.LookupResult, packets []heldPacket) []heldPacket {
 	switch {
 	case result.GivenUp:
-		d.Counters.Add("drop_poll_unanswered", len(packets))
+		d.recordGivenUp(result.Flow, len(packets))
 		return nil
 	case result.Claimed && result.Owner == nil:
 		return nil
@@ -273,6 +272,19 @@
 	return packets
 }
 
+// recordGivenUp logs and counts that the held packets of a flow are dropped because a poll was given
+// up.
+func (d *Dispatcher) recordGivenUp(id flow.ID, packets int) {
+	d.Counters.Add(string(core.DropPollUnanswered), packets)
+	d.Decisions.Record(operator.Decision{
+		Event:    "drop",
+		Flow:     id,
+		Reason:   string(core.DropPollUnanswered),
+		Revision: d.Node.Revisions().Highest(),
+		Age:      d.Node.Age(clock.Now()),
+	})
+}
+
 // resume processes the held packets of flows whose lookups or polls have ended. They are dropped
 // and counted if the view has expired meanwhile. Otherwise a packet is forwarded to the flow's owner. If none was
 // found, the core decides again, and agents that denied owning the flow count as visited. Agents
--- a/internal/daemon/exchange/polls.go
+++ b/internal/daemon/exchange/polls.go
@@ -11,10 +11,11 @@
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
 
-// sendPolls sends the held packets of the flows that are polled for now.
+// sendPolls sends the held packets of the flows that are polled for now, and probes the agents that
+// have fallen silent.
 func (d *Dispatcher) sendPolls(now time.Time) {
 	d.Mutex.Lock()
-	polls := d.Core.Polls(now)
+	polls, silent := d.Core.Polls(now)
 	packets := make([][]heldPacket, len(polls))
 	for i := range polls {
 		held := d.HeldPackets.byFlow[polls[i].Flow]
@@ -24,6 +25,7 @@
 		packets[i] = slices.Clone(held)
 	}
 	d.Mutex.Unlock()
+	d.probe(silent)
 	for i := range polls {
 		for j := range packets[i] {
 			d.sendPoll(&polls[i], &packets[i][j])
