--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -18,7 +18,7 @@
 )
 
 // newState returns a state with a service, "orders", that selects a number of targets.
-func newState(t *testing.T, targets int) *fleet.State {
+func newState(t require.TestingT, targets int) *fleet.State {
 	state := fleet.NewState()
 	backends := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}
 	instances := &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}}
