Find a packet's target among IDs alone, and hash targets without reading them

Cause: the search for the target that a hint names compared whole targets, and the ranking of an opening packet's candidates read each target and its data centre: the cost of a packet grew with the service.

Change: a pool keeps the IDs and the indices of the data centres beside its targets. A target whose hash has no place in the ranking is not looked at.

--- a/internal/core/fleet/candidates.go
+++ b/internal/core/fleet/candidates.go
@@ -38,6 +38,11 @@
 	count   int
 }
 
+// accepts reports whether a target with a hash would have a place in the ranking.
+func (r *ranking) accepts(hash uint64) bool {
+	return r.count < MaxPlacementCandidates || hash > r.hashes[MaxPlacementCandidates-1]
+}
+
 // insert puts a target in its place by its hash and drops what exceeds
 // MaxPlacementCandidates.
 func (r *ranking) insert(target *Target, hash uint64) {
@@ -75,16 +80,17 @@
 // or of all if none of these is eligible.
 func (c Candidates) rank(hash uint64, eligible func(*Target) bool) ranking {
 	var near, others ranking
-	for i := range c.targets[:c.selectedCount] {
-		target := &c.targets[i]
-		isNear := target.dataCentre == c.near
-		if !isNear && near.count > 0 || !eligible(target) {
+	nearCentre := slices.Index(c.dataCentres, c.near)
+	for i, id := range c.ids[:c.selectedCount] {
+		ranked := &others
+		if c.centres[i] == nearCentre {
+			ranked = &near
+		} else if near.count > 0 {
 			continue
 		}
-		if isNear {
-			near.insert(target, mixHash(hash, target.id))
-		} else {
-			others.insert(target, mixHash(hash, target.id))
+		targetHash := mixHash(hash, id)
+		if ranked.accepts(targetHash) && eligible(&c.targets[i]) {
+			ranked.insert(&c.targets[i], targetHash)
 		}
 	}
 	if near.count > 0 {
--- a/internal/core/fleet/pools.go
+++ b/internal/core/fleet/pools.go
@@ -20,24 +20,25 @@
 // servers that the route selected before, and of the departed agents that are not selected.
 func (b *poolBuilder) build(routed *route, owners []*Node) *pool {
 	built := new(pool)
+	var selected []Target
 	for dataCentre, servers := range b.servers {
 		selector, present := routed.selector(dataCentre)
 		if !present {
 			continue
 		}
 		for _, candidate := range servers.matching(selector) {
-			built.targets = append(built.targets, b.state.newTarget(candidate.node, b.now))
+			selected = append(selected, b.state.newTarget(candidate.node, b.now))
 		}
 	}
-	slices.SortFunc(built.targets, compareTargets)
-	built.selectedCount = len(built.targets)
+	built.add(selected)
+	built.selectedCount = len(selected)
 	owners = slices.Concat(owners, b.formerlySelected(routed))
 	for _, agent := range b.departed {
 		if routed.hasSelected(agent.backend.DataCentre, agent.backend.Labels) {
 			owners = append(owners, agent.node)
 		}
 	}
-	built.targets = append(built.targets, b.residualTargets(routed, built, owners)...)
+	built.add(b.residualTargets(routed, built, owners))
 	return built
 }
 
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"iter"
 	"net/netip"
 	"slices"
@@ -65,8 +64,13 @@
 // pool holds the targets that services with the same selectors share, or those of one
 // service with residual owners.
 type pool struct {
-	// targets holds the selected targets, then the residual ones, each ordered by ID.
-	targets []Target
+	// targets holds the selected targets, then the residual ones, each ordered by ID. ids holds
+	// their IDs alone and centres the indices of their data centres in dataCentres, which a
+	// search or a hash of all targets reads faster.
+	targets     []Target
+	ids         []InstanceID
+	centres     []int
+	dataCentres []string
 	// selectedCount is the number of selected targets.
 	selectedCount int
 }
@@ -120,16 +124,29 @@
 
 // target returns the target of an instance, or nil if there is none.
 func (p *pool) target(id InstanceID) *Target {
-	for _, part := range [][]Target{p.targets[:p.selectedCount], p.targets[p.selectedCount:]} {
-		if i, found := slices.BinarySearchFunc(part, id, compareTargetID); found {
-			return &part[i]
-		}
+	if i, found := slices.BinarySearch(p.ids[:p.selectedCount], id); found {
+		return &p.targets[i]
+	}
+	if i, found := slices.BinarySearch(p.ids[p.selectedCount:], id); found {
+		return &p.targets[p.selectedCount+i]
 	}
 	return nil
 }
 
-// compareTargetID compares the ID of a target with another one.
-func compareTargetID(target Target, id InstanceID) int { return cmp.Compare(target.id, id) }
+// add adds targets, in the order of their IDs.
+func (p *pool) add(targets []Target) {
+	slices.SortFunc(targets, compareTargets)
+	p.targets = append(p.targets, targets...)
+	for i := range targets {
+		p.ids = append(p.ids, targets[i].id)
+		centre := slices.Index(p.dataCentres, targets[i].dataCentre)
+		if centre < 0 {
+			centre = len(p.dataCentres)
+			p.dataCentres = append(p.dataCentres, targets[i].dataCentre)
+		}
+		p.centres = append(p.centres, centre)
+	}
+}
 
 // HasSelectorFor reports whether the service has a selector for the data centre.
 func (s *RoutedService) HasSelectorFor(dataCentre string) bool { return s.hasSelectorFor(dataCentre) }
