Let each process make its first read at once again

Cause: put the first reads of a starting fleet in order, to spare the platform calls. A process that gets the documents from a peer must still wait for a summary that confirms them, up to a second, before it serves.

Change: the first read is made at once, as before. Only what follows a failure is put in order: half a second for a process without links or a reader whose view was never confirmed, 25 ms for each known node for the others. A refused link puts off the read after a failed one. Stale views are read by rank, as since.

In operation its bound is as before.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -142,7 +142,6 @@
 // New returns a controller that holds no documents and only its own peer record. It
 // draws all random delays and choices from random.
 func New(now time.Time, config Config, random *rand.Rand) *Controller {
-	isSeed := slices.Contains(config.Seeds, config.Control)
 	config.Seeds = slices.DeleteFunc(slices.Clone(config.Seeds), func(seed netip.AddrPort) bool { return seed == config.Control })
 	c := &Controller{
 		config:          config,
@@ -157,7 +156,7 @@
 		confirmDeadline: now.Add(confirmTimeout),
 		unconfirmed:     true,
 		lastSeedIndex:   random.IntN(max(1, len(config.Seeds))),
-		viewFreshness:   newFreshness(now, isSeed || len(config.Seeds) == 0, random),
+		viewFreshness:   freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(maxFirstReadDelay))))},
 	}
 	c.ownRecord.Announcement = config.Announcement
 	c.state.StartHistory(now)
--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,17 +25,6 @@
 	delayPerRank     = 40 * time.Millisecond
 	lateRank         = 50
 	lateDelayPerRank = 5 * time.Millisecond
-	// firstReaderCount is the number of processes by rank that make their first read soon one
-	// after the other, at intervals of firstDelayPerRank: after a start of the whole fleet the
-	// platform may serve few of its machines.
-	firstReaderCount  = 64
-	firstDelayPerRank = time.Millisecond
-	// firstReadPatience is how long a process that is no seed waits for the documents that
-	// seeds have read, and for peers that show its rank: after its start, and after each seed
-	// that refused a link since it had too many.
-	firstReadPatience = 100 * time.Millisecond
-	// maxFirstReadPatience is how long after its start it waits at most.
-	maxFirstReadPatience = 3 * time.Second
 	// maxFirstReadDelay limits the random delay of the first read, which spreads the reads of
 	// processes that all start at once.
 	maxFirstReadDelay = 10 * time.Millisecond
@@ -46,6 +34,9 @@
 	// minRetryDelay.
 	retryDelayPerNode = 25 * time.Millisecond
 	minRetryDelay     = 500 * time.Millisecond
+	// maxRefusedPatience is how long after its start a process without links, whose peers
+	// refuse them, puts off its next read.
+	maxRefusedPatience = 3 * time.Second
 	// minConfirmationAdvance is the minimum time between two confirmations of the view that
 	// are both gossiped at once. Others wait for the next summary.
 	minConfirmationAdvance = 500 * time.Millisecond
@@ -64,49 +55,32 @@
 	// firstReadAt is the earliest time of the first read if no peer has confirmed the view
 	// before. It has no effect once confirmedAt is set.
 	firstReadAt time.Time
-	// latestFirstReadAt is the latest time to which refused links put off firstReadAt.
-	latestFirstReadAt time.Time
-	// isSeed reports whether peers dial this process first.
-	isSeed bool
-	// retryAt is the earliest time of the next read after a failed one, unless this process is
-	// a reader with links.
-	retryAt time.Time
-}
-
-// newFreshness returns the freshness of a process that starts now. random draws the delay of its
-// first read.
-func newFreshness(now time.Time, isSeed bool, random *rand.Rand) freshness {
-	f := freshness{isSeed: isSeed, firstReadAt: now.Add(time.Duration(random.Int64N(int64(maxFirstReadDelay))))}
-	if !isSeed {
-		f.firstReadAt = f.firstReadAt.Add(firstReadPatience)
-	}
-	f.latestFirstReadAt = now.Add(maxFirstReadPatience)
-	return f
+	// failedAt is when this process last failed to read the platform, or zero.
+	failedAt time.Time
 }
 
 // HandleLinkRefused records that a peer refused a link because it had too many. A process without
-// peers then puts off its first read, since others that run read for it.
+// links whose first read has failed then puts off the next one, since others that run read for it.
 func (c *Controller) HandleLinkRefused(now time.Time) {
 	f := &c.viewFreshness
-	if len(c.links) > 0 || f.isSeed {
+	if len(c.links) > 0 || f.failedAt.IsZero() || now.After(c.startedAt.Add(maxRefusedPatience)) {
 		return
 	}
-	if putOff := now.Add(dialInterval); putOff.Before(f.latestFirstReadAt) {
-		f.firstReadAt = putOff
-	}
+	f.failedAt = now
 }
 
 // ShouldReadPlatform reports whether this process should read the platform now. Until the view
-// is first confirmed, each process reads from its first read on. After that, readers always read,
+// is first confirmed, each process reads from firstReadAt on: nothing else lets it serve so soon. After that, readers always read,
 // and another process reads only if the view is older than staleAfter plus the delay for its
-// rank, which a process without links does not wait for, as no peer can tell it anything. After a failed read, a process that is no reader or has no links waits until retryAt.
+// rank, which a process without links does not wait for, as no peer can tell it anything. After a
+// failed read a process waits for retryDelay.
 func (c *Controller) ShouldReadPlatform(now time.Time) bool {
 	f := &c.viewFreshness
 	switch {
-	case (f.readRank >= readerCount || len(c.links) == 0) && now.Before(f.retryAt):
+	case now.Before(f.failedAt.Add(c.retryDelay())):
 		return false
 	case f.confirmedAt.IsZero():
-		return !now.Before(f.firstReadAt.Add(f.firstReadDelay()))
+		return !now.Before(f.firstReadAt)
 	case f.readRank < readerCount:
 		return true
 	case len(c.links) == 0:
@@ -121,24 +95,22 @@
 	return time.Duration(early)*delayPerRank + time.Duration(late)*lateDelayPerRank
 }
 
-// firstReadDelay returns the delay of the first read that is due to the rank of this process.
-func (f *freshness) firstReadDelay() time.Duration {
-	switch {
-	case f.isSeed:
-		return 0
-	case f.readRank < firstReaderCount:
-		return time.Duration(f.readRank) * firstDelayPerRank
-	}
-	return rankDelay(f.readRank)
-}
-
 // RecordReadFailure records that this process could not read the platform.
-func (c *Controller) RecordReadFailure(now time.Time) {
-	delay := minRetryDelay
-	if len(c.links) > 0 {
-		delay = max(delay, time.Duration(len(c.view.Nodes()))*retryDelayPerNode)
+func (c *Controller) RecordReadFailure(now time.Time) { c.viewFreshness.failedAt = now }
+
+// retryDelay returns how long after a failed read this process reads again. Readers whose view was
+// confirmed before follow the backoff of their source alone.
+func (c *Controller) retryDelay() time.Duration {
+	f := &c.viewFreshness
+	switch {
+	case len(c.links) == 0:
+		return minRetryDelay
+	case f.readRank >= readerCount:
+		return max(minRetryDelay, time.Duration(len(c.view.Nodes()))*retryDelayPerNode)
+	case f.confirmedAt.IsZero():
+		return minRetryDelay
 	}
-	c.viewFreshness.retryAt = now.Add(delay)
+	return 0
 }
 
 // FirstReadDelay returns the time until firstReadAt: this process does not read the platform
