Share the list of outsiders between search and polls, and say due times once

Cause: reading the whole change again. The agents outside a service that a packet may still visit were listed in nextOutsider and once more in agentsToPoll; "the earlier of two due times" was written three times for lookups and polls; nextPollTime returned a bool that its only caller dropped; Claims tested the same condition twice; isAware deleted entries while it answered a question, and so kept those of agents that are never asked about again. Some comments ran past the width of the others.

Change: outsidersToVisit and earlierDue serve all callers; Claims decides once; ExpireLookups forgets the agents that may be queried again, beside the query rounds. No test, bound or assertion is touched.

--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -167,21 +167,25 @@
 // NextLookupTime returns when OwnershipQueries, ExpireLookups, Polls or ExpirePolls must be called
 // next. It reports false if no lookup and no poll is in progress.
 func (a *Agent) NextLookupTime(now time.Time) (time.Time, bool) {
-	due, _ := a.nextPollTime()
+	due := a.nextPollTime()
 	if a.lookups.unqueried > 0 {
-		if round := latest(now, a.lookups.nextRoundAt); due.IsZero() || round.Before(due) {
-			due = round
-		}
-		return due, true
+		return earlierDue(due, latest(now, a.lookups.nextRoundAt)), true
 	}
 	for _, l := range a.lookups.flows {
-		if due.IsZero() || l.deadline.Before(due) {
-			due = l.deadline
-		}
+		due = earlierDue(due, l.deadline)
 	}
 	return due, !due.IsZero()
 }
 
+// earlierDue returns the earlier of two instants at which something is due. If due is zero, it
+// returns next.
+func earlierDue(due, next time.Time) time.Time {
+	if due.IsZero() || next.Before(due) {
+		return next
+	}
+	return due
+}
+
 // latest returns the later of two instants.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -307,7 +311,8 @@
 	return LookupResult{Flow: id, Owner: owner, DeniedBy: l.deniedBy}
 }
 
-// ExpireLookups ends the lookups whose replies are late, and forgets their query rounds.
+// ExpireLookups ends the lookups whose replies are late, and forgets their query rounds and the
+// agents that may be queried again.
 func (a *Agent) ExpireLookups(now time.Time) []LookupResult {
 	var results []LookupResult
 	for id, l := range a.lookups.flows {
@@ -322,6 +327,11 @@
 			delete(a.lookups.rounds, number)
 		}
 	}
+	for id, until := range a.lookups.unaware {
+		if !now.Before(until) {
+			delete(a.lookups.unaware, id)
+		}
+	}
 	return results
 }
 
--- a/internal/core/agent/owners.go
+++ b/internal/core/agent/owners.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -50,11 +51,7 @@
 // isAware reports whether a target may know all flows of its backend server, so that it is worth
 // querying.
 func (a *Agent) isAware(now time.Time, target *fleet.Target) bool {
-	until, unaware := a.lookups.unaware[target.ID()]
-	if unaware && !now.Before(until) {
-		delete(a.lookups.unaware, target.ID())
-	}
-	return !now.Before(until)
+	return !now.Before(a.lookups.unaware[target.ID()])
 }
 
 // hasQueryTarget reports whether there is an agent to query for the owner of a flow that has
@@ -108,13 +105,23 @@
 	if received.Relayed {
 		return nil, true
 	}
+	for target := range a.outsidersToVisit(now, service, received) {
+		return target, a.outsiders.AllowN(now, 1)
+	}
+	return nil, true
+}
+
+// outsidersToVisit yields the possible owners that are not targets of the service, have not been
+// visited and are likely to reply.
+func (a *Agent) outsidersToVisit(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) iter.Seq[*fleet.Target] {
 	visited := a.visitedWithSelf(received.Visited)
-	for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
-		if a.isLikelyToReply(target, visited) {
-			return target, a.outsiders.AllowN(now, 1)
+	return func(yield func(*fleet.Target) bool) {
+		for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
+			if a.isLikelyToReply(target, visited) && !yield(target) {
+				return
+			}
 		}
 	}
-	return nil, true
 }
 
 // ownerTarget returns the target of an agent that owns a flow of a service, or nil if it is
--- a/internal/core/agent/poll.go
+++ b/internal/core/agent/poll.go
@@ -136,10 +136,8 @@
 	if len(agents) > 0 || skipped {
 		return agents, true
 	}
-	for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
-		if a.isLikelyToReply(target, visited) {
-			agents = append(agents, target.ID())
-		}
+	for target := range a.outsidersToVisit(now, service, received) {
+		agents = append(agents, target.ID())
 	}
 	return agents, len(agents) == 0 || a.outsiders.AllowN(now, len(agents))
 }
@@ -246,16 +244,13 @@
 	return results
 }
 
-// nextPollTime returns when Polls and ExpirePolls must be called next. It reports false if there
-// is no poll.
-func (a *Agent) nextPollTime() (time.Time, bool) {
+// nextPollTime returns when Polls and ExpirePolls must be called next, or zero if there is no poll.
+func (a *Agent) nextPollTime() time.Time {
 	var due time.Time
 	for _, state := range a.polls {
-		if due.IsZero() || state.dueAt.Before(due) {
-			due = state.dueAt
-		}
+		due = earlierDue(due, state.dueAt)
 	}
-	return due, !due.IsZero()
+	return due
 }
 
 // Claim is a claim of a flow to the agent that polled for its owner.
@@ -291,12 +286,13 @@
 	for id, pending := range a.pendingClaims {
 		age := now.Sub(pending.deliveredAt)
 		hasResponded := a.responses.lastResponseAt.After(pending.deliveredAt)
-		if age >= claimDelay && hasResponded {
+		switch {
+		case age >= claimDelay && hasResponded:
 			due = append(due, Claim{Poller: pending.poller, Flow: id})
+		case age < claimLifetime:
+			continue
 		}
-		if age >= claimDelay && hasResponded || age >= claimLifetime {
-			delete(a.pendingClaims, id)
-		}
+		delete(a.pendingClaims, id)
 	}
 	return due
 }
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -12,9 +12,9 @@
 // is denied. Otherwise the packet goes to a registrar of the flow, is held while the owner is
 // looked up or polled for, or is forwarded to the next candidate, then to the other agents if
 // this one may not know the service's former selectors and all candidates could be reached. When
-// none is left, a closing packet is dropped. For any other packet, handleUnreachableCandidates decides if a candidate could not be reached;
-// otherwise the caller gets a reset if the search proves that no agent owns the flow, and
-// the packet is dropped if it does not.
+// none is left, a closing packet is dropped. For any other packet, handleUnreachableCandidates
+// decides if a candidate could not be reached; otherwise the caller gets a reset if the search
+// proves that no agent owns the flow, and the packet is dropped if it does not.
 func (a *Agent) search(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	if received.Polled {
 		return &a.deny
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -306,10 +306,9 @@
 
 // receiveSummary sends the documents that the peer requests and the former selectors that it
 // lacks, and requests documents if the peer has newer ones. Otherwise it takes the view of this
-// process as confirmed, and takes over
-// the peer's view age if that is lower than the age known here. The peer tables are compared only
-// if both processes have the same instances document, since that document decides which records a
-// table keeps.
+// process as confirmed, and takes over the peer's view age if that is lower than the age known
+// here. The peer tables are compared only if both processes have the same instances document, since
+// that document decides which records a table keeps.
 func (c *Controller) receiveSummary(now time.Time, id LinkID, l *link, summary *Summary) {
 	l.peer = summary.ID
 	ownRevisions := c.state.Revisions()
--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -70,10 +70,10 @@
 }
 
 // ShouldReadPlatform reports whether this process should read the platform now. Until the view
-// is first confirmed, each process reads from firstReadAt on: nothing else lets it serve so soon. After that, readers always read,
-// and another process reads only if the view is older than staleAfter plus the delay for its
-// rank, which a process without links does not wait for, as no peer can tell it anything. After a
-// failed read a process waits for retryDelay.
+// is first confirmed, each process reads from firstReadAt on: nothing else lets it serve so soon.
+// After that, readers always read, and another process reads only if the view is older than
+// staleAfter plus the delay for its rank, which a process without links does not wait for, as no
+// peer can tell it anything. After a failed read a process waits for retryDelay.
 func (c *Controller) ShouldReadPlatform(now time.Time) bool {
 	f := &c.viewFreshness
 	switch {
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -286,9 +286,9 @@
 }
 
 // resume processes the held packets of flows whose lookups or polls have ended. They are dropped
-// and counted if the view has expired meanwhile. Otherwise a packet is forwarded to the flow's owner. If none was
-// found, the core decides again, and agents that denied owning the flow count as visited. Agents
-// that gave no answer are probed at once.
+// and counted if the view has expired meanwhile. Otherwise a packet is forwarded to the flow's
+// owner. If none was found, the core decides again, and agents that denied owning the flow count as
+// visited. Agents that gave no answer are probed at once.
 func (d *Dispatcher) resume(now time.Time, results []core.LookupResult) {
 	for i := range results {
 		result := &results[i]
