Let documents that were read together take effect together

The log shows a balancer that had read the store before any backend server was listed (revision 2), and a peer's three documents at revision 7. A peer sent them as three messages, each a change of its own. The view after the first one listed the agents without backend servers, or the servers without agents, and since the balancer could route already, the next view came only after minViewInterval (40 ms). In between every opening packet found no target and got a reset. The same holds for reads of the platform, which applied one document after the other, and so for each registration of many servers at once.

Ruled out: the flow table and the waiting of the agents (no agent had got the opening packet: no line of a delivery), a slow start (no cold start rate is published there).

Change: a control message carries the changes of all documents that were read together, a read applies its documents in one step, and one view follows.

Result: TestDocumentsOfOneRevisionTakeEffectTogether failed before (0 of 3 targets in the view that names the newest revision) and passes. Tests of internal/core, internal/link, internal/daemon pass; of platform the ones on leaving, draining, the store and its reader.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -96,7 +96,7 @@
 				if revision.IsNewerThan(highest) {
 					highest = revision
 				}
-				n.enqueueSends(at, n.controllers[at].ApplyDocument(now, backendsDocument(revision)))
+				n.enqueueSends(at, n.controllers[at].ApplyDocuments(now, backendsDocument(revision)))
 			case step == 1 && len(n.queue) > 0:
 				lost := rapid.IntRange(0, len(n.queue)-1).Draw(t, "lost")
 				n.queue = append(n.queue[:lost], n.queue[lost+1:]...)
@@ -156,8 +156,8 @@
 // unconfirmed until a peer sends a summary.
 func TestPausedProcessIsUnconfirmedUntilPeerSummary(t *testing.T) {
 	n := newNetwork(2)
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}}))
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, agentInstances(2, 1)))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}}))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(epoch, agentInstances(2, 1)))
 	n.converge(epoch)
 	now := epoch.Add(time.Hour)
 	outputs := n.controllers[0].Tick(now)
@@ -172,7 +172,12 @@
 
 // applyTargets applies documents that list agents b0, b1 and so on as targets of one service.
 func applyTargets(c *Controller, now time.Time, targets int) {
-	backends, instances := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}}, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}}
+	applyTargetsAt(c, now, fleet.Revision{Number: 1}, targets)
+}
+
+// applyTargetsAt applies documents of a revision, like applyTargets, and returns the outputs.
+func applyTargetsAt(c *Controller, now time.Time, revision fleet.Revision, targets int) []Output {
+	backends, instances := &fleet.BackendsDocument{Revision: revision}, &fleet.InstancesDocument{Revision: revision}
 	for i := range targets {
 		name := fmt.Sprintf("b%d", i)
 		backends.Backends = append(backends.Backends, fleet.Backend{Name: name, DataCentre: "north"})
@@ -180,12 +185,29 @@
 			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
 		})
 	}
-	services := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
+	services := &fleet.ServicesDocument{Revision: revision, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}},
 	}}}
-	for _, document := range []fleet.Document{backends, instances, services} {
-		c.ApplyDocument(now, document)
+	return c.ApplyDocuments(now, backends, instances, services)
+}
+
+// A balancer has read the platform before the backend servers registered, and a peer sends it the
+// documents that list them. Guards against a view between two of these documents, which lists the
+// agents without their backend servers and stays in force for minViewInterval: the balancer would
+// refuse every flow meanwhile.
+func TestDocumentsOfOneRevisionTakeEffectTogether(t *testing.T) {
+	n := newNetwork(2)
+	n.queue = nil
+	informed, behind := n.controllers[0], n.controllers[1]
+	applyTargets(behind, epoch, 0)
+	require.True(t, behind.View().CanRoute())
+	now := epoch.Add(time.Second)
+	n.enqueueSends(0, applyTargetsAt(informed, now, fleet.Revision{Number: 2}, 3))
+	for len(n.queue) > 0 {
+		n.deliver(0, now)
 	}
+	require.Equal(t, fleet.Revision{Number: 2}, behind.View().Revisions().Highest())
+	require.Len(t, behind.View().Service(fleet.ServiceIDOf("orders")).Targets(), 3)
 }
 
 // Weights change all the time in a large fleet. Peers receive them in replies to probes. Guards
@@ -271,7 +293,7 @@
 	n.converge(epoch)
 	c, other := n.controllers[0], fleet.InstanceIDOf("b0")
 	now := epoch.Add(time.Minute)
-	c.ApplyDocument(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
+	c.ApplyDocuments(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
 		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}},
 	}}})
 	backends := &fleet.BackendsDocument{Revision: fleet.Revision{Number: 2}}
@@ -282,8 +304,8 @@
 			Name: name, Role: fleet.RoleAgent, DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", State: fleet.StateLive,
 		})
 	}
-	c.ApplyDocument(now, backends)
-	c.ApplyDocument(now, instances)
+	c.ApplyDocuments(now, backends)
+	c.ApplyDocuments(now, instances)
 	c.HandleProbeReply(now, other, 1, 0)
 	now = now.Add(time.Second)
 	outputs := c.HandleMessage(now, 2, &Message{Records: []fleet.PeerRecord{{ID: other, Incarnation: 1, State: fleet.PeerSuspect}}})
@@ -351,9 +373,9 @@
 	announcement := &fleet.Announcement{Name: "b0", DataCentre: "north", Data: "127.0.0.1:1", Control: "127.0.0.1:2", Labels: labels}
 	record := fleet.PeerRecord{ID: fleet.InstanceIDOf("b0"), Incarnation: 1, Announcement: announcement}
 	publish := func(c *Controller, now time.Time) {
-		c.ApplyDocument(now, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}})
-		c.ApplyDocument(now, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}, Leased: true})
-		c.ApplyDocument(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
+		c.ApplyDocuments(now, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}})
+		c.ApplyDocuments(now, &fleet.InstancesDocument{Revision: fleet.Revision{Number: 1}, Leased: true})
+		c.ApplyDocuments(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{{
 			Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: selectorOf(labels)},
 		}}})
 	}
@@ -452,7 +474,7 @@
 	n := newNetwork(2)
 	n.converge(epoch)
 	services := &fleet.ServicesDocument{Revision: fleet.Revision{Version: 4, Number: 9}}
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, services))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(epoch, services))
 	var applied []ReportEvent
 	for len(n.queue) > 0 {
 		d := n.queue[0]
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -289,8 +289,8 @@
 		c.receiveSummary(now, id, l, message.Summary)
 	case message.Digests != nil:
 		c.receiveDigests(id, message.Digests)
-	case message.Change != nil:
-		c.receiveChange(now, id, message.Change)
+	case len(message.Changes) > 0:
+		c.receiveChanges(now, id, message.Changes)
 	case message.History != nil:
 		c.receiveHistory(now, message.History)
 	}
@@ -313,8 +313,8 @@
 	l.peer = summary.ID
 	ownRevisions := c.state.Revisions()
 	if summary.WantsDocuments {
-		for _, change := range c.latestChanges.changesSince(c.state, summary.Revisions) {
-			c.emit(Send{Link: id, Message: &Message{Change: change}})
+		if changes := c.latestChanges.changesSince(c.state, summary.Revisions); len(changes) > 0 {
+			c.emit(Send{Link: id, Message: &Message{Changes: changes}})
 		}
 	}
 	isBehind := summary.Revisions.Services.IsNewerThan(ownRevisions.Services) ||
--- a/internal/core/control/delta.go
+++ b/internal/core/control/delta.go
@@ -152,20 +152,20 @@
 // changesSince returns the changes that bring a peer from its revisions to those of the
 // state. For each document that is newer here, it is the last change if the peer lacks only
 // that one, and the whole document otherwise.
-func (r *recentChanges) changesSince(state *fleet.State, revisions fleet.Revisions) []*Change {
+func (r *recentChanges) changesSince(state *fleet.State, revisions fleet.Revisions) []Change {
 	services, backends, instances := state.Documents()
-	var changes []*Change
+	var changes []Change
 	if instances.IsNewerThan(revisions.Instances) {
 		whole := &Change{To: instances.Revision, Instances: &Delta[fleet.Instance]{Upserts: instances.Instances}, Leased: instances.Leased}
-		changes = append(changes, preferIncremental(r.instances, revisions.Instances, whole))
+		changes = append(changes, *preferIncremental(r.instances, revisions.Instances, whole))
 	}
 	if backends.IsNewerThan(revisions.Backends) {
 		whole := &Change{To: backends.Revision, Backends: &Delta[fleet.Backend]{Upserts: backends.Backends}}
-		changes = append(changes, preferIncremental(r.backends, revisions.Backends, whole))
+		changes = append(changes, *preferIncremental(r.backends, revisions.Backends, whole))
 	}
 	if services.IsNewerThan(revisions.Services) {
 		whole := &Change{To: services.Revision, Services: &Delta[fleet.Service]{Upserts: services.Services}, Draining: services.Draining}
-		changes = append(changes, preferIncremental(r.services, revisions.Services, whole))
+		changes = append(changes, *preferIncremental(r.services, revisions.Services, whole))
 	}
 	return changes
 }
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -3,15 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
 )
 
-// ApplyDocument applies a document that was read from the platform if it is newer than the
-// current one. The read confirms the view in either case.
-func (c *Controller) ApplyDocument(now time.Time, document fleet.Document) []Output {
-	c.applyIfNewer(now, document, 0)
+// ApplyDocuments applies the documents of one read of the platform that are newer than the current
+// ones. The read confirms the view in either case.
+func (c *Controller) ApplyDocuments(now time.Time, documents ...fleet.Document) []Output {
+	c.applyNewer(now, documents, 0)
 	c.recordConfirmation(now, now, 0)
 	c.publishIfDue(now)
 	return c.takeOutputs()
@@ -23,24 +24,39 @@
 	return c.takeOutputs()
 }
 
-// applyIfNewer applies a document if it is newer than the current one, and gossips the change
-// on all links but source, from which it came. A zero source means the platform. An older or
-// invalid document is only reported.
-func (c *Controller) applyIfNewer(now time.Time, document fleet.Document, source LinkID) {
+// applyNewer applies the documents that are newer than the current ones, and gossips their changes
+// on all links but source, from which they came. A zero source means the platform. All of them
+// take effect with the next view, since one document alone may name agents or backend servers of
+// which another one tells the rest.
+func (c *Controller) applyNewer(now time.Time, documents []fleet.Document, source LinkID) {
+	var applied []Change
+	for _, document := range documents {
+		if change := c.applyIfNewer(now, document, source); change != nil {
+			applied = append(applied, *change)
+		}
+	}
+	if len(applied) > 0 {
+		c.gossipChanges(now, applied, source)
+		c.scheduleRoutingChange(now)
+	}
+}
+
+// applyIfNewer applies a document if it is newer than the current one, and returns the change. An
+// older or invalid document is only reported.
+func (c *Controller) applyIfNewer(now time.Time, document fleet.Document, source LinkID) *Change {
 	if !c.state.IsNewer(document) {
 		c.emit(ReportEvent{Event: EventDocumentOlder})
-		return
+		return nil
 	}
 	change := changeBetween(c.state, document)
 	if _, err := c.state.Apply(now, document); err != nil {
 		c.emit(ReportEvent{Event: EventDocumentRefused, Err: err})
-		return
+		return nil
 	}
 	c.emit(change.appliedEvent(c.sourceName(source)))
 	c.restoreOwnRecord(now)
 	c.latestChanges.recordChange(change)
-	c.gossipChange(now, change, source)
-	c.scheduleRoutingChange(now)
+	return change
 }
 
 // sourceName returns the name of the peer from which a document came on a link, its ID if the
@@ -61,14 +77,15 @@
 // most of them would otherwise receive it from several peers.
 const maxPushedEntries = 16
 
-// gossipChange sends a small change, or else a summary with its revision, on all links but
-// source.
-func (c *Controller) gossipChange(now time.Time, change *Change, source LinkID) {
-	if change.entryCount() <= maxPushedEntries {
-		c.broadcast(&Message{Change: change}, source)
+// gossipChanges sends the changes, or else a summary with their revisions if one of them is
+// large, on all links but source.
+func (c *Controller) gossipChanges(now time.Time, changes []Change, source LinkID) {
+	isLarge := func(change Change) bool { return change.entryCount() > maxPushedEntries }
+	if slices.ContainsFunc(changes, isLarge) {
+		c.broadcast(c.newSummary(now), source)
 		return
 	}
-	c.broadcast(c.newSummary(now), source)
+	c.broadcast(&Message{Changes: changes}, source)
 }
 
 // documentRequestTimeout is the time within which a peer must send requested documents before
@@ -87,24 +104,29 @@
 	c.emit(Send{Link: id, Message: message})
 }
 
-// receiveChange applies a change that a peer sent. If the change is newer but based on another
-// revision than the one in force, it requests the documents from that peer at once.
-func (c *Controller) receiveChange(now time.Time, id LinkID, change *Change) {
-	document, err := change.document(c.state)
-	var gap GapError
-	if errors.As(err, &gap) {
-		if change.To.IsNewerThan(gap.InForce) {
-			c.emit(ReportEvent{Event: EventChangeGap, Err: err})
-			c.documentRequestDeadline = time.Time{}
-			c.requestDocuments(now, id)
+// receiveChanges applies the changes that a peer sent together. If one of them is newer but based
+// on another revision than the one in force, it requests the documents from that peer at once.
+func (c *Controller) receiveChanges(now time.Time, id LinkID, changes []Change) {
+	var documents []fleet.Document
+	var gapFound error
+	for i := range changes {
+		document, err := changes[i].document(c.state)
+		var gap GapError
+		switch {
+		case err == nil:
+			documents = append(documents, document)
+		case !errors.As(err, &gap):
+			c.emit(ReportEvent{Event: EventDocumentRefused, Err: err})
+		case changes[i].To.IsNewerThan(gap.InForce):
+			gapFound = err
 		}
-		return
 	}
-	if err != nil {
-		c.emit(ReportEvent{Event: EventDocumentRefused, Err: err})
-		return
+	c.applyNewer(now, documents, id)
+	if gapFound != nil {
+		c.emit(ReportEvent{Event: EventChangeGap, Err: gapFound})
+		c.documentRequestDeadline = time.Time{}
+		c.requestDocuments(now, id)
 	}
-	c.applyIfNewer(now, document, id)
 }
 
 // unavailableAfter is the age of the view above which the platform counts as unavailable.
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -48,7 +48,7 @@
 	n := newNetwork(9)
 	now := epoch.Add(maxFirstReadDelay)
 	require.Equal(t, 9, countReaders(n, now), "without documents every process must read")
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(now, agentInstances(9, 3)))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(now, agentInstances(9, 3)))
 	n.deliverAll(now)
 	require.Equal(t, readerCount, countReaders(n, now))
 	for range 20 {
@@ -69,7 +69,7 @@
 // Guards against readers that all fail with one data centre.
 func TestReadersAreInDifferentDataCentres(t *testing.T) {
 	n := newNetwork(9)
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, agentInstances(9, 3)))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(epoch, agentInstances(9, 3)))
 	n.deliverAll(epoch)
 	readerDataCentres := make(map[int]bool)
 	for i, c := range n.controllers {
@@ -84,7 +84,7 @@
 // has just confirmed the same view.
 func TestViewAgeIsGossiped(t *testing.T) {
 	n := newNetwork(3)
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, agentInstances(3, 1)))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(epoch, agentInstances(3, 1)))
 	n.deliverAll(epoch)
 	now := epoch.Add(time.Second)
 	n.enqueueSends(0, n.controllers[0].Confirm(now))
@@ -105,10 +105,10 @@
 		large.Backends = append(large.Backends, fleet.Backend{Name: fmt.Sprintf("b%d", i), DataCentre: "north"})
 	}
 	n.queue = nil
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(epoch, large))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(epoch, large))
 	sent := 0
 	for len(n.queue) > 0 {
-		if n.queue[0].message.Change != nil {
+		if n.queue[0].message.Changes != nil {
 			sent++
 		}
 		n.deliver(0, epoch)
@@ -124,11 +124,11 @@
 // on time, a peer that does not reply must.
 func TestLateTicksDoNotMakePeersUnreachable(t *testing.T) {
 	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
-	c.ApplyDocument(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
+	c.ApplyDocuments(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}})
-	c.ApplyDocument(epoch, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
-	c.ApplyDocument(epoch, agentInstances(2, 2))
+	c.ApplyDocuments(epoch, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
+	c.ApplyDocuments(epoch, agentInstances(2, 2))
 	peer := fleet.InstanceIDOf("n1")
 	now := epoch
 	for range 20 {
@@ -148,11 +148,11 @@
 // send none while its reply is awaited.
 func TestUnansweredTrafficSendsOneProbeAtOnce(t *testing.T) {
 	c := New(epoch, Config{Self: fleet.InstanceIDOf("n0"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
-	c.ApplyDocument(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
+	c.ApplyDocuments(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}, Services: []fleet.Service{
 		{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {}}},
 	}})
-	c.ApplyDocument(epoch, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
-	c.ApplyDocument(epoch, agentInstances(2, 2))
+	c.ApplyDocuments(epoch, &fleet.BackendsDocument{Revision: fleet.Revision{Number: 1}, Backends: []fleet.Backend{{Name: "n1", DataCentre: "dc1"}}})
+	c.ApplyDocuments(epoch, agentInstances(2, 2))
 	peer := fleet.InstanceIDOf("n1")
 	outputs := c.ProbePeer(epoch, peer)
 	require.Len(t, outputs, 1)
@@ -169,10 +169,10 @@
 	for _, c := range n.controllers {
 		require.False(t, c.IsConfirmed(now))
 	}
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(now, agentInstances(2, 1)))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(now, agentInstances(2, 1)))
 	n.deliverAll(now)
 	require.False(t, n.controllers[1].IsConfirmed(now), "the view is confirmed without a document of services")
-	n.enqueueSends(0, n.controllers[0].ApplyDocument(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}}))
+	n.enqueueSends(0, n.controllers[0].ApplyDocuments(now, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 1}}))
 	n.deliverAll(now)
 	require.True(t, n.controllers[1].IsConfirmed(now))
 }
@@ -220,7 +220,7 @@
 // its view is stale, whatever its rank in a large fleet: changes must be in force there in time, too.
 func TestProcessWithoutLinksReadsAsSoonAsItsViewIsStale(t *testing.T) {
 	c := New(epoch, Config{Self: fleet.InstanceIDOf("balancer"), Incarnation: 1, Role: fleet.RoleBalancer, DataCentre: "dc0"}, rand.New(rand.NewPCG(1, 1)))
-	c.ApplyDocument(epoch, agentInstances(6500, 5))
+	c.ApplyDocuments(epoch, agentInstances(6500, 5))
 	stale := epoch.Add(staleAfter + time.Millisecond)
 	c.HandleLinkUp(epoch, 1, true)
 	require.False(t, c.ShouldReadPlatform(stale), "peers of lower rank read first")
--- a/internal/core/control/history_test.go
+++ b/internal/core/control/history_test.go
@@ -36,8 +36,8 @@
 	const link = LinkID(1)
 	veteran := newProbedFleet(68)
 	joinsAt := epoch.Add(time.Hour)
-	veteran.ApplyDocument(joinsAt.Add(-2*time.Second), selecting(2, "orders", "patterns"))
-	veteran.ApplyDocument(joinsAt.Add(-time.Second), selecting(3, "orders"))
+	veteran.ApplyDocuments(joinsAt.Add(-2*time.Second), selecting(2, "orders", "patterns"))
+	veteran.ApplyDocuments(joinsAt.Add(-time.Second), selecting(3, "orders"))
 	newcomer := New(joinsAt, Config{Self: fleet.InstanceIDOf("orders-1"), Incarnation: 2, Role: fleet.RoleAgent, DataCentre: "north"}, rand.New(rand.NewPCG(2, 2)))
 	former := fleet.InstanceIDOf("patterns-7")
 
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -12,7 +12,8 @@
 	Summary *Summary
 	Digests *Digests
 	Records []fleet.PeerRecord
-	Change  *Change
+	// Changes lead from one state of the documents to another. They take effect together.
+	Changes []Change
 	// History is sent to a peer that knows former selectors for a shorter time than the sender.
 	History *fleet.SelectorHistory
 }
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for _, document := range []fleet.Document{backends, instances, services} {
-		c.ApplyDocument(epoch, document)
+		c.ApplyDocuments(epoch, document)
 	}
 	return c
 }
--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -214,9 +214,7 @@
 		return
 	}
 	p.isReading = false
-	for _, document := range s.documents {
-		s.perform(p, p.controller.ApplyDocument(s.now, document))
-	}
+	s.perform(p, p.controller.ApplyDocuments(s.now, s.documents...))
 }
 
 // perform carries out the outputs of a process.
--- a/internal/daemon/node/source.go
+++ b/internal/daemon/node/source.go
@@ -16,8 +16,8 @@
 
 // DocumentSink receives the results of a DocumentSource.
 type DocumentSink interface {
-	// Apply replaces the current document if document is newer.
-	Apply(document fleet.Document)
+	// Apply replaces the current documents by those that are newer. They take effect together.
+	Apply(documents ...fleet.Document)
 	// ConfirmUnchanged records that the platform was read and has not changed.
 	ConfirmUnchanged()
 	// RecordReadFailure records that the platform could not be read.
@@ -32,10 +32,10 @@
 	FleetSize() int
 }
 
-// Apply makes the control goroutine replace the current document if document is newer. It
+// Apply makes the control goroutine replace the current documents by those that are newer. It
 // waits while the queue of the control goroutine is full.
-func (n *Node) Apply(document fleet.Document) {
-	n.inputs <- func(now time.Time) []control.Output { return n.controller.ApplyDocument(now, document) }
+func (n *Node) Apply(documents ...fleet.Document) {
+	n.inputs <- func(now time.Time) []control.Output { return n.controller.ApplyDocuments(now, documents...) }
 }
 
 // ConfirmUnchanged makes the control goroutine record that the platform was read and has not
--- a/internal/link/control/codec_test.go
+++ b/internal/link/control/codec_test.go
@@ -22,7 +22,7 @@
 			Selectors: map[string]fleet.Selector{fleet.AnyDataCentre: {"app": {"orders"}}},
 		})
 	}
-	return &control.Message{Change: &control.Change{To: fleet.Revision{Number: 3}, Services: delta}}
+	return &control.Message{Changes: []control.Change{{To: fleet.Revision{Number: 3}, Services: delta}}}
 }
 
 func TestDecodeRestoresMessagesOfAnySize(t *testing.T) {
@@ -64,8 +64,8 @@
 		{Summary: &control.Summary{ID: 2, Incarnation: 3, Revisions: fleet.Revisions{Services: fleet.Revision{Number: 4}}, WantsDocuments: true}},
 		{Digests: &control.Digests{Buckets: []uint64{1, 2}, WantsReply: true}},
 		{Records: []fleet.PeerRecord{{ID: 1, Incarnation: 9, State: 200}}},
-		{Change: &control.Change{To: fleet.Revision{Number: 5}}},
-		{Change: &control.Change{To: fleet.Revision{Number: 5}, Services: &control.Delta[fleet.Service]{Upserts: []fleet.Service{service}, Removed: []string{"orders"}}}},
+		{Changes: []control.Change{{To: fleet.Revision{Number: 5}}}},
+		{Changes: []control.Change{{To: fleet.Revision{Number: 5}, Services: &control.Delta[fleet.Service]{Upserts: []fleet.Service{service}, Removed: []string{"orders"}}}}},
 	} {
 		data, err := Encode(message)
 		require.NoError(f, err)
