Do not hurry probes of peers that have not started, and hurry those that return

The flows that arrive first then go to the few servers that started first, and wait there beyond their limit.

Change: probes that follow a miss leave their turn only if the peer has a record (it has started) or packets go to it. A new incarnation of an unreachable peer is probed at once. The first reply from an unreachable peer makes the next probes of all others in its data centre urgent.

--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -13,11 +13,11 @@
 const (
 	// probesPerTick is the maximum number of regular probes per tick. Half of them go to
 	// peers in the data centre of the process while any of these is due, since most packets
-	// go there. Probes sent by probeAtOnce and those that follow a miss are not counted.
+	// go there. Urgent probes and those sent by probeAtOnce are not counted.
 	probesPerTick = 2
-	// followUpsPerTick is the maximum number of probes per tick that follow a miss. It is
-	// higher, since a cut silences many peers at once.
-	followUpsPerTick = 32
+	// urgentPerTick is the maximum number of urgent probes per tick. It is higher, since a cut
+	// silences many peers at once and they return at once.
+	urgentPerTick = 32
 	// probeInterval is the minimum time between two regular probes of a peer. After a miss
 	// the peer is due at once, until it has maxMisses misses.
 	probeInterval = 250 * time.Millisecond
@@ -41,6 +41,8 @@
 	awaitsReply bool
 	// misses counts consecutive missed probes.
 	misses int
+	// urgent reports whether the next probe is sent outside the turn of the peer.
+	urgent bool
 	// nextSuspicionAt is the time from which this process may gossip a suspicion again.
 	nextSuspicionAt time.Time
 }
@@ -50,6 +52,9 @@
 	return !s.awaitsReply && !now.Before(s.dueAt)
 }
 
+// isFailing reports whether the peer has missed probes, but not as many as make it unreachable.
+func (s *probeState) isFailing() bool { return s.misses > 0 && s.misses < maxMisses }
+
 // recordSent records that a probe is sent now.
 func (s *probeState) recordSent(now time.Time) {
 	s.awaitsReply = true
@@ -57,9 +62,8 @@
 	s.dueAt = now.Add(probeInterval)
 }
 
-// prober schedules the probes of a tick: at most followUpsPerTick of peers that did not reply to
-// the last probe but have fewer than maxMisses misses, and at most probesPerTick of all peers,
-// near and far ones each in round-robin order.
+// prober schedules the probes of a tick: at most urgentPerTick urgent ones, and at most
+// probesPerTick of all peers, near and far ones each in round-robin order.
 type prober struct {
 	states    map[fleet.InstanceID]*probeState
 	near, far probeRound
@@ -132,10 +136,10 @@
 func (p *prober) startDueProbes(now time.Time) []fleet.InstanceID {
 	var due []fleet.InstanceID
 	for id, state := range p.states {
-		if len(due) == followUpsPerTick {
+		if len(due) == urgentPerTick {
 			break
 		}
-		if state.misses > 0 && state.misses < maxMisses && state.isDue(now) {
+		if state.urgent && state.isDue(now) {
 			state.recordSent(now)
 			due = append(due, id)
 		}
@@ -190,10 +194,7 @@
 func (c *Controller) probeDuePeers(now time.Time) {
 	for id, state := range c.prober.states {
 		if state.awaitsReply && now.After(state.timeoutAt) {
-			state.awaitsReply = false
-			state.misses++
-			state.dueAt = now
-			c.handleMissedProbe(now, id, state)
+			c.recordMiss(now, id, state)
 		}
 	}
 	for _, id := range c.prober.startDueProbes(now) {
@@ -207,13 +208,24 @@
 	}
 }
 
-// handleMissedProbe marks a peer as unreachable after maxMisses misses. It then gossips a
-// suspicion of the peer, unless the peer has no record or is suspected already, or this process
-// gossiped a suspicion of it less than minSuspicionInterval ago.
-func (c *Controller) handleMissedProbe(now time.Time, id fleet.InstanceID, state *probeState) {
-	if state.misses < maxMisses {
-		return
+// recordMiss records that a peer has missed a probe. The next probes are urgent until the peer is
+// unreachable if packets go to the peer, or if it has a record: one without has not started yet, as
+// far as this process knows, and is probed in its turn.
+func (c *Controller) recordMiss(now time.Time, id fleet.InstanceID, state *probeState) {
+	state.awaitsReply = false
+	state.misses++
+	state.dueAt = now
+	_, hasStarted := c.state.Peers().Record(id)
+	state.urgent = state.isFailing() && (state.urgent || hasStarted)
+	if state.misses >= maxMisses {
+		c.recordUnreachable(now, id, state)
 	}
+}
+
+// recordUnreachable marks a peer as unreachable. It then gossips a suspicion of the peer, unless
+// the peer has no record or is suspected already, or this process gossiped a suspicion of it less
+// than minSuspicionInterval ago.
+func (c *Controller) recordUnreachable(now time.Time, id fleet.InstanceID, state *probeState) {
 	state.dueAt = now.Add(probeInterval)
 	if c.state.Peers().SetReachable(now, id, false) {
 		c.emit(ReportEvent{Event: EventPeerUnreachable, Peer: c.nodeName(id)})
@@ -241,7 +253,11 @@
 // has reached maxMisses.
 func (c *Controller) probeAtOnce(now time.Time, id fleet.InstanceID) {
 	state, node := c.prober.states[id], c.view.Node(id)
-	if state == nil || node == nil || state.awaitsReply || state.misses >= maxMisses {
+	if state == nil || node == nil || state.misses >= maxMisses {
+		return
+	}
+	state.urgent = true
+	if state.awaitsReply {
 		return
 	}
 	state.recordSent(now)
@@ -249,6 +265,25 @@
 	c.emit(Probe{Node: node, Incarnation: record.Incarnation})
 }
 
+// reprobe probes a peer at once that has started again, even if it is unreachable.
+func (c *Controller) reprobe(now time.Time, id fleet.InstanceID) {
+	if state := c.prober.states[id]; state != nil {
+		state.awaitsReply, state.misses = false, 0
+	}
+	c.probeAtOnce(now, id)
+}
+
+// hurryReturn makes the next probes of all unreachable peers in a data centre urgent, since one of
+// them replies again: what has cut them off may be over for all of them.
+func (c *Controller) hurryReturn(now time.Time, dataCentre string) {
+	for id, state := range c.prober.states {
+		node := c.view.Node(id)
+		if state.misses >= maxMisses && node != nil && node.DataCentre() == dataCentre {
+			state.urgent, state.dueAt = true, now
+		}
+	}
+}
+
 // HandleProbeReply records a peer's reply to a probe, with the incarnation and the weight that
 // it contains. A zero weight means that the peer reports none.
 func (c *Controller) HandleProbeReply(now time.Time, id fleet.InstanceID, incarnation uint64, weight fleet.Weight) []Output {
@@ -256,12 +291,16 @@
 	if state == nil {
 		return nil
 	}
-	state.awaitsReply = false
+	state.awaitsReply, state.urgent = false, false
 	state.misses = 0
+	wasUnreachable := c.state.Peers().IsUnreachable(id)
 	if c.state.Peers().SetReachable(now, id, true) {
 		c.emit(ReportEvent{Event: EventPeerReachable, Peer: c.nodeName(id)})
 		c.scheduleRoutingChange(now)
 	}
+	if node := c.view.Node(id); wasUnreachable && node != nil {
+		c.hurryReturn(now, node.DataCentre())
+	}
 	if record, _ := c.state.Peers().Record(id); incarnation > record.Incarnation {
 		c.mergeRecord(now, fleet.PeerRecord{ID: id, Incarnation: incarnation})
 	}
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -122,3 +122,71 @@
 		})
 	}
 }
+
+// All processes start at the same time, some of them later than others by the time of a few
+// probes. Guards against taking those that have not started for unreachable: callers' flows would
+// all go to the few that started first.
+func TestPeersThatHaveNotStartedYetAreNotTakenForUnreachable(t *testing.T) {
+	const latestStart = 800 * time.Millisecond
+	c := newProbedFleet(20)
+	for now := epoch; !now.After(epoch.Add(latestStart)); now = now.Add(TickInterval) {
+		c.Tick(now)
+	}
+	for id := range c.prober.states {
+		require.False(t, c.state.Peers().IsUnreachable(id))
+	}
+}
+
+// makeUnreachable lets a controller's probes of all peers time out.
+func makeUnreachable(c *Controller, from time.Time) (after time.Time) {
+	now := from
+	for ; now.Before(from.Add(time.Minute)); now = now.Add(TickInterval) {
+		c.Tick(now)
+	}
+	return now
+}
+
+// A peer that was unreachable starts again and gossips its record. In a large fleet its turn
+// among the regular probes comes seconds later.
+func TestUnreachablePeerThatStartsAgainIsProbedAtOnce(t *testing.T) {
+	c := newProbedFleet(68)
+	c.HandleLinkUp(epoch, 1, true)
+	now := makeUnreachable(c, epoch)
+	c.HandleLinkUp(now, 2, true)
+	peer := fleet.InstanceIDOf("orders-7")
+	require.True(t, c.state.Peers().IsUnreachable(peer))
+	outputs := c.HandleMessage(now, 2, &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 2}}})
+	require.True(t, probes(outputs)[peer])
+}
+
+// probes returns the peers that are probed by outputs.
+func probes(outputs []Output) map[fleet.InstanceID]bool {
+	peers := make(map[fleet.InstanceID]bool)
+	for _, output := range outputs {
+		if probe, ok := output.(Probe); ok {
+			peers[probe.Node.ID()] = true
+		}
+	}
+	return peers
+}
+
+// A cut ends, for as many peers at once as it had silenced. The first of a data centre that
+// replies again shows it: in a fleet of any size the others must be reachable soon after, not only
+// when their turn among the regular probes comes.
+func TestEndOfCutIsNoticedWithinASecondInAFleetOfAnySize(t *testing.T) {
+	const noticeTime = time.Second
+	for _, servers := range []int{7, 68, 256} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			c := newProbedFleet(servers)
+			now := makeUnreachable(c, epoch)
+			for end := now.Add(noticeTime); now.Before(end); now = now.Add(TickInterval) {
+				for id := range probes(c.Tick(now)) {
+					c.HandleProbeReply(now, id, 1, fleet.DefaultWeight)
+				}
+			}
+			for id := range c.prober.states {
+				require.False(t, c.state.Peers().IsUnreachable(id))
+			}
+		})
+	}
+}
