Say which changed settings need a restart, serve the agent's readiness, and name oversized messages

Change: the function that applies settings returns an error, and ApplyAtRestart reports ErrNeedsRestart; ServeReady takes the empty endpoint, is called by all three daemons, and a draining agent is not ready; inflate reports errMessageTooLarge.

Result: TestWatcherSaysWhenChangedSettingsNeedARestart and TestDecodeNamesTheSizeOfAnOversizedMessage fail without it; the readiness of the agent has no test of its own. Tests of the settings, the links and the commands pass.

--- a/internal/cmd/carrier/carrier.go
+++ b/internal/cmd/carrier/carrier.go
@@ -29,7 +29,7 @@
 		Help:          "Run an entry instance that forwards callers' packets to agents.",
 		ParseSettings: settings.ReadBalancer,
 		Run: func(ctx context.Context, s *settings.Balancer, watcher *settings.Watcher[*settings.Balancer], logger log.Interface) error {
-			go watcher.Run(ctx, serve.IgnoreChangedSettings)
+			go watcher.Run(ctx, settings.ApplyAtRestart)
 			return balancer.Run(ctx, s, newOptions(s), logger)
 		},
 	})
--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -27,7 +27,7 @@
 		Help:          "Run an entry instance that forwards callers' packets to agents.",
 		ParseSettings: settings.ReadBalancer,
 		Run: func(ctx context.Context, s *settings.Balancer, watcher *settings.Watcher[*settings.Balancer], logger log.Interface) error {
-			go watcher.Run(ctx, serve.IgnoreChangedSettings)
+			go watcher.Run(ctx, settings.ApplyAtRestart)
 			return balancer.Run(ctx, s, balancer.Options{Node: node.DocumentOptions(), Format: ipv4.Format{}}, logger)
 		},
 	})
@@ -42,7 +42,7 @@
 		Help:          "Run the agent beside a backend server; the agent owns the flows of that server.",
 		ParseSettings: settings.ReadAgent,
 		Run: func(ctx context.Context, s *settings.Agent, watcher *settings.Watcher[*settings.Agent], logger log.Interface) error {
-			go watcher.Run(ctx, serve.IgnoreChangedSettings)
+			go watcher.Run(ctx, settings.ApplyAtRestart)
 			return agent.Run(ctx, s, logger)
 		},
 	})
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -94,12 +94,6 @@
 	return c.Run(ctx, s, settings.NewWatcher(opts.ConfigPath, data, c.ParseSettings, logger), logger)
 }
 
-// IgnoreChangedSettings is passed to settings.Watcher.Run by daemons that cannot apply changed
-// settings while they run. Changed settings take effect at the next start. The watcher still
-// warns about invalid settings, and logs "settings reloaded" for valid ones although they are
-// not applied.
-func IgnoreChangedSettings[S any](S) {}
-
 // newLogger returns a logger that writes to out in logfmt.
 func newLogger(opts *Options, out io.Writer) log.Interface {
 	level := log.InfoLevel
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -156,6 +156,9 @@
 	if err := a.node.Start(ctx, group); err != nil {
 		return err
 	}
+	if err := a.node.ServeReady(ctx, group, a.settings.Ready); err != nil {
+		return err
+	}
 	receiver, err := a.node.NewReceiver()
 	if err != nil {
 		return err
@@ -269,6 +272,7 @@
 	a.mu.Lock()
 	a.core.Drain()
 	a.mu.Unlock()
+	a.node.MarkLeaving()
 	a.publishOwnState()
 	a.logger.Info("draining")
 	ctx, cancel := context.WithTimeout(ctx, maxDrainTime)
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -161,10 +161,8 @@
 	if err := c.node.Start(ctx, group); err != nil {
 		return err
 	}
-	if c.settings.Ready != "" {
-		if err := c.node.ServeReady(ctx, group, c.settings.Ready); err != nil {
-			return err
-		}
+	if err := c.node.ServeReady(ctx, group, c.settings.Ready); err != nil {
+		return err
 	}
 	receiver, err := c.node.NewReceiver()
 	if err != nil {
@@ -300,10 +298,11 @@
 
 // applySettings applies changed labels. Changes of other settings take effect at the next
 // start.
-func (c *Carrier) applySettings(s *settings.Carrier) {
+func (c *Carrier) applySettings(s *settings.Carrier) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.SetLabels(s.Labels)
+	return nil
 }
 
 // leave stops taking new flows, fails the readiness check and publishes that the agent is
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -33,8 +33,12 @@
 
 // ServeReady serves the readiness endpoint, to which the fabric sends its readiness probes,
 // and the metrics. The server runs in group until ctx is done. ServeReady retries
-// listening until it succeeds or ctx is done, and fails in the latter case.
+// listening until it succeeds or ctx is done, and fails in the latter case. With an empty
+// endpoint, as in settings that name none, it serves nothing.
 func (n *Node) ServeReady(ctx context.Context, group *errgroup.Group, endpoint string) error {
+	if endpoint == "" {
+		return nil
+	}
 	listener, err := listen.TCP(ctx, endpoint, n.logger)
 	if err != nil {
 		return fmt.Errorf("listen for readiness probes on %s: %w", endpoint, err)
--- a/internal/daemon/settings/carrier_test.go
+++ b/internal/daemon/settings/carrier_test.go
@@ -46,7 +46,10 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		watcher.Run(ctx, func(s *Carrier) { applied <- s })
+		watcher.Run(ctx, func(s *Carrier) error {
+			applied <- s
+			return nil
+		})
 	}()
 	write("{")
 	time.Sleep(2 * pollInterval)
@@ -60,6 +63,18 @@
 	<-ended
 }
 
+// Guards against a log that says of changed settings that they are in force when they are not.
+func TestWatcherSaysWhenChangedSettingsNeedARestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(validCarrier, "orders", "patterns", 1)), 0o600))
+	handler := memory.New()
+	watcher := NewWatcher(path, []byte(validCarrier), ReadCarrier, &log.Logger{Handler: handler, Level: log.InfoLevel})
+	watcher.reload(ApplyAtRestart)
+	require.Len(t, handler.Entries, 1)
+	require.Equal(t, "settings kept", handler.Entries[0].Message)
+	require.Equal(t, ErrNeedsRestart.Error(), handler.Entries[0].Fields["error"])
+}
+
 // next waits for the next settings that the watcher applies.
 func next(t *testing.T, applied <-chan *Carrier) *Carrier {
 	select {
--- a/internal/daemon/settings/watcher.go
+++ b/internal/daemon/settings/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -31,10 +32,17 @@
 	return &Watcher[S]{path: path, parse: parse, logger: logger, lastRead: data}
 }
 
+// ErrNeedsRestart reports that a daemon cannot apply changed settings while it runs.
+var ErrNeedsRestart = errors.New("changed settings take effect at the next start")
+
+// ApplyAtRestart is passed to Watcher.Run by daemons that cannot apply changed settings while they
+// run.
+func ApplyAtRestart[S any](S) error { return ErrNeedsRestart }
+
 // Run calls apply with changed settings until ctx is done. It reads the file every
-// pollInterval, and at once on SIGHUP. If the file cannot be read or is not valid, it logs
-// the error and the earlier settings stay applied.
-func (w *Watcher[S]) Run(ctx context.Context, apply func(S)) {
+// pollInterval, and at once on SIGHUP. If the file cannot be read or is not valid, or if apply
+// fails, it logs the error and the earlier settings stay in force.
+func (w *Watcher[S]) Run(ctx context.Context, apply func(S) error) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
@@ -53,7 +61,7 @@
 }
 
 // reload reads the file and applies its contents if they have changed and are valid.
-func (w *Watcher[S]) reload(apply func(S)) {
+func (w *Watcher[S]) reload(apply func(S) error) {
 	data, err := os.ReadFile(w.path)
 	if err != nil {
 		w.logger.WithError(fmt.Errorf("read settings: %w", err)).Warn("settings kept")
@@ -64,10 +72,12 @@
 	}
 	w.lastRead = data
 	changed, err := w.parse(data)
+	if err == nil {
+		err = apply(changed)
+	}
 	if err != nil {
 		w.logger.WithError(err).WithField("path", w.path).Warn("settings kept")
 		return
 	}
-	apply(changed)
 	w.logger.WithField("path", w.path).Info("settings reloaded")
 }
--- a/internal/link/control/codec.go
+++ b/internal/link/control/codec.go
@@ -25,6 +25,9 @@
 // errUnknownEncoding reports an empty message or one whose first byte is not an encoding.
 var errUnknownEncoding = errors.New("unknown message encoding")
 
+// errMessageTooLarge reports a message that has more than maxMessageSize bytes after decompression.
+var errMessageTooLarge = fmt.Errorf("message has more than %d bytes", maxMessageSize)
+
 // Encode returns the encoded message: one byte for the encoding, then the CBOR of the message,
 // compressed by DEFLATE from minDeflateSize on.
 func Encode(message *control.Message) ([]byte, error) {
@@ -56,6 +59,19 @@
 	return deflated.Bytes(), nil
 }
 
+// inflate decompresses the CBOR of a message. It fails with errMessageTooLarge beyond
+// maxMessageSize.
+func inflate(body []byte) ([]byte, error) {
+	inflated, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxMessageSize+1))
+	if err != nil {
+		return nil, fmt.Errorf("inflate control message: %w", err)
+	}
+	if len(inflated) > maxMessageSize {
+		return nil, fmt.Errorf("inflate control message: %w", errMessageTooLarge)
+	}
+	return inflated, nil
+}
+
 // Decode decodes a message. It fails for a compressed message that is larger than
 // maxMessageSize after decompression.
 func Decode(data []byte) (*control.Message, error) {
@@ -66,9 +82,9 @@
 	switch data[0] {
 	case encodingPlain:
 	case encodingDeflate:
-		inflated, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxMessageSize))
+		inflated, err := inflate(body)
 		if err != nil {
-			return nil, fmt.Errorf("inflate control message: %w", err)
+			return nil, err
 		}
 		body = inflated
 	default:
--- a/internal/link/control/codec_test.go
+++ b/internal/link/control/codec_test.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// Guards against an error that speaks of a malformed message when it is too large.
+func TestDecodeNamesTheSizeOfAnOversizedMessage(t *testing.T) {
+	data, err := deflate(make([]byte, maxMessageSize+1))
+	require.NoError(t, err)
+	_, err = Decode(data)
+	require.ErrorIs(t, err, errMessageTooLarge)
+}
+
 // One malformed message must take no process down: whatever a peer sends is rejected or handled,
 // also a message whose parts are missing or contradict each other.
 func FuzzDecode(f *testing.F) {
