Probe the agent of a flow whose caller retransmits

Cause: a path of established flows that falls silent was found by the regular round of probes only: 1.3 s for 27 near targets, 5.5 s for 109 far ones (docs/design/scale.md), and at 6,500 targets after minutes. An opening packet's copies had its target probed at once, a retransmitted request did not.

Change: the balancer keeps, beside the hint of a flow, the sequence number of its latest packet with payload (8 bytes more an entry, 24 in all). A packet that does not lie above it is a retransmission, and the agent that it goes to is probed at once; the probes that follow a miss are urgent, so that the agent is unreachable three misses later. Counter retransmissions.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -35,8 +35,8 @@
 	// NeedsReset reports whether to send the caller a reset, because its new flow cannot
 	// be served.
 	NeedsReset bool
-	// Suspect is the target that has not answered the previous copy of an opening packet,
-	// or nil. The process then probes it.
+	// Suspect is the target that has not answered the previous copy of an opening packet, or
+	// an earlier copy of another packet, or nil. The process then probes it.
 	Suspect *fleet.Target
 }
 
@@ -80,6 +80,16 @@
 	if packet.Kind() == flow.Opening {
 		return b.routeOpening(service, packet, hash)
 	}
+	decision := b.routeEstablished(service, hash)
+	if packet.PayloadSize() > 0 && !b.hints.Advance(hash, packet.Sequence()) {
+		decision.Suspect = decision.Target
+	}
+	return decision
+}
+
+// routeEstablished routes a packet of an open flow to the owner by its hint, or without one to an
+// agent that searches for it.
+func (b *Balancer) routeEstablished(service *fleet.RoutedService, hash uint64) Decision {
 	hint, _ := b.hints.Get(hash)
 	if owner := service.Target(hint); owner != nil && owner.IsReachable() {
 		return Decision{Service: service, Target: owner}
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -63,6 +63,43 @@
 	require.Equal(t, first.Target.ID(), again.Target.ID())
 }
 
+// An established flow's path falls silent. Its caller retransmits after a fraction of a second, while
+// the regular probes of a large fleet come round after seconds. Guards against a retransmission that
+// does not have the flow's target probed, and against requests in order that do.
+func TestRetransmissionOnEstablishedFlowSuspectsItsTarget(t *testing.T) {
+	view := newState(t, 3).View(epoch)
+	b := New(Config{HasCopyCounts: true}, NewHints(16))
+	id := flow.NewID(address, netip.MustParseAddrPort("10.1.0.1:4000"))
+	send := func(kind flow.Kind, sequence uint32, payloadSize int) Decision {
+		return b.Route(view, flow.NewPacket(id, kind, sequence, 0, nil).WithPayloadSize(payloadSize))
+	}
+	steps := []struct {
+		name        string
+		kind        flow.Kind
+		sequence    uint32
+		payloadSize int
+		isSuspect   bool
+	}{
+		{"opening", flow.Opening, 0xFFFFFFFE, 0, false},
+		{"acknowledgement", flow.Established, 0xFFFFFFFF, 0, false},
+		{"first request", flow.Established, 0xFFFFFFFF, 200, false},
+		{"second request, after the sequence has wrapped", flow.Established, 199, 100, false},
+		{"acknowledgement of the answer", flow.Established, 299, 0, false},
+		{"retransmission of the second request", flow.Established, 199, 100, true},
+		{"retransmission of the first request", flow.Established, 0xFFFFFFFF, 200, true},
+		{"third request", flow.Established, 299, 100, false},
+		{"opening of the next flow with the same addresses", flow.Opening, 50, 0, false},
+		{"its first request", flow.Established, 51, 100, false},
+	}
+	for _, step := range steps {
+		decision := send(step.kind, step.sequence, step.payloadSize)
+		require.Equal(t, step.isSuspect, decision.Suspect != nil, step.name)
+		if step.isSuspect {
+			require.Equal(t, decision.Target, decision.Suspect, step.name)
+		}
+	}
+}
+
 // Guards against a caller that waits in vain: a new flow that cannot be served gets a reset
 // if resets are enabled. Other packets are dropped without one.
 func TestUnservableOpeningPacketGetsReset(t *testing.T) {
--- a/internal/core/balancer/hints.go
+++ b/internal/core/balancer/hints.go
@@ -19,9 +19,12 @@
 type slot struct {
 	hashXorOwner atomic.Uint64
 	owner        atomic.Uint64
+	// latest holds the upper half of a flow's hash and, below it, the sequence number of the
+	// flow's latest packet with payload.
+	latest atomic.Uint64
 }
 
-// NewHints returns a table with a fixed number of entries of 16 bytes each.
+// NewHints returns a table with a fixed number of entries of 24 bytes each.
 func NewHints(entries int) *Hints {
 	return &Hints{slots: make([]slot, entries)}
 }
@@ -34,10 +37,14 @@
 	s.hashXorOwner.Store(hash ^ uint64(owner))
 }
 
-// Delete removes the entry of a flow, if there is one.
+// Delete removes the entry of a flow, if there is one, and its latest sequence number.
 func (h *Hints) Delete(hash uint64) {
+	s := h.slot(hash)
 	if _, known := h.Get(hash); known {
-		h.slot(hash).owner.Store(0)
+		s.owner.Store(0)
+	}
+	if s.latest.Load()>>32 == hash>>32 {
+		s.latest.Store(0)
 	}
 }
 
@@ -51,6 +58,19 @@
 	return fleet.InstanceID(owner), true
 }
 
+// Advance records the sequence number of a packet with payload. It reports false if the flow had
+// reached that number before, as the packet is a retransmission then.
+func (h *Hints) Advance(hash uint64, sequence uint32) bool {
+	s := h.slot(hash)
+	latest := s.latest.Load()
+	isSameFlow := latest>>32 == hash>>32
+	if isSameFlow && int32(sequence-uint32(latest)) <= 0 {
+		return false
+	}
+	s.latest.Store(hash>>32<<32 | uint64(sequence))
+	return true
+}
+
 // slot returns the slot of a flow hash.
 func (h *Hints) slot(hash uint64) *slot {
 	return &h.slots[hash%uint64(len(h.slots))]
--- a/internal/link/fabric/forwarder.go
+++ b/internal/link/fabric/forwarder.go
@@ -26,7 +26,7 @@
 	Add(name string, delta int)
 }
 
-// SuspectFunc is called with the ID of an agent that has not answered an opening packet in
+// SuspectFunc is called with the ID of an agent that has not answered a packet in
 // time.
 type SuspectFunc func(id fleet.InstanceID)
 
@@ -218,7 +218,7 @@
 	decision := f.core.Route(view, packet)
 	f.recordDecision(view, packet, decision)
 	if decision.Suspect != nil {
-		f.counter.Add("opening_copies", 1)
+		f.counter.Add(copyCounter(packet), 1)
 		f.onSuspect(decision.Suspect.ID())
 	}
 	if decision.NeedsReset {
@@ -233,6 +233,14 @@
 	}
 }
 
+// copyCounter returns the name of the counter of a packet that its caller has sent before.
+func copyCounter(packet flow.Packet) string {
+	if packet.Kind() == flow.Opening {
+		return "opening_copies"
+	}
+	return "retransmissions"
+}
+
 // recordDecision logs the decision about an opening packet, and the decision to send a reset
 // whatever the packet.
 func (f *Forwarder) recordDecision(view *fleet.View, packet flow.Packet, decision balancer.Decision) {
