Let a process that starts take the documents from its peers first

Cause: each process listed the store at its start, to serve soonest. A listing takes a call for each page of servers: four calls with 136 servers, 132 with 6,500, for each process that is restarted, replaced or added. 7,230 processes that start would make 950,000 calls, a minute of what the store serves.

Change: a peer's documents count as confirmed like the summary that announced them. A process that starts dials a seed with its first tick, which now comes at once, and reads the platform only if no peer has sent the documents within 150 ms, or at once if a peer has none either: then the whole fleet has just started.

--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -86,6 +86,11 @@
 	rotateAt time.Time
 	// closableAt is the time after which the link may be closed as a surplus link.
 	closableAt time.Time
+	// announced holds the revisions that the peer has last announced, and viewConfirmedAt when
+	// the peer's view had last been compared with the platform by then, or zero if never.
+	// announced is nil before the first summary, and after a pause of this process.
+	announced       *fleet.Revisions
+	viewConfirmedAt time.Time
 	// digestMismatches counts consecutive summaries whose table digest differed from that
 	// of this process.
 	digestMismatches int
@@ -156,8 +161,8 @@
 		confirmDeadline: now.Add(confirmTimeout),
 		unconfirmed:     true,
 		lastSeedIndex:   random.IntN(max(1, len(config.Seeds))),
-		viewFreshness:   freshness{firstReadAt: now.Add(time.Duration(random.Int64N(int64(maxFirstReadDelay))))},
 	}
+	c.viewFreshness.firstReadAt = now.Add(c.firstReadDelay())
 	c.ownRecord.Announcement = config.Announcement
 	c.state.StartHistory(now)
 	c.state.Peers().Merge(now, c.ownRecord)
@@ -231,6 +236,7 @@
 		for _, l := range c.links {
 			l.timeoutAt = now.Add(linkTimeout)
 			l.rotateAt = c.rotationTime(now)
+			l.announced = nil
 		}
 		c.prober.forgetPending()
 		c.emit(ReportEvent{Event: EventResumed})
@@ -290,7 +296,7 @@
 	case message.Digests != nil:
 		c.receiveDigests(id, message.Digests)
 	case len(message.Changes) > 0:
-		c.receiveChanges(now, id, message.Changes)
+		c.receiveChanges(now, id, l, message.Changes)
 	case message.History != nil:
 		c.receiveHistory(now, message.History)
 	}
@@ -304,100 +310,6 @@
 	return c.takeOutputs()
 }
 
-// receiveSummary sends the documents that the peer requests and the former selectors that it
-// lacks, and requests documents if the peer has newer ones. Otherwise it takes the view of this
-// process as confirmed, and takes over the peer's view age if that is lower than the age known
-// here. The peer tables are compared only if both processes have the same instances document, since
-// that document decides which records a table keeps.
-func (c *Controller) receiveSummary(now time.Time, id LinkID, l *link, summary *Summary) {
-	l.peer = summary.ID
-	ownRevisions := c.state.Revisions()
-	if summary.WantsDocuments {
-		if changes := c.latestChanges.changesSince(c.state, summary.Revisions); len(changes) > 0 {
-			c.emit(Send{Link: id, Message: &Message{Changes: changes}})
-		}
-	}
-	isBehind := summary.Revisions.Services.IsNewerThan(ownRevisions.Services) ||
-		summary.Revisions.Backends.IsNewerThan(ownRevisions.Backends) ||
-		summary.Revisions.Instances.IsNewerThan(ownRevisions.Instances)
-	if isBehind {
-		c.requestDocuments(now, id)
-	} else {
-		c.unconfirmed = false
-		if summary.ViewAge >= 0 {
-			c.recordConfirmation(now, now.Add(-summary.ViewAge), id)
-		}
-	}
-	if summary.Revisions.Services == ownRevisions.Services && fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) {
-		c.emit(Send{Link: id, Message: &Message{History: c.state.History(now)}})
-	}
-	if summary.Revisions.Instances == ownRevisions.Instances {
-		c.compareTables(id, l, summary.TableDigest)
-	}
-}
-
-// receiveHistory takes over the former selectors that a peer knows.
-func (c *Controller) receiveHistory(now time.Time, history *fleet.SelectorHistory) {
-	if c.state.MergeHistory(now, history) {
-		c.scheduleRoutingChange(now)
-	}
-}
-
-// compareTables sends the digests of all buckets to a peer whose table digest differed in
-// two consecutive summaries. A single difference may come from a record that is still being
-// gossiped.
-func (c *Controller) compareTables(id LinkID, l *link, digest uint64) {
-	if digest == c.tableDigest() {
-		l.digestMismatches = 0
-		return
-	}
-	l.digestMismatches++
-	if l.digestMismatches < 2 {
-		return
-	}
-	l.digestMismatches = 0
-	c.emit(Send{Link: id, Message: &Message{Digests: &Digests{Buckets: c.bucketDigests(), WantsReply: true}}})
-}
-
-// receiveDigests sends the records of the buckets whose digests differ from the peer's, and
-// the digests of this process if the peer wants them. It ignores a message with another
-// number of buckets.
-func (c *Controller) receiveDigests(id LinkID, digests *Digests) {
-	ownBuckets := c.bucketDigests()
-	if len(digests.Buckets) != len(ownBuckets) {
-		return
-	}
-	if digests.WantsReply {
-		c.emit(Send{Link: id, Message: &Message{Digests: &Digests{Buckets: ownBuckets}}})
-	}
-	var records []fleet.PeerRecord
-	for _, record := range c.state.Peers().All() {
-		bucket := uint64(record.ID) % digestBucketCount
-		if ownBuckets[bucket] != digests.Buckets[bucket] && c.isReplicated(record) {
-			records = append(records, record)
-		}
-	}
-	for batch := range slices.Chunk(records, maxRecordsPerMessage) {
-		c.emit(Send{Link: id, Message: &Message{Records: batch}})
-	}
-}
-
-// newSummary returns a message that holds the summary of this process.
-func (c *Controller) newSummary(now time.Time) *Message {
-	age, known := c.ViewAge(now)
-	if !known {
-		age = -1
-	}
-	return &Message{Summary: &Summary{
-		ID:          c.config.Self,
-		Incarnation: c.ownRecord.Incarnation,
-		Revisions:   c.state.Revisions(),
-		ViewAge:     age,
-		TableDigest: c.tableDigest(),
-		HistorySpan: c.state.HistorySpan(now),
-	}}
-}
-
 // broadcast sends a message on all links but except. If except is zero, it sends on all links.
 func (c *Controller) broadcast(message *Message, except LinkID) {
 	for id := range c.links {
--- a/internal/core/control/documents.go
+++ b/internal/core/control/documents.go
@@ -104,9 +104,10 @@
 	c.emit(Send{Link: id, Message: message})
 }
 
-// receiveChanges applies the changes that a peer sent together. If one of them is newer but based
-// on another revision than the one in force, it requests the documents from that peer at once.
-func (c *Controller) receiveChanges(now time.Time, id LinkID, changes []Change) {
+// receiveChanges applies the changes that a peer sent together. They confirm the view if they lead
+// to what the peer has announced. If one of them is newer but based on another revision than the
+// one in force, it requests the documents from that peer at once.
+func (c *Controller) receiveChanges(now time.Time, id LinkID, l *link, changes []Change) {
 	var documents []fleet.Document
 	var gapFound error
 	for i := range changes {
@@ -122,6 +123,9 @@
 		}
 	}
 	c.applyNewer(now, documents, id)
+	if l.announced != nil {
+		c.confirmByPeer(now, id, l)
+	}
 	if gapFound != nil {
 		c.emit(ReportEvent{Event: EventChangeGap, Err: gapFound})
 		c.documentRequestDeadline = time.Time{}
--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -25,6 +25,9 @@
 	delayPerRank     = 40 * time.Millisecond
 	lateRank         = 50
 	lateDelayPerRank = 5 * time.Millisecond
+	// peerPatience is how long a process that has just started waits for the documents from a
+	// peer before it reads the platform itself.
+	peerPatience = 150 * time.Millisecond
 	// maxFirstReadDelay limits the random delay of the first read, which spreads the reads of
 	// processes that all start at once.
 	maxFirstReadDelay = 10 * time.Millisecond
@@ -69,8 +72,26 @@
 	f.failedAt = now
 }
 
+// firstReadDelay returns the time from the start of this process to its first read, unless a peer
+// has sent the documents before. In a running fleet the first peer that it dials does so at once.
+func (c *Controller) firstReadDelay() time.Duration {
+	delay := time.Duration(c.random.Int64N(int64(maxFirstReadDelay)))
+	if len(c.config.Seeds) > 0 {
+		delay += peerPatience
+	}
+	return delay
+}
+
+// hurryFirstRead makes the first read due, since a peer has not all documents either: it has just
+// started, as all processes may have, and waiting for each other would only delay them.
+func (c *Controller) hurryFirstRead(now time.Time) {
+	if now.Before(c.viewFreshness.firstReadAt) {
+		c.viewFreshness.firstReadAt = now
+	}
+}
+
 // ShouldReadPlatform reports whether this process should read the platform now. Until the view
-// is first confirmed, each process reads from firstReadAt on: nothing else lets it serve so soon.
+// is first confirmed, each process reads from firstReadAt on.
 // After that, readers always read, and another process reads only if the view is older than
 // staleAfter plus the delay for its rank, which a process without links does not wait for, as no
 // peer can tell it anything. After a failed read a process waits for retryDelay.
@@ -113,12 +134,6 @@
 	return 0
 }
 
-// FirstReadDelay returns the time until firstReadAt: this process does not read the platform
-// before then unless a peer confirms the view first. It is zero once that time has passed.
-func (c *Controller) FirstReadDelay(now time.Time) time.Duration {
-	return max(0, c.viewFreshness.firstReadAt.Sub(now))
-}
-
 // ViewAge returns the time since the view was last compared with the platform, by this process
 // or by a peer. It reports false if that never happened.
 func (c *Controller) ViewAge(now time.Time) (time.Duration, bool) {
--- a/internal/core/fleet/revision.go
+++ b/internal/core/fleet/revision.go
@@ -63,6 +63,16 @@
 	Instances Revision `json:"instances"`
 }
 
+// AreComplete reports whether there is a document of each kind.
+func (r Revisions) AreComplete() bool {
+	return !r.Services.IsMissing() && !r.Backends.IsMissing() && !r.Instances.IsMissing()
+}
+
+// AreBehind reports whether any document of another process is newer.
+func (r Revisions) AreBehind(other Revisions) bool {
+	return other.Services.IsNewerThan(r.Services) || other.Backends.IsNewerThan(r.Backends) || other.Instances.IsNewerThan(r.Instances)
+}
+
 // Highest returns the highest revision of any document, without a version: the last change on
 // the platform that any of them contains.
 func (r Revisions) Highest() Revision {
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -283,7 +283,7 @@
 
 // CanRoute reports whether the view holds a document of each kind.
 func (v *View) CanRoute() bool {
-	return !v.revisions.Services.IsMissing() && !v.revisions.Backends.IsMissing() && !v.revisions.Instances.IsMissing()
+	return v.revisions.AreComplete()
 }
 
 // Services yields all services.
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -294,8 +294,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
-	firstRead := time.NewTimer(n.controller.FirstReadDelay(clock.Now()))
-	defer firstRead.Stop()
+	n.execute(ctx, n.controller.Tick(clock.Now()))
 	for {
 		select {
 		case <-ctx.Done():
@@ -304,8 +303,7 @@
 			now := clock.Now()
 			n.execute(ctx, input(now))
 			n.extendValidity(now)
-		case <-firstRead.C:
-			n.updateReadDue(clock.Now())
+			n.updateReadDue(now)
 		case <-ticker.C:
 			now := clock.Now()
 			n.execute(ctx, n.controller.Tick(now))
