Search the servers of a removed data centre until they have answered

When a data centre loses its selector, its servers go on with running requests for two seconds, but stopped being candidates in the first view after the change: packets on their way then found no owner, and after all others had denied the flow its caller got a reset (reset_unowned). A flow whose first request was still on its way was reset at once even if it arrived.

Change: the servers stay residual targets for 2.5 s, without new flows; flows without a request take one that arrives within 0.5 s; the grace period of a flow begins once, not with each view, and ends if the data centre is back. A packet is not forwarded by an agent of the removed data centre to itself.

Result: TestServersOfARemovedDataCentreAreSearchedUntilTheyHaveAnswered and TestFlowsOfARemovedDataCentreAreReportedOnceAndKeptIfItReturns failed before.

--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -345,3 +345,26 @@
 	require.Equal(t, &Drop{Reason: DropDataCentreOut}, a.Receive(settledAt, receivedPacket(4001, flow.Opening, 0)))
 	require.Equal(t, &Drop{Reason: DropDataCentreOut}, a.Receive(settledAt.Add(time.Second), receivedPacket(4000, flow.Established, 1)))
 }
+
+// Views follow each other several times a second. Guards against a grace period that each of them
+// begins anew, and against the end of flows whose data centre is back.
+func TestFlowsOfARemovedDataCentreAreReportedOnceAndKeptIfItReturns(t *testing.T) {
+	state := newState(t, 1)
+	config := Config{Self: fleet.InstanceIDOf("b0"), DataCentre: "north", MaxFlows: 9, MaxHandOvers: 1, Placement: HashOnly{}}
+	a := New(config, state.View(epoch), NewLoad(epoch, slots), nil)
+	a.Receive(settledAt, receivedPacket(4000, flow.Opening, 0))
+	services, _, _ := state.Documents()
+	selecting := services.Services
+	publish := func(number uint64, services []fleet.Service) []OwnedFlow {
+		_, err := state.Apply(epoch, &fleet.ServicesDocument{Revision: fleet.Revision{Number: number}, Services: services})
+		require.NoError(t, err)
+		return a.ApplyView(state.View(epoch))
+	}
+	out := publish(8, []fleet.Service{{Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp"}})
+	require.Len(t, out, 1)
+	a.SetGraceUntil(out[0], settledAt.Add(time.Second))
+	require.Empty(t, a.ApplyView(state.View(epoch)))
+	require.True(t, a.MustEnd(out[0]))
+	require.Empty(t, publish(9, selecting))
+	require.False(t, a.MustEnd(out[0]))
+}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -153,7 +153,8 @@
 }
 
 // ApplyView puts a new view in force. It returns the flows that must be reset because their
-// service was removed or moved to another address, or their data centre is out.
+// service was removed or moved to another address, or their data centre is out, except those that
+// have a grace period. The grace period of a flow whose data centre is back ends.
 func (a *Agent) ApplyView(view *fleet.View) []OwnedFlow {
 	a.view, a.owners = view, newOwnerLists(false)
 	a.setSiblings()
@@ -168,10 +169,13 @@
 	}
 	var toReset []OwnedFlow
 	for id, entry := range a.flows {
-		if entry.state == stateHandedOver || a.mayServe(entry.service, id) {
-			continue
+		switch {
+		case entry.state == stateHandedOver:
+		case a.mayServe(entry.service, id):
+			entry.graceUntil = time.Time{}
+		case entry.graceUntil.IsZero():
+			toReset = append(toReset, OwnedFlow{id, entry.attempt})
 		}
-		toReset = append(toReset, OwnedFlow{id, entry.attempt})
 	}
 	return toReset
 }
@@ -184,6 +188,13 @@
 	}
 }
 
+// MustEnd reports whether a flow must be reset at the end of its grace period: its data centre has
+// not come back.
+func (a *Agent) MustEnd(owned OwnedFlow) bool {
+	entry := a.ownedEntry(owned.Flow, owned.Attempt)
+	return entry != nil && !entry.graceUntil.IsZero()
+}
+
 // isInGracePeriod reports whether a flow may go on although its data centre is out.
 func (a *Agent) isInGracePeriod(now time.Time, id flow.ID) bool {
 	entry := a.flows[id]
--- a/internal/core/agent/receive.go
+++ b/internal/core/agent/receive.go
@@ -41,7 +41,7 @@
 // since its sender may not have received the new services document yet. It is dropped if no
 // candidate is left or the packet was already searched for.
 func (a *Agent) receiveDataCentreOut(service *fleet.RoutedService, received *ReceivedPacket) Action {
-	step := service.NextCandidate(received.Packet.Flow().Hash(), received.Visited)
+	step := service.NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited))
 	if step.Next == nil || received.Searched {
 		return a.dropPacket(DropDataCentreOut)
 	}
--- a/internal/core/fleet/departures.go
+++ b/internal/core/fleet/departures.go
@@ -104,16 +104,22 @@
 }
 
 // NextGraceEnd returns the time at which the first agent within its grace period stops
-// getting new flows, or what was known before a restore of the platform is forgotten. It reports
-// false if there is neither.
+// getting new flows, the servers of a removed data centre are not searched any more, or what was
+// known before a restore of the platform is forgotten. It reports false if there is none of these.
 func (s *State) NextGraceEnd(now time.Time) (time.Time, bool) {
 	var earliest time.Time
-	if s.isRestoring(now) {
-		earliest = s.restored.until
+	consider := func(end time.Time) {
+		if now.Before(end) && (earliest.IsZero() || end.Before(earliest)) {
+			earliest = end
+		}
 	}
+	consider(s.restored.until)
 	for _, d := range s.departed {
-		if d.isWithinLapseGrace(now) && (earliest.IsZero() || d.acceptUntil.Before(earliest)) {
-			earliest = d.acceptUntil
+		consider(d.acceptUntil)
+	}
+	for _, remembered := range s.former {
+		for i := range remembered {
+			consider(remembered[i].removedUntil)
 		}
 	}
 	return earliest, !earliest.IsZero()
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -238,6 +238,28 @@
 	}
 }
 
+// A data centre is taken out of a service while packets of its flows are on their way. Guards against
+// resets of these flows at once, as their requests are still answered, and against packets that go
+// there later.
+func TestServersOfARemovedDataCentreAreSearchedUntilTheyHaveAnswered(t *testing.T) {
+	state := newState(t, 3)
+	next := &ServicesDocument{Revision: Revision{Number: 4}, Services: []Service{{
+		Name: "orders", Address: "10.9.0.1:80", Protocol: "tcp", Selectors: map[string]Selector{"south": {"app": {"orders"}}},
+	}}}
+	_, err := state.Apply(epoch, next)
+	require.NoError(t, err)
+	service := orders(state)
+	require.Len(t, service.Targets(), 3)
+	for target := range service.All() {
+		require.True(t, target.IsResidual())
+		require.False(t, target.IsAccepting())
+	}
+	end, found := state.NextGraceEnd(epoch)
+	require.True(t, found, "a view must follow when the grace period ends")
+	require.GreaterOrEqual(t, end.Sub(epoch), AnswerGrace)
+	require.Empty(t, state.View(end).Service(ServiceIDOf("orders")).Targets())
+}
+
 // Guards against open flows that are lost, and against new ones that go astray, when an
 // operator moves a service to other servers; and against servers that stay in searches forever.
 func TestServersSelectedBeforeStayInSearchesForALimitedTime(t *testing.T) {
--- a/internal/core/fleet/former.go
+++ b/internal/core/fleet/former.go
@@ -9,6 +9,14 @@
 // servers that a service selected before a change of its selectors.
 const formerLifetime = departedLifetime
 
+// AnswerGrace is how long the backend servers of a data centre may still answer running requests
+// after the data centre was taken out of their service.
+const AnswerGrace = 2 * time.Second
+
+// removedGrace is how long such servers are still searched for the owners of flows. It outlasts
+// AnswerGrace because the agents there may learn of the removal later than this process.
+const removedGrace = AnswerGrace + 500*time.Millisecond
+
 // maxFormerSelectors is the number of earlier changes of a service's selectors that are
 // remembered.
 const maxFormerSelectors = 4
@@ -20,6 +28,16 @@
 	selectors map[string]Selector
 	// forgetAfter is the time after which this process forgets the selectors.
 	forgetAfter time.Time
+	// removedUntil is until when servers in data centres that the service has no selector for
+	// any more are searched for the owners of flows.
+	removedUntil time.Time
+}
+
+// isRemoved reports whether a data centre that a service has no selector for had one until a
+// moment ago.
+func (f *formerSelectors) isRemoved(now time.Time, dataCentre string) bool {
+	_, present := selectorFor(f.selectors, dataCentre)
+	return present && now.Before(f.removedUntil)
 }
 
 // recordFormerSelectors remembers the selectors of the services that the next document
@@ -35,7 +53,7 @@
 		}
 		remembered := s.former[id]
 		if previous := s.routes.routes[index].selectors; selectorsKey(previous) != selectorsKey(service.Selectors) {
-			remembered = slices.Insert(slices.Clone(remembered), 0, formerSelectors{previous, now.Add(formerLifetime)})
+			remembered = slices.Insert(slices.Clone(remembered), 0, formerSelectors{previous, now.Add(formerLifetime), now.Add(removedGrace)})
 		}
 		if len(remembered) > 0 {
 			former[id] = remembered[:min(len(remembered), maxFormerSelectors)]
@@ -66,9 +84,9 @@
 // a change of its selectors.
 func (b *poolBuilder) formerlySelected(routed *route) []*Node {
 	var nodes []*Node
-	for _, selectors := range routed.former {
+	for i := range routed.former {
 		for dataCentre, servers := range b.servers {
-			selector, present := selectorFor(selectors, dataCentre)
+			selector, present := selectorFor(routed.former[i].selectors, dataCentre)
 			if !present {
 				continue
 			}
--- a/internal/core/fleet/newcomer.go
+++ b/internal/core/fleet/newcomer.go
@@ -74,7 +74,7 @@
 	for _, f := range history.Former {
 		known := slices.ContainsFunc(former[f.Service], func(own formerSelectors) bool { return selectorsKey(own.selectors) == selectorsKey(f.Selectors) })
 		if !known && len(former[f.Service]) < maxFormerSelectors {
-			former[f.Service] = append(slices.Clone(former[f.Service]), formerSelectors{f.Selectors, now.Add(f.Remaining)})
+			former[f.Service] = append(slices.Clone(former[f.Service]), formerSelectors{selectors: f.Selectors, forgetAfter: now.Add(f.Remaining)})
 		}
 	}
 	s.former = former
--- a/internal/core/fleet/pools.go
+++ b/internal/core/fleet/pools.go
@@ -42,12 +42,20 @@
 	return built
 }
 
+// mayOwnFlows reports whether servers in a data centre may own flows of a service.
+func (b *poolBuilder) mayOwnFlows(routed *route, dataCentre string) bool {
+	return routed.hasSelectorFor(dataCentre) || slices.ContainsFunc(routed.former, func(f formerSelectors) bool {
+		return f.isRemoved(b.now, dataCentre)
+	})
+}
+
 // residualTargets returns a target for each owner that is not selected and whose data
-// centre is in the service, ordered by ID. An owner may be named more than once.
+// centre is in the service, or was until a moment ago, ordered by ID. An owner may be named more
+// than once.
 func (b *poolBuilder) residualTargets(routed *route, built *pool, owners []*Node) []Target {
 	var targets []Target
 	for _, node := range owners {
-		if built.target(node.id) != nil || !routed.hasSelectorFor(node.dataCentre) {
+		if built.target(node.id) != nil || !b.mayOwnFlows(routed, node.dataCentre) {
 			continue
 		}
 		target := b.state.newTarget(node, b.now)
--- a/internal/core/fleet/routes.go
+++ b/internal/core/fleet/routes.go
@@ -17,7 +17,7 @@
 	// selectors holds the selector of each data centre that is in the service.
 	selectors map[string]Selector
 	// former holds the selectors that the service had before, newest first.
-	former           []map[string]Selector
+	former           []formerSelectors
 	coldStartRate    float64
 	idempotent       bool
 	latencyObjective time.Duration
@@ -50,8 +50,8 @@
 	if r.selects(dataCentre, labels) {
 		return true
 	}
-	for _, selectors := range r.former {
-		if selector, present := selectorFor(selectors, dataCentre); present && selector.Matches(labels) {
+	for i := range r.former {
+		if selector, present := selectorFor(r.former[i].selectors, dataCentre); present && selector.Matches(labels) {
 			return true
 		}
 	}
@@ -83,9 +83,7 @@
 		address, _ := service.parseAddress()
 		id := ServiceIDOf(service.Name)
 		key := selectorsKey(service.Selectors)
-		var formerOfService []map[string]Selector
 		for _, f := range former[id] {
-			formerOfService = append(formerOfService, f.selectors)
 			key += "/" + selectorsKey(f.selectors)
 		}
 		poolIndex, known := pools[key]
@@ -100,7 +98,7 @@
 			address:          address,
 			poolIndex:        poolIndex,
 			selectors:        service.Selectors,
-			former:           formerOfService,
+			former:           former[id],
 			coldStartRate:    service.ColdStartRate,
 			idempotent:       service.Idempotent,
 			latencyObjective: service.LatencyObjective,
--- a/internal/daemon/agent/ends.go
+++ b/internal/daemon/agent/ends.go
@@ -30,24 +30,41 @@
 	}
 }
 
-// answerGrace is how long the backend server may still answer a running request after
-// the data centre was taken out.
-const answerGrace = 2 * time.Second
+// arrivalGrace is how long after a data centre was taken out its flows take requests that their
+// callers have sent before they could know of it.
+const arrivalGrace = 500 * time.Millisecond
 
-// resetFlowWithGrace resets a flow: after answerGrace if the backend server has not yet
-// answered its request, else at once.
+// resetFlowWithGrace resets a flow of a data centre that was taken out: after fleet.AnswerGrace if
+// the backend server has not answered its request by the end of arrivalGrace, else then.
 func (a *Agent) resetFlowWithGrace(owned core.OwnedFlow) {
 	a.mu.Lock()
-	s := a.splices[owned.Flow]
+	a.core.SetGraceUntil(owned, clock.Now().Add(fleet.AnswerGrace))
 	a.mu.Unlock()
-	if s == nil || s.attempt != owned.Attempt || !s.request.isUnanswered() {
+	time.AfterFunc(arrivalGrace, func() {
+		if a.isUnanswered(owned) {
+			time.AfterFunc(fleet.AnswerGrace-arrivalGrace, func() { a.endGrace(owned) })
+			return
+		}
+		a.endGrace(owned)
+	})
+}
+
+// endGrace resets a flow at the end of its grace period, unless its data centre is back.
+func (a *Agent) endGrace(owned core.OwnedFlow) {
+	a.mu.Lock()
+	mustEnd := a.core.MustEnd(owned)
+	a.mu.Unlock()
+	if mustEnd {
 		a.resetFlow(owned, resetDataCentreOut)
-		return
 	}
+}
+
+// isUnanswered reports whether a flow has a request that the backend server has not answered.
+func (a *Agent) isUnanswered(owned core.OwnedFlow) bool {
 	a.mu.Lock()
-	a.core.SetGraceUntil(owned, clock.Now().Add(answerGrace))
+	s := a.splices[owned.Flow]
 	a.mu.Unlock()
-	time.AfterFunc(answerGrace, func() { a.resetFlow(owned, resetDataCentreOut) })
+	return s != nil && s.attempt == owned.Attempt && s.request.isUnanswered()
 }
 
 // resetFlow removes a flow and resets its connections. A flow that is still opening is not
