Take a peer that has started again for reachable, and do not reset its flows

Change: a new incarnation makes a peer reachable, and it is probed at once; three misses end that. An unreachable agent that has started again less than 2 s ago counts as one that may be back soon, like one that leaves: the packet is dropped and its caller retransmits.

--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -87,8 +87,8 @@
 // packet is relayed through one. If there is none or the packet was relayed already, and
 // requests of the service are idempotent, the caller gets a reset so that it can repeat its
 // request on a new flow. The packet is dropped if requests must not be repeated, since the
-// request may have been run and its answer may still come, or if an unreachable candidate has
-// announced that it leaves, since its agent may be back soon.
+// request may have been run and its answer may still come, or if an unreachable candidate may be
+// back soon.
 func (a *Agent) handleUnreachableCandidates(service *fleet.RoutedService, received *ReceivedPacket, step fleet.SearchStep) Action {
 	if !a.config.Carried {
 		return a.dropPacket(DropCandidateUnreachable)
@@ -98,7 +98,7 @@
 		action.Relayed = true
 		return action
 	}
-	if step.SkippedLeaving || !service.IsIdempotent() {
+	if step.SkippedReturning || !service.IsIdempotent() {
 		return a.dropPacket(DropCandidateUnreachable)
 	}
 	a.reset.Reason = ResetOwnerLost
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -265,8 +265,10 @@
 	c.emit(Probe{Node: node, Incarnation: record.Incarnation})
 }
 
-// reprobe probes a peer at once that has started again, even if it is unreachable.
-func (c *Controller) reprobe(now time.Time, id fleet.InstanceID) {
+// reviveUnreachable takes an unreachable peer that has started again for reachable, and probes it at
+// once.
+func (c *Controller) reviveUnreachable(now time.Time, id fleet.InstanceID) {
+	c.state.Peers().AssumeReachable(id)
 	if state := c.prober.states[id]; state != nil {
 		state.awaitsReply, state.misses = false, 0
 	}
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -147,8 +147,10 @@
 }
 
 // A peer that was unreachable starts again and gossips its record. In a large fleet its turn
-// among the regular probes comes seconds later.
-func TestUnreachablePeerThatStartsAgainIsProbedAtOnce(t *testing.T) {
+// among the regular probes comes seconds later. Guards against flows of its server that are reset
+// meanwhile, as if nobody could reach them, and against a peer that is taken for reachable though
+// it does not answer this process.
+func TestUnreachablePeerThatStartsAgainIsReachableAndProbedAtOnce(t *testing.T) {
 	c := newProbedFleet(68)
 	c.HandleLinkUp(epoch, 1, true)
 	now := makeUnreachable(c, epoch)
@@ -157,6 +159,11 @@
 	require.True(t, c.state.Peers().IsUnreachable(peer))
 	outputs := c.HandleMessage(now, 2, &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 2}}})
 	require.True(t, probes(outputs)[peer])
+	require.False(t, c.state.Peers().IsUnreachable(peer))
+	for end := now.Add(500 * time.Millisecond); !now.After(end); now = now.Add(TickInterval) {
+		c.Tick(now)
+	}
+	require.True(t, c.state.Peers().IsUnreachable(peer))
 }
 
 // probes returns the peers that are probed by outputs.
--- a/internal/core/fleet/candidates.go
+++ b/internal/core/fleet/candidates.go
@@ -294,9 +294,9 @@
 	// Skipped reports whether a candidate was skipped because this process cannot reach
 	// it. The search is then inconclusive, as that candidate may own the flow.
 	Skipped bool
-	// SkippedLeaving reports whether a skipped candidate is leaving, as it or the
-	// platform has announced.
-	SkippedLeaving bool
+	// SkippedReturning reports whether a skipped candidate may be back soon: it is leaving, as
+	// it or the platform has announced, or has just started again.
+	SkippedReturning bool
 	// SkippedDataCentre is the data centre of the last candidate that was skipped, or
 	// empty if there is none.
 	SkippedDataCentre string
@@ -314,7 +314,7 @@
 		}
 		if !target.reachable {
 			step.Skipped = true
-			step.SkippedLeaving = step.SkippedLeaving || target.leaving
+			step.SkippedReturning = step.SkippedReturning || target.leaving || target.restarted
 			step.SkippedDataCentre = target.dataCentre
 			return false
 		}
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -85,6 +85,16 @@
 	suspectedAt map[InstanceID]time.Time
 	// unreachable holds the peers that do not answer this process.
 	unreachable map[InstanceID]bool
+	// restartedAt holds when this process learned of the latest restart of each peer.
+	restartedAt map[InstanceID]time.Time
+}
+
+// returnGrace is how long a peer that has started again may take until it answers all processes.
+const returnGrace = 2 * time.Second
+
+// hasRestarted reports whether the peer has started again less than returnGrace ago.
+func (p *Peers) hasRestarted(id InstanceID, now time.Time) bool {
+	return now.Before(p.restartedAt[id].Add(returnGrace))
 }
 
 // NewPeers returns an empty table.
@@ -95,6 +105,7 @@
 		answeredAt:  make(map[InstanceID]time.Time),
 		suspectedAt: make(map[InstanceID]time.Time),
 		unreachable: make(map[InstanceID]bool),
+		restartedAt: make(map[InstanceID]time.Time),
 	}
 }
 
@@ -116,6 +127,9 @@
 	if !sameIncarnation {
 		delete(p.weights, record.ID)
 	}
+	if known && !sameIncarnation {
+		p.restartedAt[record.ID] = now
+	}
 	if sameIncarnation && record.Announcement == nil {
 		record.Announcement = old.Announcement
 	}
@@ -188,6 +202,9 @@
 	return changed || wasSuspected != p.isSuspected(id)
 }
 
+// AssumeReachable forgets that a peer did not answer this process, since it has started again.
+func (p *Peers) AssumeReachable(id InstanceID) { delete(p.unreachable, id) }
+
 // IsUnreachable reports whether the peer does not answer this process.
 func (p *Peers) IsUnreachable(id InstanceID) bool { return p.unreachable[id] }
 
@@ -200,6 +217,7 @@
 			delete(p.answeredAt, id)
 			delete(p.suspectedAt, id)
 			delete(p.unreachable, id)
+			delete(p.restartedAt, id)
 		}
 	}
 }
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -303,6 +303,7 @@
 		reachable:   !s.peers.unreachable[node.id],
 		suspected:   s.peers.isSuspected(node.id),
 		leaving:     node.leaving || record.State == PeerLeaving,
+		restarted:   s.peers.hasRestarted(node.id, now),
 	}
 }
 
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -25,6 +25,8 @@
 	reachable bool
 	suspected bool
 	leaving   bool
+	// restarted reports whether the agent has started again less than returnGrace ago.
+	restarted bool
 	// residual is set for a target that is no longer selected but may own flows.
 	residual bool
 }
