Do not count probes that an earlier start of a peer has missed

Change: a new incarnation forgets the misses, whether the peer was unreachable or not yet, and has the new start probed at once.

--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -265,13 +265,15 @@
 	c.emit(Probe{Node: node, Incarnation: record.Incarnation})
 }
 
-// reviveUnreachable takes an unreachable peer that has started again for reachable, and probes it at
-// once.
-func (c *Controller) reviveUnreachable(now time.Time, id fleet.InstanceID) {
+// restartProbes forgets the probes that an earlier start of a peer has missed, and takes the peer for
+// reachable. If there were any, it probes the new start at once.
+func (c *Controller) restartProbes(now time.Time, id fleet.InstanceID) {
 	c.state.Peers().AssumeReachable(id)
-	if state := c.prober.states[id]; state != nil {
-		state.awaitsReply, state.misses = false, 0
+	state := c.prober.states[id]
+	if state == nil || state.misses == 0 && !state.awaitsReply {
+		return
 	}
+	state.awaitsReply, state.misses = false, 0
 	c.probeAtOnce(now, id)
 }
 
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -166,6 +166,30 @@
 	require.True(t, c.state.Peers().IsUnreachable(peer))
 }
 
+// A process restarts within the time of three probes, as in a rolling update. Those that were sent to
+// its earlier start get no answer. Guards against counting them against the new start, which would
+// be taken for unreachable although it answers.
+func TestProbesOfAnEarlierStartDoNotCountAgainstTheNextOne(t *testing.T) {
+	c := newProbedFleet(20)
+	c.HandleLinkUp(epoch, 1, true)
+	peer := fleet.InstanceIDOf("orders-7")
+	c.HandleMessage(epoch, 1, &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 1}}})
+	c.ProbePeer(epoch, peer)
+	restartsAt := epoch.Add(300 * time.Millisecond)
+	for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(TickInterval) {
+		if now.Equal(restartsAt) {
+			require.NotZero(t, c.prober.states[peer].misses)
+			c.HandleMessage(now, 1, &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 2}}})
+		}
+		for id := range probes(c.Tick(now)) {
+			if id != peer || now.After(restartsAt) {
+				c.HandleProbeReply(now, id, 2, fleet.DefaultWeight)
+			}
+		}
+		require.False(t, c.state.Peers().IsUnreachable(peer))
+	}
+}
+
 // probes returns the peers that are probed by outputs.
 func probes(outputs []Output) map[fleet.InstanceID]bool {
 	peers := make(map[fleet.InstanceID]bool)
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -31,8 +31,8 @@
 		c.scheduleRoutingChange(now)
 	}
 	switch {
-	case record.State == fleet.PeerAlive && record.Incarnation > old.Incarnation && c.state.Peers().IsUnreachable(record.ID):
-		c.reviveUnreachable(now, record.ID)
+	case record.State == fleet.PeerAlive && record.Incarnation > old.Incarnation:
+		c.restartProbes(now, record.ID)
 	case record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect:
 		c.probeAtOnce(now, record.ID)
 	case old.State == fleet.PeerSuspect && record.Incarnation == old.Incarnation:
