Read the platform at once if no peer can be dialled at the start

Change: a link that cannot be dialled makes the first read due, like a refused link and a peer without documents; the patience for peers is 120 ms.

Result: TestFirstReadIsMadeAtOnceIfNoPeerCanHelp (the case of the dial fails without it).

--- a/internal/core/control/freshness.go
+++ b/internal/core/control/freshness.go
@@ -27,7 +27,7 @@
 	lateDelayPerRank = 5 * time.Millisecond
 	// peerPatience is how long a process that has just started waits for the documents from a
 	// peer before it reads the platform itself.
-	peerPatience = 150 * time.Millisecond
+	peerPatience = 120 * time.Millisecond
 	// maxFirstReadDelay limits the random delay of the first read, which spreads the reads of
 	// processes that all start at once.
 	maxFirstReadDelay = 10 * time.Millisecond
@@ -62,14 +62,19 @@
 	failedAt time.Time
 }
 
-// HandleLinkRefused records that a peer refused a link because it had too many: many processes start
-// at once. A process without links then makes its first read at once. If that has failed, it puts
-// off the next one, since others that run read for it.
-func (c *Controller) HandleLinkRefused(now time.Time) {
-	f := &c.viewFreshness
+// HandleDialFailed records that a link could not be dialled. A process without links then makes its
+// first read at once: the peer has not started yet either, or many dial it at the same time.
+func (c *Controller) HandleDialFailed(now time.Time) {
 	if len(c.links) == 0 {
 		c.hurryFirstRead(now)
 	}
+}
+
+// HandleLinkRefused records that a peer refused a link because it had too many. A process without
+// links whose first read has failed then puts off the next one, since others that run read for it.
+func (c *Controller) HandleLinkRefused(now time.Time) {
+	c.HandleDialFailed(now)
+	f := &c.viewFreshness
 	if len(c.links) > 0 || f.failedAt.IsZero() || now.After(c.startedAt.Add(maxRefusedPatience)) {
 		return
 	}
@@ -86,8 +91,8 @@
 	return delay
 }
 
-// hurryFirstRead makes the first read due, since a peer has not all documents either or refuses
-// links: all processes may have just started, and waiting for each other would only delay them.
+// hurryFirstRead makes the first read due, since a peer has not all documents either or cannot be
+// dialled: all processes may have just started, and waiting for each other would only delay them.
 func (c *Controller) hurryFirstRead(now time.Time) {
 	if now.Before(c.viewFreshness.firstReadAt) {
 		c.viewFreshness.firstReadAt = now
--- a/internal/core/control/freshness_test.go
+++ b/internal/core/control/freshness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -230,3 +231,31 @@
 	require.False(t, c.ShouldReadPlatform(stale))
 	require.True(t, c.ShouldReadPlatform(stale.Add(minRetryDelay)), "no peer can tell it of a change meanwhile")
 }
+
+// Everything returns after a loss of power, the processes that the others dial first among the last.
+// Guards against a first read that is put off until a peer answers that has not started either.
+func TestFirstReadIsMadeAtOnceIfNoPeerCanHelp(t *testing.T) {
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:1")}
+	incomplete := &Message{Summary: &Summary{ID: 2, Incarnation: 1, ViewAge: -1}}
+	for _, test := range []struct {
+		name   string
+		happen func(c *Controller, now time.Time)
+		isDue  bool
+	}{
+		{"nothing has happened yet", func(*Controller, time.Time) {}, false},
+		{"the peer cannot be dialled", func(c *Controller, now time.Time) { c.HandleDialFailed(now) }, true},
+		{"the peer has too many links", func(c *Controller, now time.Time) { c.HandleLinkRefused(now) }, true},
+		{"the peer has no documents", func(c *Controller, now time.Time) {
+			c.HandleLinkUp(now, 1, true)
+			c.HandleMessage(now, 1, incomplete)
+		}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := New(epoch, Config{Self: 1, Role: fleet.RoleAgent, Seeds: seeds}, rand.New(rand.NewPCG(1, 1)))
+			now := epoch.Add(maxFirstReadDelay)
+			test.happen(c, now)
+			require.Equal(t, test.isDue, c.ShouldReadPlatform(now))
+			require.True(t, c.ShouldReadPlatform(epoch.Add(peerPatience+maxFirstReadDelay)))
+		})
+	}
+}
--- a/internal/daemon/node/links.go
+++ b/internal/daemon/node/links.go
@@ -71,12 +71,14 @@
 	if err != nil {
 		n.counters.Add("retry_link_dial", 1)
 		n.logger.WithError(err).Debug("control link not established; the controller dials again")
-		if errors.Is(err, link.ErrRefused) {
-			n.Enqueue(func(now time.Time) []control.Output {
+		n.Enqueue(func(now time.Time) []control.Output {
+			if errors.Is(err, link.ErrRefused) {
 				n.controller.HandleLinkRefused(now)
-				return nil
-			})
-		}
+			} else {
+				n.controller.HandleDialFailed(now)
+			}
+			return nil
+		})
 		return
 	}
 	n.runLink(ctx, l, true)
