Probe listed peers that have no record after a second outside their turn

Change: a peer that has been listed for a second and has no record is overdue and is probed outside its turn, at most 16 in 50 ms, until it answers or is unreachable.

Result: TestListedPeersThatStayAwayAreUnreachableWithinTwoSeconds failed before with 68 and 256 servers. TestPeersThatHaveNotStartedYetAreNotTakenForUnreachable and the bounds of cuts hold. TestPeerIsProbedAfterEachMissOneProbeAtATime passes the time to setPeers; its checks are as before.

--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -254,7 +254,7 @@
 func TestPeerIsProbedAfterEachMissOneProbeAtATime(t *testing.T) {
 	p := newProber(0)
 	id := fleet.InstanceIDOf("b0")
-	p.setPeers([]fleet.InstanceID{id}, nil)
+	p.setPeers(epoch, []fleet.InstanceID{id}, nil)
 	now := epoch
 	for range maxMisses {
 		require.Equal(t, []fleet.InstanceID{id}, p.startDueProbes(now))
--- a/internal/core/control/controller.go
+++ b/internal/core/control/controller.go
@@ -277,7 +277,8 @@
 	if c.view.CanRoute() {
 		c.earliestViewAt = now.Add(minViewInterval)
 	}
-	c.prober.setPeers(c.peersToProbe(now))
+	near, far := c.peersToProbe(now)
+	c.prober.setPeers(now, near, far)
 	c.updateReadRank()
 	c.emit(PublishView{View: c.view})
 }
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -23,6 +23,12 @@
 	probeInterval = 250 * time.Millisecond
 	// probeTimeout is the time after which a probe without a reply is missed.
 	probeTimeout = 100 * time.Millisecond
+	// recordPatience is how long after it was first listed a peer may have no record, since it
+	// may start later than this process. After that it is overdue, and is probed outside its
+	// turn until it answers or is unreachable.
+	recordPatience = time.Second
+	// overduePerTick is the maximum number of probes of overdue peers per tick.
+	overduePerTick = 16
 	// maxMisses is the number of consecutive unanswered probes after which a peer counts as
 	// unreachable.
 	maxMisses = 3
@@ -33,6 +39,8 @@
 
 // probeState is the result of this process's probes of one peer.
 type probeState struct {
+	// knownSince is when this process began to probe the peer.
+	knownSince time.Time
 	// dueAt is the time from which the next probe may be sent.
 	dueAt time.Time
 	// timeoutAt is the time after which a probe without a reply is missed. It is valid if
@@ -41,8 +49,9 @@
 	awaitsReply bool
 	// misses counts consecutive missed probes.
 	misses int
-	// urgent reports whether the next probe is sent outside the turn of the peer.
-	urgent bool
+	// urgent reports whether the next probe is sent outside the turn of the peer, and overdue
+	// whether it is because the peer should have a record by now.
+	urgent, overdue bool
 	// nextSuspicionAt is the time from which this process may gossip a suspicion again.
 	nextSuspicionAt time.Time
 }
@@ -62,8 +71,8 @@
 	s.dueAt = now.Add(probeInterval)
 }
 
-// prober schedules the probes of a tick: at most urgentPerTick urgent ones, and at most
-// probesPerTick of all peers, near and far ones each in round-robin order.
+// prober schedules the probes of a tick: at most urgentPerTick urgent ones and overduePerTick of
+// overdue peers, and at most probesPerTick of all peers, near and far ones each in round-robin order.
 type prober struct {
 	states    map[fleet.InstanceID]*probeState
 	near, far probeRound
@@ -91,14 +100,14 @@
 
 // setPeers replaces the peers to probe, those near and those far. Peers that remain keep their
 // probe state.
-func (p *prober) setPeers(near, far []fleet.InstanceID) {
+func (p *prober) setPeers(now time.Time, near, far []fleet.InstanceID) {
 	states := make(map[fleet.InstanceID]*probeState, len(near)+len(far))
 	for _, peers := range [][]fleet.InstanceID{near, far} {
 		for _, id := range peers {
 			if known := p.states[id]; known != nil {
 				states[id] = known
 			} else {
-				states[id] = new(probeState)
+				states[id] = &probeState{knownSince: now}
 			}
 		}
 	}
@@ -134,20 +143,28 @@
 
 // startDueProbes returns the peers to probe now, and records a probe as sent to each.
 func (p *prober) startDueProbes(now time.Time) []fleet.InstanceID {
+	urgent := p.startAll(now, urgentPerTick, func(state *probeState) bool { return state.urgent })
+	overdue := p.startAll(now, overduePerTick, func(state *probeState) bool { return state.overdue })
+	near := p.startRound(now, &p.near, probesPerTick/2)
+	far := p.startRound(now, &p.far, probesPerTick-len(near))
+	rest := p.startRound(now, &p.near, probesPerTick-len(near)-len(far))
+	return slices.Concat(urgent, overdue, near, far, rest)
+}
+
+// startAll returns the peers that are wanted and whose probe is due, at most limit, and records a
+// probe as sent to each.
+func (p *prober) startAll(now time.Time, limit int, isWanted func(*probeState) bool) []fleet.InstanceID {
 	var due []fleet.InstanceID
 	for id, state := range p.states {
-		if len(due) == urgentPerTick {
+		if len(due) == limit {
 			break
 		}
-		if state.urgent && state.isDue(now) {
+		if isWanted(state) && state.isDue(now) {
 			state.recordSent(now)
 			due = append(due, id)
 		}
 	}
-	near := p.startRound(now, &p.near, probesPerTick/2)
-	far := p.startRound(now, &p.far, probesPerTick-len(near))
-	rest := p.startRound(now, &p.near, probesPerTick-len(near)-len(far))
-	return slices.Concat(due, near, far, rest)
+	return due
 }
 
 // startRound returns the next peers in turn whose probe is due, at most limit, and records a
@@ -196,6 +213,7 @@
 		if state.awaitsReply && now.After(state.timeoutAt) {
 			c.recordMiss(now, id, state)
 		}
+		state.overdue = c.isOverdue(now, id, state)
 	}
 	for _, id := range c.prober.startDueProbes(now) {
 		node := c.view.Node(id)
@@ -210,7 +228,7 @@
 
 // recordMiss records that a peer has missed a probe. The next probes are urgent until the peer is
 // unreachable if packets go to the peer, or if it has a record: one without has not started yet, as
-// far as this process knows, and is probed in its turn.
+// far as this process knows, and is probed in its turn for recordPatience.
 func (c *Controller) recordMiss(now time.Time, id fleet.InstanceID, state *probeState) {
 	state.awaitsReply = false
 	state.misses++
@@ -222,6 +240,15 @@
 	}
 }
 
+// isOverdue reports whether a peer that is not unreachable should have a record by now.
+func (c *Controller) isOverdue(now time.Time, id fleet.InstanceID, state *probeState) bool {
+	if state.misses >= maxMisses || now.Before(state.knownSince.Add(recordPatience)) {
+		return false
+	}
+	_, hasStarted := c.state.Peers().Record(id)
+	return !hasStarted
+}
+
 // recordUnreachable marks a peer as unreachable. It then gossips a suspicion of the peer, unless
 // the peer has no record or is suspected already, or this process gossiped a suspicion of it less
 // than minSuspicionInterval ago.
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -221,3 +221,34 @@
 		})
 	}
 }
+
+// Everything returns after a loss of power, but for some machines that the platform still lists.
+// Guards against taking many rounds of regular probes to find out, while packets wait for them.
+func TestListedPeersThatStayAwayAreUnreachableWithinTwoSeconds(t *testing.T) {
+	const noticeTime = 2 * time.Second
+	for _, servers := range []int{7, 68, 256} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			c := newProbedFleet(servers)
+			c.HandleLinkUp(epoch, 1, true)
+			away := make(map[fleet.InstanceID]bool)
+			for i := 1; i <= min(servers-1, 60); i++ {
+				away[fleet.InstanceIDOf(fmt.Sprintf("orders-%d", i))] = true
+			}
+			for id := range c.prober.states {
+				if !away[id] {
+					c.HandleMessage(epoch, 1, &Message{Records: []fleet.PeerRecord{{ID: id, Incarnation: 1}}})
+				}
+			}
+			for now := epoch; !now.After(epoch.Add(noticeTime)); now = now.Add(TickInterval) {
+				for id := range probes(c.Tick(now)) {
+					if !away[id] {
+						c.HandleProbeReply(now, id, 1, fleet.DefaultWeight)
+					}
+				}
+			}
+			for id := range c.prober.states {
+				require.Equal(t, away[id], c.state.Peers().IsUnreachable(id))
+			}
+		})
+	}
+}
