Bound what a return and overdue peers cost a process with thousands of peers

Cause, found on reading the diff: each peer of a data centre that replied again went over all peers, so the end of a cut cost the square of them (6,500 peers in five data centres: 8 million steps); and whether a peer has a record was looked up for each peer in each tick.

Change: the probes of a data centre are made urgent once in 250 ms, and a probe that is under way then does not take that back; that a peer has had a record is remembered with its probes.

--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -52,6 +52,8 @@
 	// urgent reports whether the next probe is sent outside the turn of the peer, and overdue
 	// whether it is because the peer should have a record by now.
 	urgent, overdue bool
+	// hasStarted reports whether the peer has had a record since this process probes it.
+	hasStarted bool
 	// nextSuspicionAt is the time from which this process may gossip a suspicion again.
 	nextSuspicionAt time.Time
 }
@@ -76,6 +78,8 @@
 type prober struct {
 	states    map[fleet.InstanceID]*probeState
 	near, far probeRound
+	// nextHurryAt is when the probes of a data centre may be made urgent again.
+	nextHurryAt map[string]time.Time
 }
 
 // probeRound is a round-robin order of peers.
@@ -89,9 +93,10 @@
 // processes, so that those that start together do not probe the same peer at the same time.
 func newProber(firstIndex int) *prober {
 	return &prober{
-		states: make(map[fleet.InstanceID]*probeState),
-		near:   probeRound{nextIndex: firstIndex},
-		far:    probeRound{nextIndex: firstIndex},
+		states:      make(map[fleet.InstanceID]*probeState),
+		near:        probeRound{nextIndex: firstIndex},
+		far:         probeRound{nextIndex: firstIndex},
+		nextHurryAt: make(map[string]time.Time),
 	}
 }
 
@@ -233,8 +238,7 @@
 	state.awaitsReply = false
 	state.misses++
 	state.dueAt = now
-	_, hasStarted := c.state.Peers().Record(id)
-	state.urgent = state.isFailing() && (state.urgent || hasStarted)
+	state.urgent = state.isFailing() && (state.urgent || c.hasStarted(id, state))
 	if state.misses >= maxMisses {
 		c.recordUnreachable(now, id, state)
 	}
@@ -245,8 +249,15 @@
 	if state.misses >= maxMisses || now.Before(state.knownSince.Add(recordPatience)) {
 		return false
 	}
-	_, hasStarted := c.state.Peers().Record(id)
-	return !hasStarted
+	return !c.hasStarted(id, state)
+}
+
+// hasStarted reports whether a peer has or has had a record.
+func (c *Controller) hasStarted(id fleet.InstanceID, state *probeState) bool {
+	if !state.hasStarted {
+		_, state.hasStarted = c.state.Peers().Record(id)
+	}
+	return state.hasStarted
 }
 
 // recordUnreachable marks a peer as unreachable. It then gossips a suspicion of the peer, unless
@@ -305,12 +316,17 @@
 }
 
 // hurryReturn makes the next probes of all unreachable peers in a data centre urgent, since one of
-// them replies again: what has cut them off may be over for all of them.
+// them replies again: what has cut them off may be over for all of them. It does so once in a
+// probeInterval, whatever the number of peers that reply.
 func (c *Controller) hurryReturn(now time.Time, dataCentre string) {
+	if now.Before(c.prober.nextHurryAt[dataCentre]) {
+		return
+	}
+	c.prober.nextHurryAt[dataCentre] = now.Add(probeInterval)
 	for id, state := range c.prober.states {
 		node := c.view.Node(id)
 		if state.misses >= maxMisses && node != nil && node.DataCentre() == dataCentre {
-			state.urgent, state.dueAt = true, now
+			state.awaitsReply, state.urgent, state.dueAt = false, true, now
 		}
 	}
 }
