Read the gauges before expvar visits its variables

A reader of the metrics holds expvar's lock on names while it visits them; the gauge flows_owned waits there for the agent's mutex; a goroutine that holds the mutex and counts an event for the first time waits for expvar's lock to publish the name. The control goroutine then waits for either for good. That the failure was this one is inferred from its state and moment (the scenario reads the metrics right after the flows have opened): its logs are gone, and 54 further runs with logs were clean.

Change: Counters.Handler reads the gauges, with no lock held, before it lets expvar serve.

--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -129,10 +129,10 @@
 		return nil, err
 	}
 	n.OnPublish(a.applyView)
-	counters.Gauge("flows_owned", func() any {
+	counters.Gauge("flows_owned", func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		return a.core.FlowsOwned()
+		return float64(a.core.FlowsOwned())
 	})
 	return a, nil
 }
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"net/http"
 	"time"
@@ -49,7 +48,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.Handle(MetricsPath, expvar.Handler())
+	mux.Handle(MetricsPath, n.counters.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"net/http"
 	"time"
@@ -33,7 +32,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.Path, n.acceptLink)
-	mux.Handle(MetricsPath, expvar.Handler())
+	mux.Handle(MetricsPath, n.counters.Handler())
 	mux.Handle("/status", operator.NewStatusHandler(n.Status))
 	mux.Handle(operator.DocumentsPattern, operator.NewDocumentsHandler(n.View))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
