--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -238,6 +238,15 @@
 	}
 }
 
+// requireAllResidual requires that a service has a number of targets, all of them residual.
+func requireAllResidual(t *testing.T, service *RoutedService, count int) {
+	require.Len(t, service.Targets(), count)
+	for target := range service.All() {
+		require.True(t, target.IsResidual())
+		require.False(t, target.IsAccepting())
+	}
+}
+
 // A data centre is taken out of a service while packets of its flows are on their way. Guards against
 // resets of these flows at once, as their requests are still answered, and against packets that go
 // there later.
@@ -249,11 +258,7 @@
 	_, err := state.Apply(epoch, next)
 	require.NoError(t, err)
 	service := orders(state)
-	require.Len(t, service.Targets(), 3)
-	for target := range service.All() {
-		require.True(t, target.IsResidual())
-		require.False(t, target.IsAccepting())
-	}
+	requireAllResidual(t, service, 3)
 	end, found := state.NextGraceEnd(epoch)
 	require.True(t, found, "a view must follow when the grace period ends")
 	require.GreaterOrEqual(t, end.Sub(epoch), AnswerGrace)
@@ -270,11 +275,7 @@
 	_, err := state.Apply(epoch, next)
 	require.NoError(t, err)
 	service := orders(state)
-	require.Len(t, service.Targets(), 3)
-	for target := range service.All() {
-		require.True(t, target.IsResidual())
-		require.False(t, target.IsAccepting())
-	}
+	requireAllResidual(t, service, 3)
 	require.Nil(t, service.Primary(1))
 	later := state.View(epoch.Add(formerLifetime + time.Second)).Service(ServiceIDOf("orders"))
 	require.Empty(t, later.Targets())
