--- a/internal/daemon/agent/ends.go
+++ b/internal/daemon/agent/ends.go
@@ -34,8 +34,9 @@
 // callers have sent before they could know of it.
 const arrivalGrace = 500 * time.Millisecond
 
-// resetFlowWithGrace resets a flow of a data centre that was taken out: after fleet.AnswerGrace if
-// the backend server has not answered its request by the end of arrivalGrace, else then.
+// resetFlowWithGrace resets a flow whose data centre was taken out or whose service is gone: after
+// fleet.AnswerGrace if the backend server has not answered its request by the end of arrivalGrace,
+// else then.
 func (a *Agent) resetFlowWithGrace(owned core.OwnedFlow) {
 	a.mu.Lock()
 	a.core.SetGraceUntil(owned, clock.Now().Add(fleet.AnswerGrace))
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -69,7 +69,8 @@
 }
 
 // start starts the node, as many forwarders as the settings name, each with a socket of its own
-// for packets from the fabric, the receiver of datagrams, and the readiness endpoint. It adds their goroutines to group.
+// for packets from the fabric, the receiver of datagrams, and the readiness endpoint. It adds
+// their goroutines to group.
 func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, options Options, n *node.Node, counters *metrics.Counters, logger log.Interface) error {
 	if err := n.Start(ctx, group); err != nil {
 		return err
