--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -24,6 +26,7 @@
 	"cold":     startColdTarget,
 	"backlog":  loseReaders,
 	"moves":    moveRoute,
+	"foreign":  writeForeignEntry,
 }
 
 func main() {
@@ -42,6 +45,13 @@
 	}
 	defer f.close()
 	f.record("disruption: %v", trouble)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		f.close()
+		os.Exit(exitFailed)
+	}()
 	go f.router.probe(f)
 	if err := runCase(f, trouble); err != nil {
 		f.record("the case could not run: %v", err)
