--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -163,7 +163,6 @@
 			answered.Add(1)
 		case errReset:
 			reset.Add(1)
-			c.fleet.record("request %s is not answered: the flow is reset", text)
 			flow = nil
 		}
 	}
@@ -384,7 +383,6 @@
 			answered.Add(1)
 		case errReset:
 			unanswered.Add(1)
-			flow.client.fleet.record("request %s is not answered: the flow is reset", text)
 			return
 		}
 		select {
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -140,6 +140,7 @@
 		return &packet{seq: flow.seq, ack: uint32(copies), flags: flagOpen}
 	}, func(p *packet) bool { return p.flags&(flagOpen|flagAck) == flagOpen|flagAck })
 	if err != nil {
+		c.fleet.record("client %v can't open a flow to %v: %v", flow.id.client, route, err)
 		flow.forget()
 		return nil, err
 	}
@@ -159,13 +160,17 @@
 		wait = min(2*wait, 1600*time.Millisecond)
 	}
 	seq := flow.seq
+	f := flow.client.fleet
+	f.record("client %v sends request %s to %v", flow.id.client, text, flow.id.route)
 	answer, err := flow.exchange(waits, func(int) *packet {
 		return &packet{seq: seq, ack: flow.ack, flags: flagAck, data: []byte(text)}
 	}, func(p *packet) bool { return p.ack == seq+1 && len(p.data) > 0 })
 	flow.seq = seq + 1
 	if err != nil {
+		f.record("client %v gets no answer to request %s: %v", flow.id.client, text, err)
 		return "", err
 	}
+	f.record("client %v gets an answer to request %s", flow.id.client, text)
 	return string(answer.data), nil
 }
 
@@ -210,7 +215,7 @@
 					if !flow.accepts(p) {
 						continue
 					}
-					flow.client.fleet.flowReset(flow, p)
+					flow.client.fleet.flowReset(flow)
 					return nil, errReset
 				case !p.isWhole():
 					flow.client.fleet.violation("MIXED: client %v gets a packet that its sender did not write so", flow.id.client)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -19,12 +20,19 @@
 
 // Bounds of the rules, as in the settings of a small installation.
 const (
-	coldOverage      = 1.5
-	coldSlack        = 5.0
-	evacuationBound  = 5 * time.Second
-	applyBound       = 3 * time.Second
+	coldOverage     = 1.5
+	coldSlack       = 5.0
+	evacuationBound = 5 * time.Second
+	applyBound      = 3 * time.Second
+	drainBound      = 3 * time.Second
+	stopGrace       = 6 * time.Second
+)
+
+const (
+	// program is the program that the deploy file starts.
+	program = "target/radishmast-carrier"
+	// restartDelay is the time from the end of a process to its next start.
 	restartDelay     = 600 * time.Millisecond
-	program          = "target/radishmast-carrier"
 	settingsFileMode = 0o600
 )
 
@@ -49,7 +57,7 @@
 type fleet struct {
 	dir    string
 	log    *os.File
-	out    *os.File
+	out    *bufio.Writer
 	start  time.Time
 	octet  int
 	port   ports
@@ -60,11 +68,15 @@
 	machines    []*machine
 	clientCount int
 	violations  int
-	runs        map[string]int
-	owners      map[ends]*target
-	openings    map[ends]time.Time
-	onOpening   func(ends, *target, time.Time)
-	onReset     func(*clientFlow, *target)
+	// runs counts the runs of each request.
+	runs map[string]int
+	// owners holds the targets at which flows are open, and openings when clients opened them.
+	owners   map[ends]*target
+	openings map[ends]time.Time
+	// onOpening is called for each new flow that a target takes, and onReset for each reset of an
+	// open flow. A case sets them if it judges by them.
+	onOpening func(ends, *target, time.Time)
+	onReset   func(*clientFlow, *target)
 }
 
 // newFleet returns an installation without machines. The record goes to a file.
@@ -82,7 +94,7 @@
 		return nil, err
 	}
 	f := &fleet{
-		dir: dir, log: log, out: out, start: time.Now(), octet: 20 + rand.IntN(200), router: &router{misses: make(map[string]int)},
+		dir: dir, log: log, out: bufio.NewWriter(out), start: time.Now(), octet: 20 + rand.IntN(200), router: &router{misses: make(map[string]int)},
 		runs: make(map[string]int), owners: make(map[ends]*target), openings: make(map[ends]time.Time),
 	}
 	if err := f.choosePorts(); err != nil {
@@ -145,20 +157,22 @@
 	return f.openings[id]
 }
 
+// flowOpened records that a flow is open at a target.
 func (f *fleet) flowOpened(id ends, t *target) {
 	f.mu.Lock()
 	f.owners[id] = t
 	f.mu.Unlock()
 }
 
+// openingTaken passes a new flow that a target takes to onOpening.
 func (f *fleet) openingTaken(id ends, t *target, at time.Time) {
 	if f.onOpening != nil {
 		f.onOpening(id, t, at)
 	}
 }
 
-// flowReset records a reset that a client got.
-func (f *fleet) flowReset(flow *clientFlow, _ *packet) {
+// flowReset passes a reset that a client got on a flow that is open at a target to onReset.
+func (f *fleet) flowReset(flow *clientFlow) {
 	f.mu.Lock()
 	owner := f.owners[flow.id]
 	f.mu.Unlock()
@@ -167,13 +181,15 @@
 	}
 }
 
+// requestRan counts a run of a request.
 func (f *fleet) requestRan(text string, t *target) {
 	f.mu.Lock()
 	f.runs[text]++
 	twice := f.runs[text] > 1
 	f.mu.Unlock()
+	f.record("request %s is run by %s of %s", text, t.name, t.service)
 	if twice {
-		f.record("request %s runs again at %s", text, t.name)
+		f.violation("a request runs twice: %s", text)
 	}
 }
 
@@ -281,7 +297,7 @@
 	done := m.signal(syscall.SIGTERM)
 	select {
 	case <-done:
-	case <-time.After(6 * time.Second):
+	case <-time.After(stopGrace):
 		<-m.signal(syscall.SIGKILL)
 	}
 	f.record("%s has ended", m.name)
@@ -335,6 +351,9 @@
 			<-m.signal(syscall.SIGKILL)
 		}
 	}
+	f.mu.Lock()
+	_ = f.out.Flush()
+	f.mu.Unlock()
 	_ = f.store.server.Close()
 	_ = f.log.Close()
 	if os.Getenv("KEEP") == "" {
--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -4,9 +4,6 @@
 
 import "time"
 
-// drainBound is the time after which a draining target gets no new flows.
-const drainBound = 3 * time.Second
-
 // writeForeignEntry lets a target drain while another writer has written an incomplete entry with its
 // address. The target must get no new flows when the bound has passed.
 func writeForeignEntry(f *fleet, trouble bool) error {
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -50,12 +50,10 @@
 	coldPerSecond float64
 	// taken are the arrivals of opening packets of new flows that were taken while cold.
 	taken []time.Time
-	// fellOver counts how often the target fell over in its cold start.
-	fellOver int
 }
 
-// start starts a target at the machine with an IP address and writes its entry. It is cold for a
-// while if cold is set.
+// startTarget starts a target at the machine with an IP address and writes its entry. It is cold for a
+// while if cold is set, and then bears coldPerSecond new flows a second.
 func (f *fleet) startTarget(ip, zone, service string, cold time.Duration, coldPerSecond float64) (*target, error) {
 	address := netip.MustParseAddr(ip)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, f.port.app)))
@@ -175,7 +173,6 @@
 	}
 	if float64(len(t.taken)) > t.coldPerSecond*coldOverage+coldSlack {
 		t.fleet.violation("FAILBACK: cold target %s takes %d flows in one second, bears %.0f", t.name, len(t.taken), t.coldPerSecond)
-		t.fellOver++
 		t.taken = nil
 		t.flows = make(map[ends]*targetFlow)
 	}
