--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review/standin ./review/standin
+go build -tags review -o target/review/standin ./review
