Keep what a peer says of itself when others suspect it

Cause: a peer record had one field for two facts, the state that the peer announces and the suspicion of others. A suspicion replaced PeerLeaving, and every process that got it took the owner for lost.

Evidence: nothing in the log told whether the announcement had arrived, so the event peer_leaving was added first.

Fix: Suspected is a field of its own and never changes State, in the table, in gossip, in digests and in refutations, so no order of records can lose the announcement. The same class mended with it: a suspicion also ended PeerServerUnresponsive.

The regression test on the code before:

--- FAIL: TestPeerThatLeavesAndFallsSilentMayBeBackSoon (0.00s) z_test.go:20: Should be true FAIL github.com/radishmast/radishmast/internal/core/control

Tests that named PeerSuspect use the new field; the one of the refutation asks in addition that the suspicion is gone.

--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -145,13 +145,15 @@
 		name       string
 		idempotent bool
 		state      fleet.PeerState
+		suspected  bool
 		restarts   uint64
 		want       Action
 	}{
-		{"requests are idempotent", true, fleet.PeerAlive, 0, &Reset{Reason: ResetOwnerLost}},
-		{"requests are not idempotent", false, fleet.PeerAlive, 0, &Drop{Reason: DropCandidateUnreachable}},
-		{"owner is leaving and may be back soon", true, fleet.PeerLeaving, 0, &Drop{Reason: DropCandidateUnreachable}},
-		{"owner has just started again and does not answer yet", true, fleet.PeerAlive, 1, &Drop{Reason: DropCandidateUnreachable}},
+		{"requests are idempotent", true, fleet.PeerAlive, false, 0, &Reset{Reason: ResetOwnerLost}},
+		{"requests are not idempotent", false, fleet.PeerAlive, false, 0, &Drop{Reason: DropCandidateUnreachable}},
+		{"owner is leaving and may be back soon", true, fleet.PeerLeaving, false, 0, &Drop{Reason: DropCandidateUnreachable}},
+		{"owner is leaving and others have noticed its silence", true, fleet.PeerLeaving, true, 0, &Drop{Reason: DropCandidateUnreachable}},
+		{"owner has just started again and does not answer yet", true, fleet.PeerAlive, false, 1, &Drop{Reason: DropCandidateUnreachable}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newTestCluster(t, 3)
@@ -159,7 +161,7 @@
 			c.setIdempotent(t, test.idempotent)
 			c.state.Peers().SetReachable(epoch, ids[2], false)
 			for start := range test.restarts + 1 {
-				c.state.Peers().Merge(epoch, fleet.PeerRecord{ID: ids[2], Incarnation: 1 + start, State: test.state})
+				c.state.Peers().Merge(epoch, fleet.PeerRecord{ID: ids[2], Incarnation: 1 + start, State: test.state, Suspected: test.suspected})
 			}
 			c.applyView()
 			_, action := c.routePacket(t, ids[0], receivedPacket(4000, flow.Established, 1))
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -212,7 +212,7 @@
 	clear(a.polls)
 
 	suspecting := c.stateWithoutHistory(t)
-	suspecting.Peers().Merge(settledAt, fleet.PeerRecord{ID: ids[2], Incarnation: 9, State: fleet.PeerSuspect})
+	suspecting.Peers().Merge(settledAt, fleet.PeerRecord{ID: ids[2], Incarnation: 9, Suspected: true})
 	a.ApplyView(suspecting.ViewSettledAt(settledAt, settledAt))
 	require.Equal(t, &Reset{Reason: ResetUnowned}, receive())
 }
--- a/internal/core/control/control_test.go
+++ b/internal/core/control/control_test.go
@@ -139,15 +139,16 @@
 	n := newNetwork(3)
 	n.converge(epoch)
 	suspect := n.controllers[1].ownRecord
-	suspect.State = fleet.PeerSuspect
+	suspect.Suspected = true
 	n.controllers[0].mergeRecord(epoch, suspect)
 	record, _ := n.controllers[0].state.Peers().Record(suspect.ID)
-	require.Equal(t, fleet.PeerSuspect, record.State)
+	require.True(t, record.Suspected)
 	n.converge(epoch.Add(time.Minute))
 	for _, c := range n.controllers {
 		record, known := c.state.Peers().Record(suspect.ID)
 		require.True(t, known)
 		require.Equal(t, fleet.PeerAlive, record.State)
+		require.False(t, record.Suspected)
 		require.Equal(t, suspect.Sequence+1, record.Sequence)
 	}
 }
@@ -308,7 +309,7 @@
 	c.ApplyDocuments(now, instances)
 	c.HandleProbeReply(now, other, 1, 0)
 	now = now.Add(time.Second)
-	outputs := c.HandleMessage(now, 2, &Message{Records: []fleet.PeerRecord{{ID: other, Incarnation: 1, State: fleet.PeerSuspect}}})
+	outputs := c.HandleMessage(now, 2, &Message{Records: []fleet.PeerRecord{{ID: other, Incarnation: 1, Suspected: true}}})
 	require.True(t, slices.ContainsFunc(outputs, func(output Output) bool {
 		probe, isProbe := output.(Probe)
 		return isProbe && probe.Node.ID() == other
@@ -422,7 +423,7 @@
 		c := start()
 		publish(c, epoch)
 		suspected := record
-		suspected.State = fleet.PeerSuspect
+		suspected.Suspected = true
 		c.HandleMessage(epoch, 1, &Message{Records: []fleet.PeerRecord{suspected}})
 		require.False(t, accepts(c, epoch))
 	})
--- a/internal/core/control/output.go
+++ b/internal/core/control/output.go
@@ -58,6 +58,7 @@
 	EventPeerUnreachable  Event = "peer_unreachable"
 	EventPeerReachable    Event = "peer_reachable"
 	EventPeerSuspected    Event = "peer_suspected"
+	EventPeerLeaving      Event = "peer_leaving"
 	EventSuspicionRefuted Event = "suspicion_refuted"
 	EventLinkTimedOut     Event = "link_silent"
 	EventResumed          Event = "process_resumed"
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -270,11 +270,11 @@
 		c.scheduleRoutingChange(now)
 	}
 	record, known := c.state.Peers().Record(id)
-	if !known || record.State == fleet.PeerSuspect || now.Before(state.nextSuspicionAt) {
+	if !known || record.Suspected || now.Before(state.nextSuspicionAt) {
 		return
 	}
 	state.nextSuspicionAt = now.Add(minSuspicionInterval)
-	record.State = fleet.PeerSuspect
+	record.Suspected = true
 	c.emit(ReportEvent{Event: EventPeerSuspected, Peer: c.nodeName(id)})
 	c.mergeRecord(now, record)
 	c.flushRecords()
--- a/internal/core/control/prober_test.go
+++ b/internal/core/control/prober_test.go
@@ -166,6 +166,30 @@
 	require.True(t, c.state.Peers().IsUnreachable(peer))
 }
 
+// An agent announces that it leaves, ends, and misses the probes of all peers until its next start.
+// Guards against resets of the flows at its server, which serves all the while: a suspicion must not
+// end what the agent has announced, at the process that suspects it or at any other.
+func TestPeerThatLeavesAndFallsSilentMayBeBackSoon(t *testing.T) {
+	suspecting, told := newProbedFleet(2), newProbedFleet(2)
+	suspecting.HandleLinkUp(epoch, 1, true)
+	told.HandleLinkUp(epoch, 1, true)
+	peer := fleet.InstanceIDOf("orders-1")
+	leaving := &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 1, Sequence: 1, State: fleet.PeerLeaving}}}
+	for _, c := range []*Controller{suspecting, told} {
+		c.HandleMessage(epoch, 1, leaving)
+	}
+	for now := epoch; now.Before(epoch.Add(2 * time.Second)); now = now.Add(TickInterval) {
+		outputs := suspecting.Tick(now)
+		exchange(now, suspecting, told, outputs)
+		told.Tick(now)
+	}
+	for _, c := range []*Controller{suspecting, told} {
+		step := c.View().Service(fleet.ServiceIDOf("orders")).NextCandidate(1, []fleet.InstanceID{c.config.Self})
+		require.True(t, step.Skipped)
+		require.True(t, step.SkippedReturning)
+	}
+}
+
 // A process restarts within the time of three probes, as in a rolling update. Those that were sent to
 // its earlier start get no answer. Guards against counting them against the new start, which would
 // be taken for unreachable although it answers.
--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -27,15 +27,18 @@
 	if c.isReplicated(record) {
 		c.pendingRecords[record.ID] = record
 	}
+	if record.State == fleet.PeerLeaving && old.State != fleet.PeerLeaving {
+		c.emit(ReportEvent{Event: EventPeerLeaving, Peer: c.nodeName(record.ID)})
+	}
 	if c.state.RecordAnnouncement(now, record, c.canBeLapsed(now)) {
 		c.scheduleRoutingChange(now)
 	}
 	switch {
 	case record.State == fleet.PeerAlive && record.Incarnation > old.Incarnation:
 		c.restartProbes(now, record.ID)
-	case record.State == fleet.PeerSuspect && old.State != fleet.PeerSuspect:
+	case record.Suspected && !old.Suspected:
 		c.probeAtOnce(now, record.ID)
-	case old.State == fleet.PeerSuspect && record.Incarnation == old.Incarnation:
+	case old.Suspected && record.Incarnation == old.Incarnation:
 		c.prober.recordRefutation(now, record.ID)
 	}
 	if changesRouting(old, record) {
@@ -49,18 +52,19 @@
 // changesRouting reports whether two records of a process differ in a field that decides where
 // packets may go, and not only in how much traffic the target gets.
 func changesRouting(old, record fleet.PeerRecord) bool {
-	return old.Incarnation != record.Incarnation || old.State != record.State || !slices.Equal(old.Residual, record.Residual)
+	return old.Incarnation != record.Incarnation || old.State != record.State || old.Suspected != record.Suspected ||
+		!slices.Equal(old.Residual, record.Residual)
 }
 
 // refute handles a record that others hold of this process. If that record has a higher
-// incarnation, or else the same incarnation, no lower sequence and another state (such as a
-// suspicion), refute raises the incarnation or sequence of the own record above it and gossips
+// incarnation, or else the same incarnation, no lower sequence and another state or a
+// suspicion, refute raises the incarnation or sequence of the own record above it and gossips
 // the own record. It ignores all other records.
 func (c *Controller) refute(now time.Time, record fleet.PeerRecord) {
 	if record.Incarnation > c.ownRecord.Incarnation {
 		c.ownRecord.Incarnation = record.Incarnation + 1
 		c.ownRecord.Sequence = 0
-	} else if record.Incarnation < c.ownRecord.Incarnation || record.Sequence < c.ownRecord.Sequence || record.State == c.ownRecord.State {
+	} else if record.Incarnation < c.ownRecord.Incarnation || record.Sequence < c.ownRecord.Sequence || record.State == c.ownRecord.State && !record.Suspected {
 		return
 	}
 	c.ownRecord.Sequence = max(c.ownRecord.Sequence, record.Sequence) + 1
@@ -170,6 +174,9 @@
 	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(record.ID))
 	encoded = binary.LittleEndian.AppendUint64(encoded, record.Incarnation)
 	encoded = append(encoded, byte(record.State))
+	if record.Suspected {
+		encoded = append(encoded, 2)
+	}
 	if record.Announcement != nil {
 		encoded = append(encoded, 1)
 	}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -144,9 +144,8 @@
 			Sequence:    rapid.Uint64Range(0, 3).Draw(t, "sequence"),
 		}
 		r.Weight = Weight(r.Incarnation*10 + r.Sequence)
-		if rapid.Bool().Draw(t, "suspect") {
-			r.State = PeerSuspect
-		}
+		r.State = PeerState(r.Sequence % 3)
+		r.Suspected = rapid.Bool().Draw(t, "suspect")
 		return r
 	}), 1, 20).Draw(t, "records")
 }
@@ -171,7 +170,7 @@
 func TestSuspectedLeavingAndResidualTargetsGetNoNewFlows(t *testing.T) {
 	state := newState(t, 3)
 	suspected, leaving, residual := InstanceIDOf("b0"), InstanceIDOf("b1"), InstanceIDOf("b2")
-	state.Peers().Merge(epoch, PeerRecord{ID: suspected, Incarnation: 1, State: PeerSuspect})
+	state.Peers().Merge(epoch, PeerRecord{ID: suspected, Incarnation: 1, Suspected: true})
 	state.Peers().Merge(epoch, PeerRecord{ID: leaving, Incarnation: 1, State: PeerLeaving})
 	state.Peers().Merge(epoch, PeerRecord{ID: residual, Incarnation: 1, Residual: []ServiceID{ServiceIDOf("orders")}})
 	_, err := state.Apply(epoch, &BackendsDocument{Revision: Revision{Number: 9}, Backends: []Backend{
@@ -188,6 +187,26 @@
 	require.Equal(t, suspected, orders(state).Primary(1).ID(), "a direct reply outweighs the suspicions of other processes")
 }
 
+// A suspicion tells that a peer is silent, not that what it said of itself is over. Guards against
+// new flows for a server that does not respond, and against an agent that left as planned but counts
+// as lost, once another process suspects the agent.
+func TestSuspicionKeepsWhatAPeerSaysOfItself(t *testing.T) {
+	for name, state := range map[string]PeerState{"leaving": PeerLeaving, "server unresponsive": PeerServerUnresponsive} {
+		t.Run(name, func(t *testing.T) {
+			s := newState(t, 1)
+			id := InstanceIDOf("b0")
+			record := PeerRecord{ID: id, Incarnation: 1, Sequence: 1, State: state}
+			s.Peers().Merge(epoch, record)
+			record.Suspected = true
+			s.Peers().Merge(epoch, record)
+			s.Peers().SetReachable(epoch, id, true)
+			target := orders(s).Target(id)
+			require.False(t, target.IsAccepting())
+			require.Equal(t, state == PeerLeaving, target.leaving)
+		})
+	}
+}
+
 // Guards against packets of open flows that are forwarded to a data centre which has lost
 // power. Each process has had direct replies from there a moment ago, and only some
 // processes have detected the failure, so the suspected targets must come last.
@@ -201,7 +220,7 @@
 			state.Peers().SetReachable(epoch, id, true)
 			if rapid.Bool().Draw(t, "suspected") {
 				suspected[id] = true
-				state.Peers().Merge(epoch.Add(time.Second), PeerRecord{ID: id, Incarnation: 1, State: PeerSuspect})
+				state.Peers().Merge(epoch.Add(time.Second), PeerRecord{ID: id, Incarnation: 1, Suspected: true})
 			}
 		}
 		service := orders(state)
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -9,15 +9,12 @@
 // DefaultWeight is the weight of a backend server that has not reported one.
 const DefaultWeight Weight = 1000
 
-// PeerState is the liveness of a peer as gossiped between processes.
+// PeerState is what a peer says of itself.
 type PeerState uint8
 
 const (
-	// PeerAlive means that the peer answers probes.
+	// PeerAlive means that the peer serves as usual.
 	PeerAlive PeerState = iota
-	// PeerSuspect means that a process has probed the peer for several periods without a
-	// reply.
-	PeerSuspect
 	// PeerLeaving means that the peer takes no new flows.
 	PeerLeaving
 	// PeerServerUnresponsive means that the backend server of the peer does not respond.
@@ -51,6 +48,10 @@
 	// with each incarnation.
 	Sequence uint64
 	State    PeerState
+	// Suspected reports whether a process has probed the peer for several periods without a
+	// reply. A suspicion keeps State: a peer that leaves and then falls silent is still one
+	// that has left as planned.
+	Suspected bool
 	// Weight is the weight of the backend server when the record was sent, or zero if it
 	// is not known.
 	Weight Weight
@@ -70,7 +71,7 @@
 	if r.Sequence != old.Sequence {
 		return r.Sequence > old.Sequence
 	}
-	return r.State == PeerSuspect && old.State != PeerSuspect
+	return r.Suspected && !old.Suspected
 }
 
 // Peers is the table of peer records of a process. It is not safe for concurrent use.
@@ -134,7 +135,7 @@
 		record.Announcement = old.Announcement
 	}
 	p.records[record.ID] = record
-	if record.State == PeerSuspect {
+	if record.Suspected {
 		p.suspectedAt[record.ID] = now
 	}
 	return true
@@ -234,7 +235,7 @@
 // isSuspected reports whether other processes suspect the peer and no direct reply
 // outweighs the suspicion.
 func (p *Peers) isSuspected(id InstanceID) bool {
-	return p.records[id].State == PeerSuspect && p.answeredAt[id].Before(p.suspectedAt[id].Add(-directReplyMargin))
+	return p.records[id].Suspected && p.answeredAt[id].Before(p.suspectedAt[id].Add(-directReplyMargin))
 }
 
 // isExcluded reports whether the peer must not get new flows even if all other targets
--- a/internal/link/control/codec_test.go
+++ b/internal/link/control/codec_test.go
@@ -28,7 +28,7 @@
 func TestDecodeRestoresMessagesOfAnySize(t *testing.T) {
 	for _, message := range []*control.Message{
 		{Summary: &control.Summary{ID: 7, ViewAge: -1}},
-		{Records: []fleet.PeerRecord{{ID: 1, Incarnation: 2, State: fleet.PeerSuspect}}},
+		{Records: []fleet.PeerRecord{{ID: 1, Incarnation: 2, Suspected: true}}},
 		manyServices(10),
 		manyServices(1500),
 	} {
