Remember all former selectors of a service for the lifetime of a flow

Cause: recordFormerSelectors kept the selectors before the last four changes, equal ones again, although they count for 60 s. Flows at servers from before that were found only by the record of their agent, which its next start no longer has. The search had no candidate left and proved, wrongly, that nobody owns the flow. MergeHistory had the same limit.

A restarted agent that does not know a flow delivers it, see receiveCarriedUnknown, so it is not its lost table that resets.

Fix: no limit by count. Selectors that a service loses again are not repeated but renewed, so moving to and fro costs no more than two entries. In a peer's history the services that left the same selectors at the same time share an entry, so that it stays far below the limit of a message when thousands of routes move.

The regression test on the code before:

--- FAIL: TestFlowsAreFoundHoweverOftenTheirServiceMoves (0.01s) --- FAIL: .../to_new_places (0.00s) Object expected to be of type *agent.Deliver, but was *agent.Reset --- FAIL: .../between_two_places (0.00s) Object expected to be of type *agent.Deliver, but was *agent.Reset

--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -87,6 +87,39 @@
 	}
 }
 
+// The operator moves a service on and on, within the lifetime of a flow, and then the agent that owns
+// the flow restarts: its server holds the flow, but no agent's record names it any more. Guards
+// against resets of the flow because a service remembers only a few of its former selectors.
+func TestFlowsAreFoundHoweverOftenTheirServiceMoves(t *testing.T) {
+	for name, appOf := range map[string]func(move int) string{
+		"between two places":    func(move int) string { return []string{"orders", "other"}[move%2] },
+		"to new places":         func(move int) string { return fmt.Sprint("place-", move) },
+		"back to the same ones": func(move int) string { return []string{"orders", "other", "archive"}[move%3] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			const moves = 100
+			c := newSharedCluster(t)
+			owner := c.openAtArchive(t, 4000)
+			for move := range moves {
+				c.selectApps(t, c.state, uint64(4+move), appOf(move))
+			}
+			c.selectApps(t, c.state, 4+moves, "orders")
+			c.state.StartHistory(settledAt.Add(-time.Hour))
+			fresh := c.stateWithoutHistory(t)
+			require.True(t, fresh.MergeHistory(settledAt, c.state.History(settledAt)))
+			c.applyViewAt(settledAt)
+			c.restart(owner)
+			c.agents[owner].ApplyView(fresh.View(settledAt))
+			c.agents[owner].Start(settledAt.Add(-time.Second))
+			for _, id := range c.ids() {
+				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
+				require.IsType(t, &Deliver{}, action)
+				require.Equal(t, owner, found)
+			}
+		})
+	}
+}
+
 // Agents that start after the change have never seen the service's earlier servers. The owner
 // may have started too: its server holds the flow, but it does not know that.
 func TestAgentsThatStartAfterTheChangeFindTheFlow(t *testing.T) {
--- a/internal/core/fleet/former.go
+++ b/internal/core/fleet/former.go
@@ -17,10 +17,6 @@
 // AnswerGrace because the agents there may learn of the removal later than this process.
 const removedGrace = AnswerGrace + 500*time.Millisecond
 
-// maxFormerSelectors is the number of earlier changes of a service's selectors that are
-// remembered.
-const maxFormerSelectors = 4
-
 // formerSelectors are the selectors that a service had before a change. Answers this
 // pattern: an operator moves a service to other backend servers while many long flows are
 // open. The flows stay where they are, so the servers of before must still be found.
@@ -40,6 +36,15 @@
 	return present && now.Before(f.removedUntil)
 }
 
+// remember returns remembered with selectors that a service has just lost in front. Selectors that
+// it lost before as well are not repeated, so that a service that is moved to and fro has as many
+// as it has had different ones, however often it is moved.
+func remember(remembered []formerSelectors, latest formerSelectors) []formerSelectors {
+	key := selectorsKey(latest.selectors)
+	earlier := slices.DeleteFunc(slices.Clone(remembered), func(f formerSelectors) bool { return selectorsKey(f.selectors) == key })
+	return slices.Insert(earlier, 0, latest)
+}
+
 // recordFormerSelectors remembers the selectors of the services that the next document
 // changes. Those of a service that it removes are forgotten, as its flows end.
 func (s *State) recordFormerSelectors(now time.Time, next *ServicesDocument) {
@@ -53,10 +58,10 @@
 		}
 		remembered := s.former[id]
 		if previous := s.routes.routes[index].selectors; selectorsKey(previous) != selectorsKey(service.Selectors) {
-			remembered = slices.Insert(slices.Clone(remembered), 0, formerSelectors{previous, now.Add(formerLifetime), now.Add(removedGrace)})
+			remembered = remember(remembered, formerSelectors{previous, now.Add(formerLifetime), now.Add(removedGrace)})
 		}
 		if len(remembered) > 0 {
-			former[id] = remembered[:min(len(remembered), maxFormerSelectors)]
+			former[id] = remembered
 		}
 	}
 	s.former = former
--- a/internal/core/fleet/newcomer.go
+++ b/internal/core/fleet/newcomer.go
@@ -27,10 +27,10 @@
 	Former []FormerSelectors
 }
 
-// FormerSelectors are selectors that a service had before a change.
+// FormerSelectors are selectors that services had before a change.
 type FormerSelectors struct {
 	_         struct{} `cbor:",toarray"`
-	Service   ServiceID
+	Services  []ServiceID
 	Selectors map[string]Selector
 	// Remaining is how much longer they count.
 	Remaining time.Duration
@@ -55,9 +55,21 @@
 // History returns the former selectors that this process knows.
 func (s *State) History(now time.Time) *SelectorHistory {
 	history := &SelectorHistory{Services: s.services.Revision, Span: s.HistorySpan(now)}
+	type change struct {
+		selectors   string
+		forgetAfter time.Time
+	}
+	entries := make(map[change]int)
 	for id, remembered := range s.former {
 		for _, f := range remembered {
-			history.Former = append(history.Former, FormerSelectors{Service: id, Selectors: f.selectors, Remaining: f.forgetAfter.Sub(now)})
+			key := change{selectorsKey(f.selectors), f.forgetAfter}
+			entry, known := entries[key]
+			if !known {
+				entry = len(history.Former)
+				entries[key] = entry
+				history.Former = append(history.Former, FormerSelectors{Selectors: f.selectors, Remaining: f.forgetAfter.Sub(now)})
+			}
+			history.Former[entry].Services = append(history.Former[entry].Services, id)
 		}
 	}
 	return history
@@ -72,9 +84,12 @@
 	}
 	former := maps.Clone(s.former)
 	for _, f := range history.Former {
-		known := slices.ContainsFunc(former[f.Service], func(own formerSelectors) bool { return selectorsKey(own.selectors) == selectorsKey(f.Selectors) })
-		if !known && len(former[f.Service]) < maxFormerSelectors {
-			former[f.Service] = append(slices.Clone(former[f.Service]), formerSelectors{selectors: f.Selectors, forgetAfter: now.Add(f.Remaining)})
+		key := selectorsKey(f.Selectors)
+		for _, id := range f.Services {
+			known := slices.ContainsFunc(former[id], func(own formerSelectors) bool { return selectorsKey(own.selectors) == key })
+			if !known {
+				former[id] = append(slices.Clone(former[id]), formerSelectors{selectors: f.Selectors, forgetAfter: now.Add(f.Remaining)})
+			}
 		}
 	}
 	s.former = former
