Send the peer table to a process that has just started

Cause: the peer table went to a new process only when the digests of two summaries on a link had differed, one to two seconds after its start. It finds a silent peer unreachable after half a second, and does not know by then that the peer has announced its departure.

Fix: a process sends its table with the first summary of a link whose sender is a newcomer, by the same test as for former selectors: it knows the changes for less than a minute and at least a second less than the peer. So processes that start together send each other none.

The regression test on the code before:

--- FAIL: TestNewcomerLearnsOnItsFirstLinkWhoLeaves (0.00s) history_test.go:79: Should be true

After: it passes.

--- a/internal/core/control/history_test.go
+++ b/internal/core/control/history_test.go
@@ -57,6 +57,28 @@
 	require.Len(t, newcomer.prober.near.peers, 67+68, "the former servers of orders are siblings whose reachability matters")
 }
 
+// A process starts while a peer is away for a planned restart. Guards against resets of the flows at
+// that peer's server: the newcomer finds the peer unreachable within half a second, and must know
+// by then that the peer has announced its departure.
+func TestNewcomerLearnsOnItsFirstLinkWhoLeaves(t *testing.T) {
+	const link, earlierLink = LinkID(1), LinkID(2)
+	veteran := newProbedFleet(4)
+	leaving := fleet.InstanceIDOf("orders-2")
+	joinsAt := epoch.Add(time.Minute)
+	veteran.HandleLinkUp(joinsAt, earlierLink, false)
+	veteran.HandleMessage(joinsAt, earlierLink, &Message{Records: []fleet.PeerRecord{{ID: leaving, Incarnation: 1, Sequence: 1, State: fleet.PeerLeaving}}})
+	newcomer := New(joinsAt, Config{Self: fleet.InstanceIDOf("orders-1"), Incarnation: 2, Role: fleet.RoleAgent, DataCentre: "north"}, rand.New(rand.NewPCG(2, 2)))
+	greeting := newcomer.HandleLinkUp(joinsAt, link, true)
+	exchange(joinsAt, veteran, newcomer, veteran.HandleLinkUp(joinsAt, link, false))
+	exchange(joinsAt, newcomer, veteran, greeting)
+	for now := joinsAt; now.Before(joinsAt.Add(900 * time.Millisecond)); now = now.Add(TickInterval) {
+		exchange(now, newcomer, veteran, newcomer.Tick(now))
+	}
+	step := newcomer.View().Service(fleet.ServiceIDOf("orders")).NextCandidate(1, []fleet.InstanceID{newcomer.config.Self})
+	require.True(t, step.Skipped)
+	require.True(t, step.SkippedReturning)
+}
+
 // Processes that start together know equally little and must not tell each other so again and
 // again.
 func TestProcessesThatStartTogetherExchangeNoHistory(t *testing.T) {
--- a/internal/core/control/summary.go
+++ b/internal/core/control/summary.go
@@ -8,11 +8,12 @@
 )
 
 // receiveSummary sends the documents that the peer requests and the former selectors that it
-// lacks, and requests documents if the peer has newer ones. Otherwise it takes the view of this
+// lacks, and the peer table to a newcomer, and requests documents if the peer has newer ones. Otherwise it takes the view of this
 // process as confirmed, and takes over the peer's view age if that is lower than the age known
 // here. The peer tables are compared only if both processes have the same instances document, since
 // that document decides which records a table keeps.
 func (c *Controller) receiveSummary(now time.Time, id LinkID, l *link, summary *Summary) {
+	isFirst := l.announced == nil
 	l.peer = summary.ID
 	l.announced, l.viewConfirmedAt = &summary.Revisions, time.Time{}
 	if summary.ViewAge >= 0 {
@@ -33,6 +34,9 @@
 	if summary.Revisions.Services == ownRevisions.Services && fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) {
 		c.emit(Send{Link: id, Message: &Message{History: c.state.History(now)}})
 	}
+	if isFirst && fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) {
+		c.sendRecords(id, func(fleet.PeerRecord) bool { return true })
+	}
 	if summary.Revisions.Instances == ownRevisions.Instances {
 		c.compareTables(id, l, summary.TableDigest)
 	}
@@ -85,10 +89,17 @@
 	if digests.WantsReply {
 		c.emit(Send{Link: id, Message: &Message{Digests: &Digests{Buckets: ownBuckets}}})
 	}
+	c.sendRecords(id, func(record fleet.PeerRecord) bool {
+		bucket := uint64(record.ID) % digestBucketCount
+		return ownBuckets[bucket] != digests.Buckets[bucket]
+	})
+}
+
+// sendRecords sends the replicated records that are wanted on a link.
+func (c *Controller) sendRecords(id LinkID, isWanted func(fleet.PeerRecord) bool) {
 	var records []fleet.PeerRecord
 	for _, record := range c.state.Peers().All() {
-		bucket := uint64(record.ID) % digestBucketCount
-		if ownBuckets[bucket] != digests.Buckets[bucket] && c.isReplicated(record) {
+		if c.isReplicated(record) && isWanted(record) {
 			records = append(records, record)
 		}
 	}
