Put documents of any number of entries in force

Cause: ServicesDocument.Validate rejected a longer document as a whole, and the draining data centres are a part of it.

Fix: no limit on the number of services, backend servers and instances. The size of a value of the store bounds them.

The regression test, with the largest configuration that the store accepts, on the code before:

--- FAIL: TestLargestConfigurationAndEvacuationTakeEffect (0.08s) apply document: document "services": services: more than 4096 entries

After: it passes, through a control message to a peer as well.

--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -17,13 +17,10 @@
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
-// Limits on published documents: the number of entries, the number of labels of a backend
-// server, and the length of a name in bytes.
+// Limits on an entry of a published document: the length of its name in bytes, and the number of
+// labels of a backend server. The number of entries has no limit of its own.
 const (
 	maxNameBytes       = 128
-	maxServices        = 4096
-	maxBackends        = 32768
-	maxInstances       = 65536
 	maxLabelsPerServer = 32
 )
 
@@ -235,7 +232,7 @@
 type DocumentError struct {
 	// Document is the name of the document.
 	Document string
-	// Entry names the invalid entry, or the list that is too long.
+	// Entry names the invalid entry.
 	Entry string
 	// Reason states what is wrong with the entry or what is allowed.
 	Reason string
@@ -246,12 +243,9 @@
 	return fmt.Sprintf("document %q: %s: %s", e.Document, e.Entry, e.Reason)
 }
 
-// Validate returns a DocumentError if the list is too long or for its first invalid
-// entry, and else nil. A document with an invalid entry is rejected as a whole.
+// Validate returns a DocumentError for the first invalid entry, and else nil. A document with
+// an invalid entry is rejected as a whole.
 func (d *ServicesDocument) Validate() error {
-	if len(d.Services) > maxServices {
-		return DocumentError{"services", "services", fmt.Sprintf("more than %d entries", maxServices)}
-	}
 	names := make(map[string]bool, len(d.Services))
 	addresses := make(map[flow.Address]string, len(d.Services))
 	for i := range d.Services {
@@ -271,12 +265,9 @@
 	return nil
 }
 
-// Validate returns a DocumentError if the list is too long or for its first invalid
-// entry, and else nil. A document with an invalid entry is rejected as a whole.
+// Validate returns a DocumentError for the first invalid entry, and else nil. A document with
+// an invalid entry is rejected as a whole.
 func (d *BackendsDocument) Validate() error {
-	if len(d.Backends) > maxBackends {
-		return DocumentError{"backends", "backends", fmt.Sprintf("more than %d entries", maxBackends)}
-	}
 	names := make(map[string]bool, len(d.Backends))
 	for i := range d.Backends {
 		backend := &d.Backends[i]
@@ -293,12 +284,9 @@
 	return nil
 }
 
-// Validate returns a DocumentError if the list is too long or for its first invalid
-// entry, and else nil. A document with an invalid entry is rejected as a whole.
+// Validate returns a DocumentError for the first invalid entry, and else nil. A document with
+// an invalid entry is rejected as a whole.
 func (d *InstancesDocument) Validate() error {
-	if len(d.Instances) > maxInstances {
-		return DocumentError{"instances", "instances", fmt.Sprintf("more than %d entries", maxInstances)}
-	}
 	names := make(map[string]bool, len(d.Instances))
 	for i := range d.Instances {
 		instance := &d.Instances[i]
