Give each kind of server of a service its own cold start rate

Cause: fleet.Service had one ColdStartRate, and the translation gave a route with several services that of the first one.

Fix: ColdStartRates names a rate for each selector of servers, and the agent takes the one that matches its own labels. A route with one service is published as before. A larger bucket or the smallest rate for all was ruled out: one breaks the bound, the other refuses callers whom the first service could serve.

The test on the code before, with the rate that the translation gave:

--- FAIL: TestColdServerGetsTheRateOfItsOwnKind (0.00s) z_test.go:23: "59" is not less than or equal to "14"

--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -39,7 +39,7 @@
 	if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
 		return a.dropPacket(DropTableFull)
 	}
-	if a.config.Carried && !a.slowStart.allow(now, service.ColdStartRate()) {
+	if a.config.Carried && !a.slowStart.allow(now, service.ColdStartRate(a.config.Labels)) {
 		return a.placeDuringSlowStart(now, service, received)
 	}
 	a.ownedCount++
--- a/internal/core/agent/slowstart_test.go
+++ b/internal/core/agent/slowstart_test.go
@@ -76,6 +76,30 @@
 	}
 }
 
+// A service selects servers of two kinds, of which one bears less in its cold start. Guards against a
+// cold server that gets the rate of the other kind, and falls over.
+func TestColdServerGetsTheRateOfItsOwnKind(t *testing.T) {
+	const ordersRate, archiveRate, tolerance, slack = 60, 6, 1.5, 5
+	rates := []fleet.ColdStartRate{
+		{Selector: fleet.Selector{"app": {"orders"}}, Rate: ordersRate},
+		{Selector: fleet.Selector{"app": {"archive"}}, Rate: archiveRate},
+	}
+	c := newSharedCluster(t)
+	services, _, _ := c.state.Documents()
+	changed := &fleet.ServicesDocument{Revision: fleet.Revision{Number: services.Number + 1}, Services: append([]fleet.Service(nil), services.Services...)}
+	changed.Services[0].ColdStartRates = rates
+	_, err := c.state.Apply(epoch, changed)
+	require.NoError(t, err)
+	c.applyView()
+	for id, rate := range map[fleet.InstanceID]float64{c.ids()[0]: ordersRate, c.ids()[2]: archiveRate} {
+		c.agents[id].config.MaxFlows = 1000
+		c.agents[id].Start(settledAt)
+		accepted := float64(c.countAccepted(id, settledAt, time.Second, 200, 5000))
+		require.LessOrEqual(t, accepted, rate*tolerance+slack)
+		require.GreaterOrEqual(t, accepted, rate-1)
+	}
+}
+
 // A bounced packet of an open flow shows that the backend server has restarted, even if the
 // backends document does not report the restart yet.
 func TestServerThatLostItsFlowsIsAssumedCold(t *testing.T) {
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -100,6 +100,9 @@
 	// ColdStartRate is the number of new flows a second that one backend server of the
 	// service can take in its cold start, or zero if it is not known.
 	ColdStartRate float64 `json:"coldRate,omitempty"`
+	// ColdStartRates holds the rates of backend servers that differ from ColdStartRate, in a
+	// service that selects servers of several kinds.
+	ColdStartRates []ColdStartRate `json:"coldRates,omitempty"`
 	// LatencyObjective is the time within which callers want answers, or zero if none is
 	// published.
 	LatencyObjective time.Duration `json:"objective,omitempty"`
@@ -112,6 +115,19 @@
 	Priority int `json:"priority,omitempty"`
 }
 
+// ColdStartRate is the number of new flows a second that one backend server with matching labels
+// can take in its cold start.
+type ColdStartRate struct {
+	_        struct{} `cbor:",toarray"`
+	Selector Selector `json:"selector"`
+	Rate     float64  `json:"rate"`
+}
+
+// equal reports whether two rates are the same and for the same servers.
+func (r ColdStartRate) equal(other ColdStartRate) bool {
+	return r.Rate == other.Rate && r.Selector.equal(other.Selector)
+}
+
 // SelectorFor returns the selector for a data centre: its own, or else the one for
 // AnyDataCentre. It reports false if there is neither.
 func (s *Service) SelectorFor(dataCentre string) (Selector, bool) {
@@ -152,6 +168,7 @@
 	return s.Name == other.Name && s.Address == other.Address && s.Protocol == other.Protocol &&
 		s.ColdStartRate == other.ColdStartRate && s.LatencyObjective == other.LatencyObjective && s.Idempotent == other.Idempotent &&
 		s.Priority == other.Priority && s.Timeout == other.Timeout &&
+		slices.EqualFunc(s.ColdStartRates, other.ColdStartRates, ColdStartRate.equal) &&
 		maps.EqualFunc(s.Selectors, other.Selectors, Selector.equal)
 }
 
--- a/internal/core/fleet/routes.go
+++ b/internal/core/fleet/routes.go
@@ -19,6 +19,7 @@
 	// former holds the selectors that the service had before, newest first.
 	former           []formerSelectors
 	coldStartRate    float64
+	coldStartRates   []ColdStartRate
 	idempotent       bool
 	latencyObjective time.Duration
 	timeout          time.Duration
@@ -100,6 +101,7 @@
 			selectors:        service.Selectors,
 			former:           former[id],
 			coldStartRate:    service.ColdStartRate,
+			coldStartRates:   service.ColdStartRates,
 			idempotent:       service.Idempotent,
 			latencyObjective: service.LatencyObjective,
 			timeout:          service.Timeout,
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -173,9 +173,16 @@
 // Priority returns how urgent the requests of the service are. Zero is the most urgent.
 func (s *RoutedService) Priority() int { return s.priority }
 
-// ColdStartRate returns the number of new flows a second that a backend server can take
-// in its cold start, or zero if it is not known.
-func (s *RoutedService) ColdStartRate() float64 { return s.coldStartRate }
+// ColdStartRate returns the number of new flows a second that a backend server with some labels can
+// take in its cold start, or zero if it is not known.
+func (s *RoutedService) ColdStartRate(labels map[string]string) float64 {
+	for _, r := range s.coldStartRates {
+		if r.Selector.Matches(labels) {
+			return r.Rate
+		}
+	}
+	return s.coldStartRate
+}
 
 // Node is a peer process: its role, data centre and endpoints.
 type Node struct {
