Exchange former selectors between processes that know different ones

Cause: former selectors came from the documents that a process has seen, and from a peer only at its start. Versions that follow each other quickly reach a process as one change, and one that was frozen misses some. Flows placed by such a version were found by the record of their agent only.

Fix: summaries carry a digest of the former selectors. Where it differs at the same revision, each side sends its history, and takes over what it does not know. What is forgotten within a second is not taken over, so that nothing comes back. Selectors are now also forgotten when no view is computed, since the digests of idle processes would differ for good otherwise.

--- a/internal/core/control/history_test.go
+++ b/internal/core/control/history_test.go
@@ -57,6 +57,40 @@
 	require.Len(t, newcomer.prober.near.peers, 67+68, "the former servers of orders are siblings whose reachability matters")
 }
 
+// Versions follow each other quickly, and one process gets two of them as one change. Guards against
+// resets of the flows that others have placed by the version that it has not seen, once the agent
+// that owns them has restarted.
+func TestProcessLearnsFormerSelectorsOfVersionsItHasNotSeen(t *testing.T) {
+	const link = LinkID(1)
+	other, late := newProbedFleet(4), newProbedFleet(4)
+	changedAt := epoch.Add(2 * time.Minute)
+	for _, c := range []*Controller{other, late} {
+		c.HandleLinkUp(changedAt, link, c == other)
+	}
+	other.ApplyDocuments(changedAt, selecting(2, "patterns"))
+	other.ApplyDocuments(changedAt.Add(100*time.Millisecond), selecting(3, "orders"))
+	late.ApplyDocuments(changedAt.Add(100*time.Millisecond), selecting(3, "orders"))
+	former := fleet.InstanceIDOf("patterns-2")
+	require.Nil(t, late.View().Service(fleet.ServiceIDOf("orders")).Target(former))
+	learned := false
+	end := changedAt.Add(70 * time.Second)
+	for now := changedAt.Add(150 * time.Millisecond); now.Before(end); now = now.Add(TickInterval) {
+		exchange(now, other, late, other.Tick(now))
+		exchange(now, late, other, late.Tick(now))
+		if now.Sub(changedAt) == summaryInterval+250*time.Millisecond {
+			target := late.View().Service(fleet.ServiceIDOf("orders")).Target(former)
+			require.NotNil(t, target)
+			require.True(t, target.IsResidual())
+			require.Equal(t, other.state.FormerDigest(now), late.state.FormerDigest(now))
+			learned = true
+		}
+	}
+	require.True(t, learned)
+	for _, c := range []*Controller{other, late} {
+		require.Zero(t, c.state.FormerDigest(end), "what one process forgets must not come back from the other")
+	}
+}
+
 // A process starts while a peer is away for a planned restart. Guards against resets of the flows at
 // that peer's server: the newcomer finds the peer unreachable within half a second, and must know
 // by then that the peer has announced its departure.
--- a/internal/core/control/message.go
+++ b/internal/core/control/message.go
@@ -14,7 +14,8 @@
 	Records []fleet.PeerRecord
 	// Changes lead from one state of the documents to another. They take effect together.
 	Changes []Change
-	// History is sent to a peer that knows former selectors for a shorter time than the sender.
+	// History is sent to a peer that knows former selectors for a shorter time than the sender, or
+	// others.
 	History *fleet.SelectorHistory
 }
 
@@ -35,6 +36,8 @@
 	TableDigest uint64
 	// HistorySpan is how far back the sender knows the changes of selectors.
 	HistorySpan time.Duration
+	// FormerDigest is the digest of the former selectors that the sender knows.
+	FormerDigest uint64
 }
 
 // digestBucketCount is the number of buckets, each with a digest of its own, into which the
--- a/internal/core/control/summary.go
+++ b/internal/core/control/summary.go
@@ -31,7 +31,7 @@
 	if !c.confirmByPeer(now, id, l) {
 		c.requestDocuments(now, id)
 	}
-	if summary.Revisions.Services == ownRevisions.Services && fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) {
+	if summary.Revisions.Services == ownRevisions.Services && c.knowsMoreHistory(now, summary) {
 		c.emit(Send{Link: id, Message: &Message{History: c.state.History(now)}})
 	}
 	if isFirst && fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) {
@@ -55,6 +55,12 @@
 	return true
 }
 
+// knowsMoreHistory reports whether this process may know former selectors that the sender of a summary
+// does not: it knows them for longer, or both know others.
+func (c *Controller) knowsMoreHistory(now time.Time, summary *Summary) bool {
+	return fleet.ExtendsHistory(c.state.HistorySpan(now), summary.HistorySpan) || summary.FormerDigest != c.state.FormerDigest(now)
+}
+
 // receiveHistory takes over the former selectors that a peer knows.
 func (c *Controller) receiveHistory(now time.Time, history *fleet.SelectorHistory) {
 	if c.state.MergeHistory(now, history) {
@@ -121,5 +127,7 @@
 		ViewAge:     age,
 		TableDigest: c.tableDigest(),
 		HistorySpan: c.state.HistorySpan(now),
+
+		FormerDigest: c.state.FormerDigest(now),
 	}}
 }
--- a/internal/core/fleet/former.go
+++ b/internal/core/fleet/former.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // formerLifetime is how long searches for the owners of flows still visit the backend
@@ -64,25 +66,45 @@
 			former[id] = remembered
 		}
 	}
+	s.setFormer(former)
+}
+
+// setFormer replaces the former selectors.
+func (s *State) setFormer(former map[ServiceID][]formerSelectors) {
 	s.former = former
+	s.formerDigest, s.forgetFormerAfter = 0, time.Time{}
+	for id, remembered := range former {
+		for _, f := range remembered {
+			s.formerDigest ^= mixHash(xxhash.Sum64String(selectorsKey(f.selectors)), InstanceID(id))
+			if s.forgetFormerAfter.IsZero() || f.forgetAfter.Before(s.forgetFormerAfter) {
+				s.forgetFormerAfter = f.forgetAfter
+			}
+		}
+	}
 }
 
-// forgetFormerSelectors forgets the selectors whose time is over and reports whether there
-// were any.
-func (s *State) forgetFormerSelectors(now time.Time) bool {
-	forgotten := false
+// FormerDigest returns a digest of the former selectors that this process knows. Those of two
+// processes differ if one of them has not seen a version of the services document, since changes
+// that follow each other quickly may reach it as one.
+func (s *State) FormerDigest(now time.Time) uint64 {
+	s.forgetFormerSelectors(now)
+	return s.formerDigest
+}
+
+// forgetFormerSelectors forgets the selectors whose time is over.
+func (s *State) forgetFormerSelectors(now time.Time) {
+	if s.forgetFormerAfter.IsZero() || !now.After(s.forgetFormerAfter) {
+		return
+	}
+	former := make(map[ServiceID][]formerSelectors, len(s.former))
 	for id, remembered := range s.former {
 		kept := slices.DeleteFunc(slices.Clone(remembered), func(f formerSelectors) bool { return now.After(f.forgetAfter) })
-		if len(kept) == len(remembered) {
-			continue
-		}
-		forgotten = true
-		s.former[id] = kept
-		if len(kept) == 0 {
-			delete(s.former, id)
+		if len(kept) > 0 {
+			former[id] = kept
 		}
 	}
-	return forgotten
+	s.setFormer(former)
+	s.routes = newRouteTable(&s.services, s.former)
 }
 
 // formerlySelected returns the nodes of the backend servers that the route selected before
--- a/internal/core/fleet/newcomer.go
+++ b/internal/core/fleet/newcomer.go
@@ -75,27 +75,48 @@
 	return history
 }
 
-// MergeHistory takes over the former selectors that a peer knows, and reports whether it did. It
-// does not if the peer had another services document: a change between the two may be known to
+// MergeHistory takes over the former selectors that a peer knows, and how far back it knows them if
+// that extends the history of this process. It reports whether there was anything to learn. There
+// is nothing if the peer had another services document: a change between the two may be known to
 // neither process.
 func (s *State) MergeHistory(now time.Time, history *SelectorHistory) bool {
-	if history.Services != s.services.Revision || !ExtendsHistory(history.Span, s.HistorySpan(now)) {
+	if history.Services != s.services.Revision {
 		return false
 	}
+	learned := s.learnFormerSelectors(now, history.Former)
+	if learned {
+		s.routes = newRouteTable(&s.services, s.former)
+	}
+	if !ExtendsHistory(history.Span, s.HistorySpan(now)) {
+		return learned
+	}
+	s.historySince = now.Add(-history.Span)
+	return true
+}
+
+// learnFormerSelectors adds the former selectors of a peer that this process does not know, and
+// reports whether there were any. It leaves out those that are forgotten in a moment, which this
+// process may just have forgotten.
+func (s *State) learnFormerSelectors(now time.Time, learned []FormerSelectors) bool {
 	former := maps.Clone(s.former)
-	for _, f := range history.Former {
+	isChanged := false
+	for _, f := range learned {
+		if f.Remaining < maxHistorySkew {
+			continue
+		}
 		key := selectorsKey(f.Selectors)
 		for _, id := range f.Services {
 			known := slices.ContainsFunc(former[id], func(own formerSelectors) bool { return selectorsKey(own.selectors) == key })
 			if !known {
+				isChanged = true
 				former[id] = append(slices.Clone(former[id]), formerSelectors{selectors: f.Selectors, forgetAfter: now.Add(f.Remaining)})
 			}
 		}
 	}
-	s.former = former
-	s.routes = newRouteTable(&s.services, s.former)
-	s.historySince = now.Add(-history.Span)
-	return true
+	if isChanged {
+		s.setFormer(former)
+	}
+	return isChanged
 }
 
 // LacksHistory reports whether this process may not know the former selectors of all services.
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -28,6 +28,10 @@
 	departed map[InstanceID]departedAgent
 	// former holds the selectors that services had before, newest first.
 	former map[ServiceID][]formerSelectors
+	// formerDigest is the digest of former, and forgetFormerAfter when the next of them are
+	// forgotten, or zero if there are none.
+	formerDigest      uint64
+	forgetFormerAfter time.Time
 	// historySince is from when on this process, or one that it learned from, has seen all
 	// changes of selectors.
 	historySince time.Time
@@ -158,9 +162,7 @@
 // ViewSettledAt computes the routing view with a given time from which it counts as
 // settled. A change of weights alone keeps the time of the view before.
 func (s *State) ViewSettledAt(now, settledAt time.Time) *View {
-	if s.forgetFormerSelectors(now) {
-		s.routes = newRouteTable(&s.services, s.former)
-	}
+	s.forgetFormerSelectors(now)
 	view := &View{
 		revisions:   s.Revisions(),
 		routes:      s.routes,
