Decide in one place what an agent publishes about itself

The daemons of both ways of delivery worked out state, weight and residual services from the core, each with its own copy of the rule. The core now returns them together; IsDraining is not needed any more.

Result: no change of behaviour; the tests of core and daemons pass.

--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -217,9 +217,6 @@
 // Drain makes the agent hand over or refuse new flows from now on.
 func (a *Agent) Drain() { a.draining = true }
 
-// IsDraining reports whether Drain was called.
-func (a *Agent) IsDraining() bool { return a.draining }
-
 // FlowsOwned returns the number of flows that the agent owns, without closing ones.
 func (a *Agent) FlowsOwned() int { return a.ownedCount }
 
@@ -244,6 +241,28 @@
 	return residual
 }
 
+// OwnState is what the agent publishes about itself in its peer record.
+type OwnState struct {
+	State  fleet.PeerState
+	Weight fleet.Weight
+	// Residual holds the services that no longer select the backend server but whose flows the
+	// agent still owns.
+	Residual []fleet.ServiceID
+}
+
+// OwnState updates the weight and returns what the agent publishes about itself now.
+func (a *Agent) OwnState(now time.Time) OwnState {
+	own := OwnState{State: fleet.PeerAlive, Weight: a.UpdateWeight(now), Residual: a.ResidualServices()}
+	switch {
+	case a.draining:
+		own.State = fleet.PeerLeaving
+	case a.config.Carried && a.IsTrialOnly():
+		// Peers treat all causes of trials alike: they send no new flows here.
+		own.State = fleet.PeerServerUnresponsive
+	}
+	return own
+}
+
 // isSelected reports whether a service selects this backend server in the view in force.
 func (a *Agent) isSelected(id fleet.ServiceID) bool {
 	service := a.view.Service(id)
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -222,19 +222,12 @@
 	}
 }
 
-// publishOwnState publishes the agent's state and weight to its peers, and the services
-// that no longer select this backend server but whose flows the agent still owns.
+// publishOwnState publishes the agent's state to its peers.
 func (a *Agent) publishOwnState() {
 	a.mu.Lock()
-	residual := a.core.ResidualServices()
-	draining := a.core.IsDraining()
-	weight := a.core.UpdateWeight(clock.Now())
+	own := a.core.OwnState(clock.Now())
 	a.mu.Unlock()
-	state := fleet.PeerAlive
-	if draining {
-		state = fleet.PeerLeaving
-	}
-	a.node.SetOwnState(state, weight, residual)
+	a.node.SetOwnState(own.State, own.Weight, own.Residual)
 }
 
 // sweep removes ended flows for which the stack holds no state any more, and resets flows
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -265,24 +265,12 @@
 	exchange.SendReport(c.node, sender, c.logger, report, siblings)
 }
 
-// publishOwnState publishes the agent's state and weight to its peers, and the services
-// that no longer select this backend server but whose flows the agent still owns.
+// publishOwnState publishes the agent's state to its peers.
 func (c *Carrier) publishOwnState() {
 	c.mu.Lock()
-	residual := c.core.ResidualServices()
-	draining := c.core.IsDraining()
-	trialOnly := c.core.IsTrialOnly()
-	weight := c.core.UpdateWeight(clock.Now())
+	own := c.core.OwnState(clock.Now())
 	c.mu.Unlock()
-	state := fleet.PeerAlive
-	switch {
-	case draining:
-		state = fleet.PeerLeaving
-	case trialOnly:
-		// Peers treat all three causes alike: they send no new flows here.
-		state = fleet.PeerServerUnresponsive
-	}
-	c.node.SetOwnState(state, weight, residual)
+	c.node.SetOwnState(own.State, own.Weight, own.Residual)
 }
 
 // applyView replaces the routing view and sets the number of slots that the view lists for
