--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -14,8 +14,6 @@
 	carriedLifetime = 60 * time.Second
 	// endedLifetime is how long a flow is kept after the backend server has ended it.
 	endedLifetime = 5 * time.Second
-	// answerTimeout is how long a request without an answer holds its slot.
-	answerTimeout = 5 * time.Second
 )
 
 // receiveCarried decides about a packet of a carried flow, which the backend server
@@ -288,66 +286,6 @@
 	return entry
 }
 
-// reserveSlot counts a request as running on the backend server, unless the flow holds a slot
-// already. A new flow takes a slot at once, since most callers send a request at once.
-func (a *Agent) reserveSlot(now time.Time, entry *flowEntry) {
-	if !a.config.Carried || !entry.slotReservedAt.IsZero() {
-		return
-	}
-	entry.slotReservedAt = now
-	a.load.start(now)
-}
-
-// recordRequest records that bytes of a request are delivered. Service time counts from the
-// first of them.
-func (a *Agent) recordRequest(now time.Time, entry *flowEntry) {
-	a.reserveSlot(now, entry)
-	if !entry.requestDeliveredAt.IsZero() {
-		return
-	}
-	entry.requestDeliveredAt = now
-	entry.queued = a.load.isSaturated()
-	a.load.beginService(now)
-}
-
-// completeRequest records the first bytes of an answer: it releases the flow's slot and
-// records the latency, the service time and the outcome of the request.
-func (a *Agent) completeRequest(now time.Time, entry *flowEntry) {
-	if entry.slotReservedAt.IsZero() {
-		return
-	}
-	latency := now.Sub(entry.slotReservedAt)
-	a.config.Observer.ObserveAnswer(latency)
-	a.load.finish(now, latency)
-	entry.slotReservedAt = time.Time{}
-	if entry.requestDeliveredAt.IsZero() {
-		return
-	}
-	serviceTime := now.Sub(entry.requestDeliveredAt)
-	if !entry.queued {
-		a.load.recordServiceTime(serviceTime)
-		a.statsOf(entry.service).recordServiceTime(serviceTime)
-	}
-	if !entry.countedFailed {
-		a.recordOutcome(now, entry.service, serviceTime, true)
-	}
-	a.load.endService(now, true)
-	entry.requestDeliveredAt, entry.countedFailed = time.Time{}, false
-}
-
-// releaseSlot releases the flow's slot, if it holds one, without an answer.
-func (a *Agent) releaseSlot(now time.Time, entry *flowEntry) {
-	if entry.slotReservedAt.IsZero() {
-		return
-	}
-	a.load.cancel(now)
-	entry.slotReservedAt = time.Time{}
-	if !entry.requestDeliveredAt.IsZero() {
-		a.load.endService(now, false)
-		entry.requestDeliveredAt, entry.countedFailed = time.Time{}, false
-	}
-}
-
 // forget removes a flow from the table and releases its slot.
 func (a *Agent) forget(now time.Time, id flow.ID, entry *flowEntry) {
 	a.releaseSlot(now, entry)
