Probe a peer that is suspected in its first record, and name the flags of digests

Cause: since a suspicion keeps the state, a record that is both the first of an incarnation and a suspicion of it counted as a start, which assumes the peer reachable and probes it only if it had missed probes.

Change: the case of a start asks that the record is no suspicion. Besides, the digest of a record packs its two flags into a named byte, and a comment is wrapped.

--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -34,7 +34,7 @@
 		c.scheduleRoutingChange(now)
 	}
 	switch {
-	case record.State == fleet.PeerAlive && record.Incarnation > old.Incarnation:
+	case record.State == fleet.PeerAlive && !record.Suspected && record.Incarnation > old.Incarnation:
 		c.restartProbes(now, record.ID)
 	case record.Suspected && !old.Suspected:
 		c.probeAtOnce(now, record.ID)
@@ -166,6 +166,12 @@
 	return buckets
 }
 
+// Flags of a record in its digest.
+const (
+	flagAnnounced byte = 1 << iota
+	flagSuspected
+)
+
 // recordDigest returns a digest of the fields that are gossiped at once, which are those that
 // decide where packets may go. It leaves out the weight, since some weight has always just
 // changed in a large fleet and the tables would always differ.
@@ -173,13 +179,14 @@
 	encoded := make([]byte, 0, 64)
 	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(record.ID))
 	encoded = binary.LittleEndian.AppendUint64(encoded, record.Incarnation)
-	encoded = append(encoded, byte(record.State))
-	if record.Suspected {
-		encoded = append(encoded, 2)
-	}
+	var flags byte
 	if record.Announcement != nil {
-		encoded = append(encoded, 1)
+		flags |= flagAnnounced
+	}
+	if record.Suspected {
+		flags |= flagSuspected
 	}
+	encoded = append(encoded, byte(record.State), flags)
 	for _, service := range record.Residual {
 		encoded = binary.LittleEndian.AppendUint64(encoded, uint64(service))
 	}
--- a/internal/core/control/summary.go
+++ b/internal/core/control/summary.go
@@ -7,10 +7,10 @@
 	"github.com/radishmast/radishmast/internal/core/fleet"
 )
 
-// receiveSummary sends the documents that the peer requests and the former selectors that it
-// lacks, and the peer table to a newcomer, and requests documents if the peer has newer ones. Otherwise it takes the view of this
-// process as confirmed, and takes over the peer's view age if that is lower than the age known
-// here. The peer tables are compared only if both processes have the same instances document, since
+// receiveSummary sends the documents that the peer requests, the former selectors that it lacks,
+// and the peer table if it is a newcomer. It requests documents if the peer has newer ones. Otherwise
+// it takes the view of this process as confirmed, and takes over the peer's view age if that is lower
+// than the age known here. The peer tables are compared only if both processes have the same instances document, since
 // that document decides which records a table keeps.
 func (c *Controller) receiveSummary(now time.Time, id LinkID, l *link, summary *Summary) {
 	isFirst := l.announced == nil
@@ -121,13 +121,12 @@
 		age = -1
 	}
 	return &Message{Summary: &Summary{
-		ID:          c.config.Self,
-		Incarnation: c.ownRecord.Incarnation,
-		Revisions:   c.state.Revisions(),
-		ViewAge:     age,
-		TableDigest: c.tableDigest(),
-		HistorySpan: c.state.HistorySpan(now),
-
+		ID:           c.config.Self,
+		Incarnation:  c.ownRecord.Incarnation,
+		Revisions:    c.state.Revisions(),
+		ViewAge:      age,
+		TableDigest:  c.tableDigest(),
+		HistorySpan:  c.state.HistorySpan(now),
 		FormerDigest: c.state.FormerDigest(now),
 	}}
 }
