--- a/internal/core/control/records.go
+++ b/internal/core/control/records.go
@@ -27,12 +27,24 @@
 	if c.isReplicated(record) {
 		c.pendingRecords[record.ID] = record
 	}
-	if record.State == fleet.PeerLeaving && old.State != fleet.PeerLeaving {
-		c.emit(ReportEvent{Event: EventPeerLeaving, Peer: c.nodeName(record.ID)})
-	}
 	if c.state.RecordAnnouncement(now, record, c.canBeLapsed(now)) {
 		c.scheduleRoutingChange(now)
 	}
+	c.followPeer(now, old, record)
+	if changesRouting(old, record) {
+		c.hasUrgentRecord = c.hasUrgentRecord || old.Incarnation != 0
+		c.scheduleRoutingChange(now)
+	} else {
+		c.scheduleView(now.Add(weightViewDelay))
+	}
+}
+
+// followPeer reports that a peer leaves, and adapts its probes if its record shows a start, a suspicion
+// or the end of one.
+func (c *Controller) followPeer(now time.Time, old, record fleet.PeerRecord) {
+	if record.State == fleet.PeerLeaving && old.State != fleet.PeerLeaving {
+		c.emit(ReportEvent{Event: EventPeerLeaving, Peer: c.nodeName(record.ID)})
+	}
 	switch {
 	case record.State == fleet.PeerAlive && !record.Suspected && record.Incarnation > old.Incarnation:
 		c.restartProbes(now, record.ID)
@@ -41,12 +53,6 @@
 	case old.Suspected && record.Incarnation == old.Incarnation:
 		c.prober.recordRefutation(now, record.ID)
 	}
-	if changesRouting(old, record) {
-		c.hasUrgentRecord = c.hasUrgentRecord || old.Incarnation != 0
-		c.scheduleRoutingChange(now)
-	} else {
-		c.scheduleView(now.Add(weightViewDelay))
-	}
 }
 
 // changesRouting reports whether two records of a process differ in a field that decides where
