Test at 14, 200 and 730 processes that a newcomer knows who is away

The simulation of a whole fleet now restarts an agent while another one, which had announced its departure, is cut off from all.

--- a/internal/core/control/fleetsize_test.go
+++ b/internal/core/control/fleetsize_test.go
@@ -37,6 +37,33 @@
 	}
 }
 
+// Agents restart in turn: one is away, and the next is already back. Guards against a newcomer that
+// takes the one that is away for lost, as it finds it unreachable after half a second: in a fleet of any
+// size it must have learned by then that the agent has announced its departure.
+func TestRestartedAgentKnowsWhoIsAwayInAFleetOfAnySize(t *testing.T) {
+	const knowsWithin = 450 * time.Millisecond
+	for _, size := range []int{14, 200, 730} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(size, servesAll)
+			s.run(3 * time.Second)
+			away, next := s.processes[size/2+2], s.processes[5]
+			s.perform(away, away.controller.UpdateOwnRecord(s.now, fleet.PeerLeaving, fleet.DefaultWeight, nil))
+			s.run(500 * time.Millisecond)
+			s.isCut = func(a, b *process) bool { return a == away || b == away }
+			s.restart(next)
+			s.run(knowsWithin)
+			for _, record := range next.controller.Records() {
+				if record.ID == fleet.InstanceIDOf(nameOf(away.index)) {
+					require.Equal(t, fleet.PeerLeaving, record.State)
+					return
+				}
+			}
+			require.Fail(t, "the newcomer has no record of the agent")
+		})
+	}
+}
+
 // A process may read a document of instances that does not list it yet, or never does. Guards
 // against tables that never converge: once listed, the first process must put its record back into
 // its own table, and the record of the second must be in no table.
