--- a/internal/core/control/records_test.go
+++ b/internal/core/control/records_test.go
@@ -121,6 +121,17 @@
 	require.True(t, c.View().Service(fleet.ServiceIDOf("orders")).Target(other).IsAccepting(), "a direct reply must outweigh the suspicion")
 }
 
+// The first that a process hears of a peer's next start is that another process suspects it. Guards
+// against taking the peer for one that has just started and answers, without asking it.
+func TestPeerSuspectedInItsFirstRecordIsProbedAtOnce(t *testing.T) {
+	c := newProbedFleet(4)
+	c.HandleLinkUp(epoch, 1, true)
+	peer := fleet.InstanceIDOf("orders-2")
+	c.HandleMessage(epoch, 1, &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 1}}})
+	outputs := c.HandleMessage(epoch, 1, &Message{Records: []fleet.PeerRecord{{ID: peer, Incarnation: 2, Suspected: true}}})
+	require.True(t, probes(outputs)[peer])
+}
+
 // Guards against a process that peers cannot reach because they know a higher incarnation, as
 // after a step of the clock between two starts: it must take over the one that it gossips.
 func TestIncarnationRisesAboveTheOneThatPeersKnow(t *testing.T) {
