Drop a server's reset of a flow that the server is not known to hold

The flow was handed over to a server that had started 1.8 s before, and the next packet came through another balancer. 57 agents denied the flow; the two that do not know all flows of their servers were polled. The copy reached the owner, and also a server that was still starting. That server answered with a reset instead of bouncing the packet, and its agent passed the reset on to the caller.

Change: a reset that a server sends for a flow that its agent does not know, has handed over, or that the caller has not confirmed here is dropped and counts as a denial. Each reset by a server is logged as server_reset, with its reason if it is dropped. A lookup that ends early no longer keeps the poll that follows it waiting for the lookup's deadline: the copies were sent 57 ms after the denials.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -77,6 +77,9 @@
 	// DropPollUnanswered means that some polled agents, one of which may own the flow, gave no
 	// answer.
 	DropPollUnanswered Reason = "drop_poll_unanswered"
+	// DropResetUnowned means that the backend server has reset a flow that it is not known to
+	// hold. The flow may be open at another server.
+	DropResetUnowned   Reason = "drop_reset_unowned"
 	DropViewStale      Reason = "drop_view_stale"
 	DropClosingUnowned Reason = "drop_closing_unowned"
 	DropOpeningPending Reason = "drop_opening_pending"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -228,6 +228,7 @@
 	// other agents.
 	polls         map[flow.ID]*pollState
 	pendingClaims map[flow.ID]pendingClaim
+	denials       denials
 
 	owners ownerLists
 	// outsiders limits the search outside the services of flows.
@@ -280,6 +281,7 @@
 		lookups:        newLookups(),
 		polls:          make(map[flow.ID]*pollState),
 		pendingClaims:  make(map[flow.ID]pendingClaim),
+		denials:        newDenials(),
 		owners:         newOwnerLists(false),
 		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
 
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -71,7 +71,7 @@
 	if action, found := a.referToOwner(now, service, received); found && !received.Polled {
 		return action
 	}
-	if a.knowsAllFlows(now) {
+	if a.knowsAllFlows(now) || a.denials.has(now, received.Packet.Flow()) {
 		return a.search(now, service, received)
 	}
 	if received.Polled {
@@ -224,10 +224,22 @@
 // HandleBackendPacket updates the flow table, the load and the outlier detector for a
 // packet that the backend server sends to a caller. A packet in the middle of a flow that
 // is not in the table, or that was handed over, shows that the server kept flows from
-// before this process started and so is not cold. Such a flow is adopted.
-func (a *Agent) HandleBackendPacket(now time.Time, reply flow.Reply) {
+// before this process started and so is not cold. Such a flow is adopted. It returns why the
+// packet must not be sent to the caller, or an empty reason.
+func (a *Agent) HandleBackendPacket(now time.Time, reply flow.Reply) Reason {
 	a.responses.recordResponse(now)
 	entry := a.flows[reply.Flow]
+	if reply.IsReset && !mayHold(entry) {
+		a.recordDenial(now, reply.Flow)
+		return DropResetUnowned
+	}
+	a.updateFlow(now, entry, reply)
+	return ""
+}
+
+// updateFlow updates the entry of a flow, which is nil if the flow is not in the table, for a
+// packet that the backend server sends to its caller.
+func (a *Agent) updateFlow(now time.Time, entry *flowEntry, reply flow.Reply) {
 	if entry == nil || entry.state == stateHandedOver {
 		if !reply.IsHandshakeReply && !reply.IsFinal {
 			a.recordEarlierFlow(entry)
@@ -297,6 +309,7 @@
 // longer than answerTimeout.
 func (a *Agent) SweepCarried(now time.Time) {
 	a.forwardHistory.sweep(now)
+	a.denials.sweep(now)
 	for id, entry := range a.flows {
 		if a.isHung(now, entry) {
 			entry.countedFailed = true
--- a/internal/daemon/carrier/packethandler.go
+++ b/internal/daemon/carrier/packethandler.go
@@ -106,10 +106,10 @@
 	return nil
 }
 
-// releaseWaiting processes the opening packets whose wait for room is over, and claims the polled
-// flows that the backend server holds.
+// releaseWaiting processes the opening packets whose wait for room is over, and claims or denies
+// polled flows.
 func (h *packetHandler) releaseWaiting(now time.Time) {
-	h.SendClaims(now)
+	h.SendPollAnswers(now)
 	h.carrier.mu.Lock()
 	released := h.carrier.core.ReleaseWaiting(now)
 	h.carrier.mu.Unlock()
@@ -131,8 +131,14 @@
 		return
 	}
 	h.carrier.mu.Lock()
-	h.carrier.core.HandleBackendPacket(now, reply)
+	dropped := h.carrier.core.HandleBackendPacket(now, reply)
 	h.carrier.mu.Unlock()
+	if reply.IsReset {
+		h.RecordServerReset(reply, dropped)
+	}
+	if dropped != "" {
+		return
+	}
 	h.queue(h.callerWriter, data, h.callerEndpoint(reply.Flow))
 }
 
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -273,6 +273,21 @@
 	d.Delivery.Reset(d.received.Packet)
 }
 
+// RecordServerReset logs a reset that the backend server has sent to the caller of a flow, and
+// counts it if it is dropped for a reason.
+func (d *Dispatcher) RecordServerReset(reply flow.Reply, dropped core.Reason) {
+	if dropped != "" {
+		d.Counters.Add(string(dropped), 1)
+	}
+	d.Decisions.Record(operator.Decision{
+		Event:    "server_reset",
+		Flow:     reply.Flow,
+		Reason:   string(dropped),
+		Revision: d.Node.Revisions().Highest(),
+		Age:      d.Node.Age(clock.Now()),
+	})
+}
+
 // sendHint notifies the balancer that received the current packet from the fabric that
 // this agent owns the flow. in is the header with which the packet was received; if it
 // names no reply endpoint, no hint is sent.
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -169,7 +169,7 @@
 	if awaitsView && (!pending || due.After(now.Add(viewPollInterval))) {
 		due = now.Add(viewPollInterval)
 	}
-	if !pending && !awaitsView || !sleep(ctx, due.Sub(now)) {
+	if !pending && !awaitsView || !d.sleep(ctx, due.Sub(now)) {
 		return false
 	}
 	d.runLookupRound(clock.Now())
@@ -198,13 +198,16 @@
 	}
 }
 
-// sleep waits for a duration. It reports false as soon as ctx is done.
-func sleep(ctx context.Context, duration time.Duration) bool {
+// sleep waits for a duration, or until a packet is held: it may be due earlier than the others,
+// as when a lookup without an owner is followed by a poll. It reports false as soon as ctx is done.
+func (d *Dispatcher) sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
+	case <-d.HeldPackets.wake:
+		return true
 	case <-timer.C:
 		return true
 	}
--- a/internal/daemon/exchange/polls.go
+++ b/internal/daemon/exchange/polls.go
@@ -57,11 +57,15 @@
 	d.sender.QueueControl(&d.outHeader, id[:], node.Data())
 }
 
-// SendClaims claims the polled flows whose packets the backend server has not bounced.
-func (d *Dispatcher) SendClaims(now time.Time) {
+// SendPollAnswers claims the polled flows whose packets the backend server has not bounced, and
+// denies those that it has reset.
+func (d *Dispatcher) SendPollAnswers(now time.Time) {
 	d.Mutex.Lock()
-	claims := d.Core.Claims(now)
+	claims, denials := d.Core.Claims(now), d.Core.Denials()
 	d.Mutex.Unlock()
+	for _, denial := range denials {
+		d.answerPoll(datagram.OwnershipDenial, denial.Poller, denial.Flow)
+	}
 	for _, claim := range claims {
 		d.answerPoll(datagram.OwnershipClaim, claim.Poller, claim.Flow)
 	}
