Count an upload as work for a server only when all of it has arrived

Cause: an agent took a slot for a new flow with its opening packet and measured the service time from the first byte of the request. An upload of 20 kB takes several round trips before the server begins, so the agents took the transfer for work: with 0.4 of 26 slots busy they refused uploads.

Change: where a published service has upload set, a request takes a share of a slot while its bytes are in transfer and a slot once it is complete; service time counts from its last byte. The end of a request is its first packet that is not full.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -81,8 +81,11 @@
 	// slotReservedAt is when the carried flow's current request took its slot, or zero if
 	// the flow holds no slot. A new carried flow takes a slot with its opening packet.
 	slotReservedAt time.Time
-	// requestDeliveredAt is when the first bytes of the current request were delivered,
-	// or zero before that.
+	// transfer is the state of the current upload request until all its bytes are delivered,
+	// or nil. It takes a share of a slot instead of a slot.
+	transfer *transfer
+	// requestDeliveredAt is when the first bytes of the current request were delivered, of an
+	// upload request the last ones, or zero before that.
 	requestDeliveredAt time.Time
 	// queued reports whether the backend server was saturated when the current request
 	// was delivered, so that the request had to queue there.
@@ -98,6 +101,10 @@
 	graceUntil time.Time
 }
 
+// isTransferring reports whether the current request is an upload request of which bytes are
+// still to come.
+func (e *flowEntry) isTransferring() bool { return e.transfer != nil }
+
 // ReceivedPacket is a packet together with the metadata that its sender attached.
 type ReceivedPacket struct {
 	Packet  flow.Packet
@@ -151,6 +158,9 @@
 	// PlacesNear reports whether a new flow stays in the data centre whose balancers receive its
 	// packets while a backend server there has room.
 	PlacesNear bool
+	// MaxPayload is the largest payload of a caller's packet, in bytes. A smaller one ends the
+	// request of an upload service. It is used for carried flows only.
+	MaxPayload int
 	// Observer receives latency measurements. If it is nil, they are discarded.
 	Observer Observer
 	// Labels are the labels of the agent's own backend server. They are used for carried
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -54,7 +54,7 @@
 	entry.registration.renewIfMissed(received.Visited)
 	entry.expires = now.Add(carriedLifetime)
 	if received.Packet.PayloadSize() > 0 && entry.state == stateOpen {
-		a.recordRequest(now, entry)
+		a.recordRequest(now, service, entry, received.Packet)
 	}
 	a.deliverPacket(received)
 	a.deliver.SendHint = a.deliver.SendHint || opened
@@ -315,7 +315,7 @@
 			entry.countedFailed = true
 			a.recordOutcome(now, entry.service, 0, false)
 		}
-		if !entry.slotReservedAt.IsZero() && now.Sub(entry.slotReservedAt) > answerTimeout {
+		if a.isSlotOverdue(now, entry) {
 			a.releaseSlot(now, entry)
 		}
 		if !entry.expires.After(now) {
@@ -324,6 +324,18 @@
 	}
 }
 
+// isSlotOverdue reports whether a flow has held its slot for too long without an answer or, if
+// its request is still being transferred, without new bytes.
+func (a *Agent) isSlotOverdue(now time.Time, entry *flowEntry) bool {
+	switch {
+	case entry.slotReservedAt.IsZero():
+		return false
+	case entry.isTransferring() && !entry.transfer.startedAt.IsZero():
+		return entry.transfer.isIdle(now)
+	}
+	return now.Sub(entry.slotReservedAt) > answerTimeout
+}
+
 // maxViewAgeForReset limits resets of carried flows: a search that found no owner ends in a
 // reset only if the view was compared with the platform within this time.
 const maxViewAgeForReset = 2500 * time.Millisecond
--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -1,24 +1,44 @@
 package agent
 
-import "time"
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/flow"
+)
 
 // answerTimeout is how long a request of a carried flow without an answer holds its slot.
 const answerTimeout = 5 * time.Second
 
 // reserveSlot counts a request as running on the backend server, unless the flow holds a slot
-// already. A new flow takes a slot at once, since most callers send a request at once.
+// already. A new flow takes a slot at once, since most callers send a request at once. An upload
+// request takes a share of a slot until all its bytes are delivered.
 func (a *Agent) reserveSlot(now time.Time, entry *flowEntry) {
 	if !a.config.Carried || !entry.slotReservedAt.IsZero() {
 		return
 	}
 	entry.slotReservedAt = now
+	if service := a.view.Service(entry.service); service != nil && service.IsUpload() {
+		entry.transfer = new(transfer)
+		a.load.beginTransfer(now)
+		return
+	}
 	a.load.start(now)
 }
 
 // recordRequest records that bytes of a request are delivered. Service time counts from the
-// first of them.
-func (a *Agent) recordRequest(now time.Time, entry *flowEntry) {
+// first of them or, for an upload request, from the last.
+func (a *Agent) recordRequest(now time.Time, service *fleet.RoutedService, entry *flowEntry, packet flow.Packet) {
+	if service.IsUpload() {
+		a.recordUpload(now, entry, packet)
+		return
+	}
 	a.reserveSlot(now, entry)
+	a.beginService(now, entry)
+}
+
+// beginService records that the backend server can begin to work on the current request.
+func (a *Agent) beginService(now time.Time, entry *flowEntry) {
 	if !entry.requestDeliveredAt.IsZero() {
 		return
 	}
@@ -33,6 +53,9 @@
 	if entry.slotReservedAt.IsZero() {
 		return
 	}
+	if entry.isTransferring() {
+		a.completeUnnoticed(now, entry)
+	}
 	latency := now.Sub(entry.slotReservedAt)
 	a.config.Observer.ObserveAnswer(latency)
 	a.load.finish(now, latency)
@@ -57,6 +80,10 @@
 	if entry.slotReservedAt.IsZero() {
 		return
 	}
+	if entry.isTransferring() {
+		a.abortTransfer(now, entry)
+		return
+	}
 	a.load.cancel(now)
 	entry.slotReservedAt = time.Time{}
 	if !entry.requestDeliveredAt.IsZero() {
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -47,6 +47,11 @@
 	// running is the number of slots taken: by requests in progress, and by new flows whose
 	// first request is still to come.
 	running int
+	// transfers is the number of upload requests of which bytes are still to come.
+	transfers int
+	// transferTime is the average time that the transfer of an upload request takes, in
+	// nanoseconds, or zero if that is not known yet.
+	transferTime float64
 	// latency is the average time to answer, in nanoseconds, or zero if there was no answer
 	// since the limit was last reset.
 	latency float64
@@ -93,7 +98,7 @@
 }
 
 // HasFreeSlot reports whether one more request fits the limit.
-func (l *Load) HasFreeSlot() bool { return float64(l.running)+1 <= l.limit }
+func (l *Load) HasFreeSlot() bool { return l.occupied()+1 <= l.limit }
 
 // IsCold reports whether the limit has not reached the number of slots.
 func (l *Load) IsCold() bool { return l.limit < l.slots }
@@ -108,7 +113,41 @@
 
 // limitUsage returns the share of the limit in use. It exceeds 1 if more requests are
 // running than the limit allows.
-func (l *Load) limitUsage() float64 { return float64(l.running) / l.limit }
+func (l *Load) limitUsage() float64 { return l.occupied() / l.limit }
+
+// occupied returns the number of slots taken, with the shares that transfers take.
+func (l *Load) occupied() float64 { return float64(l.running) + float64(l.transfers)*l.transferShare() }
+
+// transferShare returns the share of a slot that one transfer takes: the share of a request's
+// time at the backend server in which the server works on it, and at least one in
+// maxTransfersPerSlot.
+func (l *Load) transferShare() float64 {
+	const least = 1.0 / maxTransfersPerSlot
+	if l.transferTime == 0 || l.serviceTime == 0 {
+		return least
+	}
+	return max(least, l.serviceTime/(l.serviceTime+l.transferTime))
+}
+
+// beginTransfer counts an upload request whose bytes are still to come.
+func (l *Load) beginTransfer(now time.Time) {
+	l.integrateBusyTime(now)
+	l.transfers++
+}
+
+// endTransfer counts the end of a transfer, whether all bytes have come or not.
+func (l *Load) endTransfer(now time.Time) {
+	l.integrateBusyTime(now)
+	l.transfers = max(l.transfers-1, 0)
+}
+
+// recordTransferTime adds a sample to the average time that a transfer takes.
+func (l *Load) recordTransferTime(sample time.Duration) {
+	if l.transferTime == 0 {
+		l.transferTime = float64(sample)
+	}
+	l.transferTime += latencyGain * (float64(sample) - l.transferTime)
+}
 
 // start takes a slot for a request.
 func (l *Load) start(now time.Time) {
@@ -200,7 +239,7 @@
 }
 
 // isFull reports whether all slots are taken, so that one more request would queue.
-func (l *Load) isFull() bool { return float64(l.running) >= l.slots }
+func (l *Load) isFull() bool { return l.occupied() >= l.slots }
 
 // serviceTimeOr returns the average service time, or assumed while none has been recorded.
 func (l *Load) serviceTimeOr(assumed time.Duration) time.Duration {
@@ -217,7 +256,7 @@
 	if !l.isFull() {
 		return serviceTime
 	}
-	return time.Duration(float64(serviceTime) * float64(l.running+1) / l.slots)
+	return time.Duration(float64(serviceTime) * (l.occupied() + 1) / l.slots)
 }
 
 // ResetLimit sets the limit back to that of a cold backend server, which has failed or
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -105,6 +105,9 @@
 // seconds by flows that their callers have abandoned, as when copies of an opening packet
 // reach several servers at once. A later request takes a slot again.
 func (a *Agent) releaseUnusedSlot(now time.Time, entry *flowEntry) {
+	if entry.isTransferring() && !entry.transfer.startedAt.IsZero() {
+		return
+	}
 	if entry.requestDeliveredAt.IsZero() {
 		a.releaseSlot(now, entry)
 	}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -196,7 +197,7 @@
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
 	report := Report{
-		Running:     uint32(a.load.Running() + a.admission.QueueLength()),
+		Running:     uint32(math.Round(a.load.occupied()) + float64(a.admission.QueueLength())),
 		Limit:       uint32(a.load.Limit()),
 		Owned:       uint32(a.ownedCount),
 		MaxOwned:    uint32(a.config.MaxFlows),
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -102,6 +102,9 @@
 	Idempotent bool `json:"idempotent,omitempty"`
 	// Priority tells how urgent the requests of the service are. Zero is the most urgent.
 	Priority int `json:"priority,omitempty"`
+	// Upload reports whether requests of the service are uploads: each takes many packets, and
+	// the backend server begins to work on it when it has received the last one.
+	Upload bool `json:"upload,omitempty"`
 }
 
 // ColdStartRate is the number of new flows a second that one backend server with matching labels
@@ -156,7 +159,7 @@
 func (s *Service) Equal(other *Service) bool {
 	return s.Name == other.Name && s.Address == other.Address && s.Protocol == other.Protocol &&
 		s.ColdStartRate == other.ColdStartRate && s.LatencyObjective == other.LatencyObjective && s.Idempotent == other.Idempotent &&
-		s.Priority == other.Priority && s.Timeout == other.Timeout &&
+		s.Priority == other.Priority && s.Timeout == other.Timeout && s.Upload == other.Upload &&
 		slices.EqualFunc(s.ColdStartRates, other.ColdStartRates, ColdStartRate.equal) &&
 		maps.EqualFunc(s.Selectors, other.Selectors, Selector.equal)
 }
--- a/internal/core/fleet/routes.go
+++ b/internal/core/fleet/routes.go
@@ -24,6 +24,7 @@
 	latencyObjective time.Duration
 	timeout          time.Duration
 	priority         int
+	upload           bool
 }
 
 // selector returns the selector for a data centre: its own, or else the one for
@@ -106,6 +107,7 @@
 			latencyObjective: service.LatencyObjective,
 			timeout:          service.Timeout,
 			priority:         service.Priority,
+			upload:           service.Upload,
 		}
 		table.byAddress[address] = i
 		table.byID[id] = i
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -159,6 +159,9 @@
 	return s.selects(dataCentre, labels)
 }
 
+// IsUpload reports whether requests of the service are uploads.
+func (s *RoutedService) IsUpload() bool { return s.upload }
+
 // IsIdempotent reports whether callers may repeat any request of the service.
 func (s *RoutedService) IsIdempotent() bool { return s.idempotent }
 
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -65,6 +65,8 @@
 	// PlacesNear reports whether new flows stay in the data centre whose balancers receive
 	// their packets while a backend server there has room.
 	PlacesNear bool
+	// MaxPayload is the largest payload of a caller's packet, in bytes.
+	MaxPayload int
 }
 
 // Carrier is a running agent that forwards carried flows.
@@ -148,6 +150,7 @@
 		Placement:    core.HandOverWhenFull{},
 		Carried:      true,
 		PlacesNear:   options.PlacesNear,
+		MaxPayload:   options.MaxPayload,
 		Observer:     exchange.NewObserver(counters),
 		Labels:       s.Labels,
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
