Let opening packets that can be in time go before late ones

Cause: waiting opening packets were ordered by priority alone, and a late copy took any free slot. When everything returned at once, late copies of the urgent kind held back new flows of the other kind until these were late too.

Change: the objective deadline is stored when the packet arrives, and each release decides again which packets can still be answered within it. These go first. A late opening packet takes a free slot only if the server is idle or no opening packet that is not late has found the server full for 100 ms; otherwise it waits.

--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -16,6 +16,7 @@
 
 // applyPlacement turns a placement decision about an opening packet into an action.
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
+	a.recordPlacement(now, service, received, decision)
 	switch v := decision.(type) {
 	case handOver:
 		a.countHandOver(v.target)
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -80,6 +80,9 @@
 			return decision
 		}
 	}
+	if a.isReservedAgainst(now, service, received) {
+		return postponement{}
+	}
 	if received.Placed {
 		return a.placeWithinObjective(service, received)
 	}
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -57,13 +57,23 @@
 	visited  []fleet.InstanceID
 	origin   fleet.InstanceID
 	placed   bool
+	// objectiveAt is the objective deadline, or zero if the service publishes no objective.
+	objectiveAt time.Time
+	// isLate reports whether the answer is expected after objectiveAt, as of the last call of
+	// updateLateness.
+	isLate bool
 	// giveUpAt is when the caller sends the next copy or, if isLastCopy is set, gives up.
 	giveUpAt   time.Time
 	isLastCopy bool
 }
 
 // isBefore reports whether the opening packet goes before another, older one.
-func (w *waitingOpening) isBefore(older *waitingOpening) bool { return w.priority <= older.priority }
+func (w *waitingOpening) isBefore(older *waitingOpening) bool {
+	if w.isLate != older.isLate {
+		return older.isLate
+	}
+	return w.priority <= older.priority
+}
 
 // received returns the opening packet as it was received.
 func (w *waitingOpening) received() *ReceivedPacket {
@@ -75,6 +85,9 @@
 	openings []waitingOpening
 	// evicted holds those that must be refused because there is no room for them.
 	evicted []waitingOpening
+	// reservedUntil is until when late opening packets take no slot unless the backend server
+	// is idle.
+	reservedUntil time.Time
 }
 
 // next returns the index of the opening packet that goes next, or -1 if none waits.
@@ -92,7 +105,7 @@
 func (r *waitingRoom) last() int {
 	last := 0
 	for i := range r.openings {
-		if r.openings[i].priority > r.openings[last].priority {
+		if !r.openings[i].isBefore(&r.openings[last]) {
 			last = i
 		}
 	}
@@ -136,9 +149,10 @@
 	return last
 }
 
-// hasMoreUrgent reports whether an opening packet of higher priority waits.
+// hasMoreUrgent reports whether an opening packet of higher priority waits that can still be
+// answered within the objective.
 func (r *waitingRoom) hasMoreUrgent(priority int) bool {
-	return slices.ContainsFunc(r.openings, func(w waitingOpening) bool { return w.priority < priority })
+	return slices.ContainsFunc(r.openings, func(w waitingOpening) bool { return !w.isLate && w.priority < priority })
 }
 
 // maxFullVisits is the number of agents without room that an opening packet visits before it
@@ -168,16 +182,20 @@
 	if !now.Before(giveUpAt) {
 		return &Reset{Reason: RefuseWait}
 	}
+	objectiveAt := objectiveDeadline(now, service, packet)
+	a.updateLateness(now)
 	a.waiting.add(waitingOpening{
-		flow:       packet.Flow(),
-		service:    service.ID(),
-		priority:   service.Priority(),
-		packet:     packet.Clone(),
-		visited:    slices.Clone(received.Visited),
-		origin:     received.Origin,
-		placed:     received.Placed,
-		giveUpAt:   giveUpAt,
-		isLastCopy: isLast,
+		flow:        packet.Flow(),
+		service:     service.ID(),
+		priority:    service.Priority(),
+		packet:      packet.Clone(),
+		visited:     slices.Clone(received.Visited),
+		origin:      received.Origin,
+		placed:      received.Placed,
+		objectiveAt: objectiveAt,
+		isLate:      a.isLate(now, service, objectiveAt),
+		giveUpAt:    giveUpAt,
+		isLastCopy:  isLast,
 	}, a.waitingLimit(service))
 	return &Wait{}
 }
@@ -200,13 +218,24 @@
 	if service.Timeout() == 0 {
 		return firstCopyAt.Add(openingTimeout)
 	}
-	return firstCopyAt.Add(service.Timeout() - a.load.serviceTimeOr(assumedServiceTime(service)))
+	return firstCopyAt.Add(service.Timeout() - a.expectedServiceTime(service))
+}
+
+// updateLateness decides again which waiting opening packets can still be answered within
+// their objective.
+func (a *Agent) updateLateness(now time.Time) {
+	for i := range a.waiting.openings {
+		opening := &a.waiting.openings[i]
+		if service := a.view.Service(opening.service); service != nil {
+			opening.isLate = a.isLate(now, service, opening.objectiveAt)
+		}
+	}
 }
 
 // waitingLimit returns the number of opening packets that the backend server can take within
 // maxUsefulWait.
 func (a *Agent) waitingLimit(service *fleet.RoutedService) int {
-	serviceTime := a.load.serviceTimeOr(assumedServiceTime(service))
+	serviceTime := a.expectedServiceTime(service)
 	return min(int(a.load.slots*float64(maxUsefulWait)/float64(serviceTime)), maxWaiting)
 }
 
@@ -219,9 +248,16 @@
 		released = append(released, opening.resolve(&Reset{Reason: RefuseWait}))
 	}
 	a.waiting.evicted = nil
+	a.updateLateness(now)
 	for {
 		index := a.waiting.next()
-		if index < 0 || !a.hasRoomFor(now, &a.waiting.openings[index]) {
+		if index < 0 {
+			return released
+		}
+		if opening := &a.waiting.openings[index]; !a.hasRoomFor(now, opening) {
+			if !opening.isLate {
+				a.recordShortage(now)
+			}
 			return released
 		}
 		released = append(released, a.release(now, a.waiting.take(index)))
@@ -234,7 +270,12 @@
 // otherwise the queue would never become short while flows wait.
 func (a *Agent) hasRoomFor(now time.Time, opening *waitingOpening) bool {
 	service := a.view.Service(opening.service)
-	if service == nil || a.draining || !a.load.isFull() {
+	switch {
+	case service == nil || a.draining:
+		return true
+	case opening.isLate && !a.admitsLate(now):
+		return false
+	case !a.load.isFull():
 		return true
 	}
 	candidates := a.candidates(service, opening.origin)
