Refuse opening packets that cannot be answered before the timeout

Cause: an opening packet that came after its timeout took a free slot or waited, and until when one could wait was decided when it came, with the service time of then. One whose wait ended late was refused although its caller had sent the next copy, which another agent may have delivered.

Change: an opening packet that arrives too late for an answer before the timeout is refused at once (refuse_timeout). Waiting ones are assessed again at each release with the service time of now. A packet is not refused any more once its caller has sent the next copy; it is forgotten. Services without a published timeout refuse nothing on arrival.

Result: three tests in reservation_test.go, one for each cause.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -95,9 +95,11 @@
 	RefuseNotAccepting Reason = "refuse_not_accepting"
 	RefuseConnections  Reason = "refuse_connections"
 	RefuseWait         Reason = "refuse_wait"
-	RefuseDial         Reason = "refuse_dial"
-	RefuseCold         Reason = "refuse_cold"
-	RefuseRetryBudget  Reason = "refuse_retry_budget"
+	// RefuseTimeout means that the answer would come after the timeout of the service.
+	RefuseTimeout     Reason = "refuse_timeout"
+	RefuseDial        Reason = "refuse_dial"
+	RefuseCold        Reason = "refuse_cold"
+	RefuseRetryBudget Reason = "refuse_retry_budget"
 
 	RetryDial            Reason = "retry_dial"
 	RetryWait            Reason = "retry_wait"
--- a/internal/core/agent/burst_test.go
+++ b/internal/core/agent/burst_test.go
@@ -96,7 +96,7 @@
 
 // arrive adds a caller of a kind that has sent a number of copies before.
 func (b *burst) arrive(kind int, copies uint32) *burstCaller {
-	caller := &burstCaller{kind: kind, isLate: copies > 0, copies: copies, nextCopyAt: b.now.Add(copyIntervals[copies])}
+	caller := &burstCaller{kind: kind, isLate: copies > 0, copies: copies, nextCopyAt: b.now.Add(copyIntervals[min(int(copies), len(copyIntervals)-1)])}
 	caller.id = flow.NewID(flow.NewAddress(flow.TCP, kindAddress(kind)), netip.AddrPortFrom(netip.MustParseAddr("10.1.0.1"), uint16(len(b.all)+1)))
 	caller.startedAt = b.now
 	for _, interval := range copyIntervals[:copies] {
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -80,8 +80,8 @@
 			return decision
 		}
 	}
-	if a.isReservedAgainst(now, service, received) {
-		return postponement{}
+	if decision := a.placeLate(now, service, received); decision != nil {
+		return decision
 	}
 	if received.Placed {
 		return a.placeWithinObjective(service, received)
--- a/internal/core/agent/reservation.go
+++ b/internal/core/agent/reservation.go
@@ -32,11 +32,20 @@
 	return !objectiveAt.IsZero() && now.Add(a.expectedServiceTime(service)).After(objectiveAt)
 }
 
-// isReservedAgainst reports whether a new flow that arrives now must wait although the backend
-// server may have a free slot: it is late, and the free slots are reserved for flows that are
-// not.
-func (a *Agent) isReservedAgainst(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) bool {
-	return a.config.Carried && !a.admitsLate(now) && a.isLate(now, service, objectiveDeadline(now, service, received.Packet))
+// placeLate decides about a new flow that arrives too late to be placed like others, and
+// returns nil about any other. A flow that cannot be answered before the timeout is refused. A
+// late flow waits while the free slots are reserved for flows that are not late.
+func (a *Agent) placeLate(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+	if !a.config.Carried {
+		return nil
+	}
+	if service.Timeout() != 0 && !now.Before(a.lastUsefulStart(service, timeoutDeadline(now, service, received.Packet))) {
+		return refusal{RefuseTimeout}
+	}
+	if !a.admitsLate(now) && a.isLate(now, service, objectiveDeadline(now, service, received.Packet)) {
+		return postponement{}
+	}
+	return nil
 }
 
 // admitsLate reports whether late opening packets may take free slots: the backend server is
--- a/internal/core/agent/reservation_test.go
+++ b/internal/core/agent/reservation_test.go
@@ -63,9 +63,60 @@
 	_, a := newReservation(t)
 	room.openings[0].service, room.openings[1].service = orders, orders
 	a.waiting = *room
-	a.updateLateness(settledAt)
+	a.reassessWaiting(settledAt)
 	require.Equal(t, 0, a.waiting.next())
-	a.updateLateness(settledAt.Add(201 * time.Millisecond))
+	a.reassessWaiting(settledAt.Add(201 * time.Millisecond))
 	require.Equal(t, 1, a.waiting.next())
 	require.Equal(t, 0, a.waiting.last())
 }
+
+// Guards against opening packets that take a slot or wait although their callers give up before
+// any answer.
+func TestOpeningBeyondItsTimeoutIsRefusedAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		timeout time.Duration
+		copies  uint32
+		refused bool
+	}{
+		"in time":          {timeout: 800 * time.Millisecond, copies: 2},
+		"just too late":    {timeout: 610 * time.Millisecond, copies: 2, refused: true},
+		"long too late":    {timeout: 300 * time.Millisecond, copies: 2, refused: true},
+		"no timeout known": {copies: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBurst(t, []float64{1}, kindOfRequest{objective: 200 * time.Millisecond, timeout: test.timeout, serviceTime: 15 * time.Millisecond})
+			caller := b.arrive(0, test.copies)
+			require.Equal(t, test.refused, caller.isRefused)
+			require.Equal(t, !test.refused, caller.isAccepted)
+		})
+	}
+}
+
+// Guards against an opening packet that waits on although the server has become so slow that it
+// cannot be answered before the timeout any more.
+func TestWaitingOpeningIsRefusedOnceTheServerIsTooSlow(t *testing.T) {
+	b := newBurst(t, []float64{1}, kindOfRequest{objective: 200 * time.Millisecond, timeout: 400 * time.Millisecond, serviceTime: time.Second})
+	a := b.servers[b.order[0]].agent
+	b.arrive(0, 0)
+	a.recordShortage(b.now)
+	waiting := b.arrive(0, 1)
+	b.release(b.order[0])
+	require.False(t, waiting.isRefused)
+	a.load.recordServiceTime(250 * time.Millisecond)
+	b.release(b.order[0])
+	require.True(t, waiting.isRefused)
+}
+
+// Guards against a reset of a flow that another agent may have delivered: after the next copy is
+// sent, nobody refuses the copy before.
+func TestOpeningIsNotRefusedOnceTheNextCopyIsSent(t *testing.T) {
+	b := newBurst(t, []float64{1}, kindOfRequest{objective: 100 * time.Millisecond, timeout: 500 * time.Millisecond, serviceTime: time.Second})
+	a := b.servers[b.order[0]].agent
+	b.arrive(0, 0)
+	waiting := waitingOpening{flow: b.all[0].id, nextCopyAt: b.now.Add(190 * time.Millisecond), lastStartAt: b.now.Add(180 * time.Millisecond)}
+	a.waiting.openings, a.waiting.evicted = []waitingOpening{waiting}, []waitingOpening{waiting}
+	require.Empty(t, a.ReleaseWaiting(b.now.Add(210*time.Millisecond)))
+	require.Empty(t, a.waiting.openings)
+	a.waiting.openings = []waitingOpening{waiting}
+	require.Len(t, a.ReleaseWaiting(b.now.Add(180*time.Millisecond)), 1)
+}
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -18,7 +18,8 @@
 // that are left over.
 //
 // No opening packet waits here longer than until its caller sends the next copy, which goes
-// to another agent and waits there. After the last copy the caller gets a reset.
+// to another agent and waits there. After the last copy, and as soon as the answer would come
+// after the timeout, the caller gets a reset.
 const (
 	// copyMargin is how long before the next copy is sent the wait for it ends, at least.
 	copyMargin = 10 * time.Millisecond
@@ -60,13 +61,30 @@
 	// objectiveAt is the objective deadline, or zero if the service publishes no objective.
 	objectiveAt time.Time
 	// isLate reports whether the answer is expected after objectiveAt, as of the last call of
-	// updateLateness.
+	// reassess.
 	isLate bool
-	// giveUpAt is when the caller sends the next copy or, if isLastCopy is set, gives up.
-	giveUpAt   time.Time
+	// timeoutAt is the end of the timeout, see timeoutDeadline.
+	timeoutAt time.Time
+	// lastStartAt is when the backend server must have started to serve the flow at the latest,
+	// so that the answer comes before timeoutAt, as of the last call of reassess.
+	lastStartAt time.Time
+	// nextCopyAt is shortly before the caller sends the next copy or, if isLastCopy is set,
+	// gives up.
+	nextCopyAt time.Time
 	isLastCopy bool
 }
 
+// isExpired reports whether the wait is over.
+func (w *waitingOpening) isExpired(now time.Time) bool {
+	return !now.Before(w.nextCopyAt) || !now.Before(w.lastStartAt)
+}
+
+// isRefusable reports whether the caller may get a reset. Once it has sent the next copy it may
+// not, since another agent may have delivered that.
+func (w *waitingOpening) isRefusable(now time.Time) bool {
+	return w.isLastCopy || now.Before(w.nextCopyAt)
+}
+
 // isBefore reports whether the opening packet goes before another, older one.
 func (w *waitingOpening) isBefore(older *waitingOpening) bool {
 	if w.isLate != older.isLate {
@@ -133,20 +151,19 @@
 	r.openings = slices.DeleteFunc(r.openings, func(w waitingOpening) bool { return w.flow == id })
 }
 
-// takeExpired removes the opening packets whose wait is over and returns those whose caller
-// sends no more copies.
-func (r *waitingRoom) takeExpired(now time.Time) []waitingOpening {
-	var last []waitingOpening
+// takeRefused removes the opening packets whose wait is over, and returns them and the evicted
+// ones as far as their callers may get a reset.
+func (r *waitingRoom) takeRefused(now time.Time) []waitingOpening {
+	refused := r.evicted
+	r.evicted = nil
 	r.openings = slices.DeleteFunc(r.openings, func(w waitingOpening) bool {
-		if now.Before(w.giveUpAt) {
+		if !w.isExpired(now) {
 			return false
 		}
-		if w.isLastCopy {
-			last = append(last, w)
-		}
+		refused = append(refused, w)
 		return true
 	})
-	return last
+	return slices.DeleteFunc(refused, func(w waitingOpening) bool { return !w.isRefusable(now) })
 }
 
 // hasMoreUrgent reports whether an opening packet of higher priority waits that can still be
@@ -175,28 +192,25 @@
 func (a *Agent) waitForRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	packet := received.Packet
 	copies := min(int(packet.AcknowledgedToken()), len(copyIntervals)-1)
-	giveUpAt, isLast := now.Add(copyIntervals[copies]-copyMargin), copies == len(copyIntervals)-1
-	if timeoutAt := a.lastUsefulStart(now, service, packet); timeoutAt.Before(giveUpAt) {
-		giveUpAt, isLast = timeoutAt, true
-	}
-	if !now.Before(giveUpAt) {
-		return &Reset{Reason: RefuseWait}
-	}
-	objectiveAt := objectiveDeadline(now, service, packet)
-	a.updateLateness(now)
-	a.waiting.add(waitingOpening{
+	opening := waitingOpening{
 		flow:        packet.Flow(),
 		service:     service.ID(),
 		priority:    service.Priority(),
-		packet:      packet.Clone(),
 		visited:     slices.Clone(received.Visited),
 		origin:      received.Origin,
 		placed:      received.Placed,
-		objectiveAt: objectiveAt,
-		isLate:      a.isLate(now, service, objectiveAt),
-		giveUpAt:    giveUpAt,
-		isLastCopy:  isLast,
-	}, a.waitingLimit(service))
+		objectiveAt: objectiveDeadline(now, service, packet),
+		timeoutAt:   timeoutDeadline(now, service, packet),
+		nextCopyAt:  now.Add(copyIntervals[copies] - copyMargin),
+		isLastCopy:  copies == len(copyIntervals)-1,
+	}
+	a.reassess(now, service, &opening)
+	if opening.isExpired(now) {
+		return &Reset{Reason: RefuseWait}
+	}
+	opening.packet = packet.Clone()
+	a.reassessWaiting(now)
+	a.waiting.add(opening, a.waitingLimit(service))
 	return &Wait{}
 }
 
@@ -210,24 +224,38 @@
 	return elapsed
 }
 
+// timeoutDeadline returns the end of the timeout of an opening packet that arrives now. Without
+// a published timeout it is when the caller gives up the opening.
+func timeoutDeadline(now time.Time, service *fleet.RoutedService, opening flow.Packet) time.Time {
+	timeout := service.Timeout()
+	if timeout == 0 {
+		timeout = openingTimeout
+	}
+	return now.Add(timeout - timeSinceFirstCopy(opening))
+}
+
 // lastUsefulStart returns when the backend server must have started to serve a flow at the
-// latest, so that the answer comes before the timeout of the service. Without a timeout it is
-// when the caller gives up the opening.
-func (a *Agent) lastUsefulStart(now time.Time, service *fleet.RoutedService, opening flow.Packet) time.Time {
-	firstCopyAt := now.Add(-timeSinceFirstCopy(opening))
+// latest, so that the answer comes before the timeout of the service. A caller that gives up the
+// opening only needs its handshake before.
+func (a *Agent) lastUsefulStart(service *fleet.RoutedService, timeoutAt time.Time) time.Time {
 	if service.Timeout() == 0 {
-		return firstCopyAt.Add(openingTimeout)
+		return timeoutAt
 	}
-	return firstCopyAt.Add(service.Timeout() - a.expectedServiceTime(service))
+	return timeoutAt.Add(-a.expectedServiceTime(service))
+}
+
+// reassess decides again whether a waiting opening packet can still be answered within its
+// objective, and until when it can be answered at all.
+func (a *Agent) reassess(now time.Time, service *fleet.RoutedService, opening *waitingOpening) {
+	opening.isLate = a.isLate(now, service, opening.objectiveAt)
+	opening.lastStartAt = a.lastUsefulStart(service, opening.timeoutAt)
 }
 
-// updateLateness decides again which waiting opening packets can still be answered within
-// their objective.
-func (a *Agent) updateLateness(now time.Time) {
+// reassessWaiting reassesses all waiting opening packets.
+func (a *Agent) reassessWaiting(now time.Time) {
 	for i := range a.waiting.openings {
-		opening := &a.waiting.openings[i]
-		if service := a.view.Service(opening.service); service != nil {
-			opening.isLate = a.isLate(now, service, opening.objectiveAt)
+		if service := a.view.Service(a.waiting.openings[i].service); service != nil {
+			a.reassess(now, service, &a.waiting.openings[i])
 		}
 	}
 }
@@ -244,11 +272,10 @@
 // be called after answers of the backend server and now and then.
 func (a *Agent) ReleaseWaiting(now time.Time) []Resolution {
 	var released []Resolution
-	for _, opening := range slices.Concat(a.waiting.evicted, a.waiting.takeExpired(now)) {
+	a.reassessWaiting(now)
+	for _, opening := range a.waiting.takeRefused(now) {
 		released = append(released, opening.resolve(&Reset{Reason: RefuseWait}))
 	}
-	a.waiting.evicted = nil
-	a.updateLateness(now)
 	for {
 		index := a.waiting.next()
 		if index < 0 {
