Keep the queue at a server short enough for the most urgent service

Cause: a new flow could queue at the server as long as its own objective allowed. A service with a long objective filled the queue, so that the requests of a more urgent service, or of one as urgent with a shorter objective, were late behind it.

Change: the expected response time with which a flow may still queue is bounded by the objectives of the services of its priority at the server and by half of those of the more urgent ones. Beyond it the opening packet waits at the agent, where the order of urgency holds.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -244,7 +244,8 @@
 	// outsiders limits the search outside the services of flows.
 	outsiders *rate.Limiter
 	// waiting holds the opening packets that wait for room.
-	waiting waitingRoom
+	waiting     waitingRoom
+	queueLimits queueLimits
 	// startedAt is when this process started, or zero before Start.
 	startedAt time.Time
 	// allFlowsKnown reports whether all flows of the backend server were opened through
@@ -291,6 +292,7 @@
 		lookups:        newLookups(),
 		polls:          make(map[flow.ID]*pollState),
 		pendingClaims:  make(map[flow.ID]pendingClaim),
+		queueLimits:    make(queueLimits),
 		denials:        newDenials(),
 		owners:         newOwnerLists(false),
 		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -355,4 +355,7 @@
 func (a *Agent) RecordViewConfirmed(at time.Time) { a.viewConfirmedAt = at }
 
 // SetLabels replaces Config.Labels.
-func (a *Agent) SetLabels(labels map[string]string) { a.config.Labels = labels }
+func (a *Agent) SetLabels(labels map[string]string) {
+	a.config.Labels = labels
+	clear(a.queueLimits)
+}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -157,6 +157,7 @@
 // have a grace period. The grace period of a flow whose data centre is back ends.
 func (a *Agent) ApplyView(view *fleet.View) []OwnedFlow {
 	a.view, a.owners = view, newOwnerLists(false)
+	clear(a.queueLimits)
 	a.setSiblings()
 	a.membershipHash = view.MembershipHash()
 	if backend := view.Backend(a.config.Self); backend != nil {
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -164,7 +164,8 @@
 
 // placeWithinObjective accepts a new flow, unless the backend server queues requests itself
 // and is not expected to answer the flow's first request within the service's latency
-// objective, counted from the first copy of the opening packet, or a more urgent flow waits. Such a flow is postponed. This guards against a long queue
+// objective, counted from the first copy of the opening packet, and within queueLimit, or a more
+// urgent flow waits. Such a flow is postponed. This guards against a long queue
 // at the server, which forms when more requests than slots arrive for seconds, as when all
 // servers come back cold: queued requests are served at the same rate whatever the length of
 // the queue, but behind a long queue all of them are late.
@@ -173,7 +174,7 @@
 	if objective == 0 || !a.config.Carried || !a.load.isFull() {
 		return acceptance{}
 	}
-	remaining := objective - timeSinceFirstCopy(received.Packet)
+	remaining := min(objective-timeSinceFirstCopy(received.Packet), a.queueLimit(service))
 	if a.waiting.hasMoreUrgent(service.Priority()) || a.load.expectedResponseTime(assumedServiceTime(service)) > remaining {
 		return a.postpone(service, received)
 	}
--- /dev/null
+++ b/internal/core/agent/queuelimit.go
@@ -0,0 +1,38 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
+
+// lessUrgentQueueShare is the share of the objective of a service that requests of less urgent
+// services may queue at the backend server, so that the queue leaves room for its own.
+const lessUrgentQueueShare = 0.5
+
+// queueLimits holds the longest expected response time with which a new flow may still queue at
+// the backend server, by the priority of its service. The server answers in the order of arrival,
+// so that services with a long objective could fill the queue until all requests of a service with
+// a short one are late. The limits are computed when they are needed first.
+type queueLimits map[int]time.Duration
+
+// queueLimit returns the limit for a service that publishes an objective: the shortest objective
+// of the services of its priority at this server and, in part, of those more urgent.
+func (a *Agent) queueLimit(service *fleet.RoutedService) time.Duration {
+	if limit, known := a.queueLimits[service.Priority()]; known {
+		return limit
+	}
+	limit := serverObjective(service)
+	for other := range a.view.Services() {
+		objective := serverObjective(other)
+		if objective == 0 || other.Priority() > service.Priority() || !other.Selects(a.config.DataCentre, a.config.Labels) {
+			continue
+		}
+		if other.Priority() < service.Priority() {
+			objective = time.Duration(lessUrgentQueueShare * float64(objective))
+		}
+		limit = min(limit, objective)
+	}
+	a.queueLimits[service.Priority()] = limit
+	return limit
+}
