Count waiting opening packets in load reports and offer slots for them

Cause: agents of carried flows told their siblings nothing of the opening packets that waited, and a free slot at another agent was found only by its next periodic report. One opening packet that had visited the agent with the free slot kept the others from going there.

Change: Report.Running counts waiting opening packets. An agent at which some wait is due a report at once, and one with a free slot and none waiting offers it to the sibling with the most (UrgentReport). After a report, ReleaseWaiting hands over one waiting opening packet for each free slot, in their order, of those that have not visited the agent. Offers look at the siblings with waiting requests only, since there may be thousands of others.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -229,7 +229,9 @@
 	random              *rand.Rand
 	// reports holds the latest load report of each sibling.
 	reports map[fleet.InstanceID]siblingReport
-	budget  retryBudget
+	// waitingSiblings holds the siblings at which requests wait by their latest report.
+	waitingSiblings map[fleet.InstanceID]struct{}
+	budget          retryBudget
 	// directory holds the flows that other agents have registered with this one.
 	directory      directory
 	forwardHistory forwardHistory
@@ -278,24 +280,25 @@
 		config.Observer = noopObserver{}
 	}
 	a := &Agent{
-		config:         config,
-		view:           view,
-		flows:          make(map[flow.ID]*flowEntry),
-		load:           load,
-		admission:      NewAdmission(load),
-		weight:         newWeightLearner(),
-		random:         random,
-		reports:        make(map[fleet.InstanceID]siblingReport),
-		requestStats:   make(map[fleet.ServiceID]*requestStats),
-		directory:      newDirectory(maxRegisteredPerFlow * config.MaxFlows),
-		forwardHistory: make(forwardHistory),
-		lookups:        newLookups(),
-		polls:          make(map[flow.ID]*pollState),
-		pendingClaims:  make(map[flow.ID]pendingClaim),
-		queueLimits:    make(queueLimits),
-		denials:        newDenials(),
-		owners:         newOwnerLists(false),
-		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
+		config:          config,
+		view:            view,
+		flows:           make(map[flow.ID]*flowEntry),
+		load:            load,
+		admission:       NewAdmission(load),
+		weight:          newWeightLearner(),
+		random:          random,
+		reports:         make(map[fleet.InstanceID]siblingReport),
+		waitingSiblings: make(map[fleet.InstanceID]struct{}),
+		requestStats:    make(map[fleet.ServiceID]*requestStats),
+		directory:       newDirectory(maxRegisteredPerFlow * config.MaxFlows),
+		forwardHistory:  make(forwardHistory),
+		lookups:         newLookups(),
+		polls:           make(map[flow.ID]*pollState),
+		pendingClaims:   make(map[flow.ID]pendingClaim),
+		queueLimits:     make(queueLimits),
+		denials:         newDenials(),
+		owners:          newOwnerLists(false),
+		outsiders:       rate.NewLimiter(outsiderRate, outsiderBurst),
 
 		membershipHash: view.MembershipHash(),
 	}
--- a/internal/core/agent/burst_test.go
+++ b/internal/core/agent/burst_test.go
@@ -196,17 +196,11 @@
 	}
 }
 
-// exchangeReports sends the reports that are due: to the recipients of an offer, or else to all
-// recipients if opening packets wait.
+// exchangeReports sends the urgent reports that are due.
 func (b *burst) exchangeReports() {
 	for _, id := range b.order {
 		a := b.servers[id].agent
-		var recipients []*fleet.Target
-		if sibling := a.OfferRecipient(b.now); sibling != nil {
-			recipients = append(recipients, sibling)
-		} else if a.ShouldReportWaiting(b.now) {
-			recipients = a.ReportRecipients()
-		}
+		recipients, _ := a.UrgentReport(b.now)
 		for _, recipient := range recipients {
 			b.servers[recipient.ID()].agent.HandleReport(b.now, id, a.Report(b.now))
 			b.release(recipient.ID())
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -11,12 +11,13 @@
 // receiveOpening decides which agent serves a new flow, and records the decision for
 // retransmissions of the opening packet.
 func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	return a.applyPlacement(now, service, received, a.place(now, service, received))
+	decision := a.place(now, service, received)
+	a.recordPlacement(now, a.isLate(now, service, objectiveDeadline(now, service, received.Packet)), decision)
+	return a.applyPlacement(now, service, received, decision)
 }
 
 // applyPlacement turns a placement decision about an opening packet into an action.
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
-	a.recordPlacement(now, service, received, decision)
 	switch v := decision.(type) {
 	case handOver:
 		a.countHandOver(v.target)
--- a/internal/core/agent/reservation.go
+++ b/internal/core/agent/reservation.go
@@ -60,10 +60,10 @@
 	a.waiting.reservedUntil = now.Add(reservationPeriod)
 }
 
-// recordPlacement records a shortage if a new flow that is not late finds the backend server
-// full.
-func (a *Agent) recordPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) {
-	if a.isLate(now, service, objectiveDeadline(now, service, received.Packet)) {
+// recordPlacement records a shortage if an opening packet that is not late finds the backend
+// server full.
+func (a *Agent) recordPlacement(now time.Time, isLate bool, decision placementDecision) {
+	if isLate {
 		return
 	}
 	switch v := decision.(type) {
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -15,7 +16,7 @@
 type Report struct {
 	_ struct{} `cbor:",toarray"`
 	// Running is the number of requests that hold a slot or wait for one. A new flow counts
-	// as a request.
+	// as a request, also one whose opening packet waits at the agent.
 	Running uint32
 	// Limit is the number of requests that the backend server can run at once, or zero if
 	// the agent is draining. Siblings take the excess of Running over it as the
@@ -63,11 +64,17 @@
 }
 
 // HandleReport stores a sibling's report. It returns the tickets of waiting requests that
-// the caller must hand over to the sibling, at most one for each of its free slots.
+// the caller must hand over to the sibling, at most one for each of its free slots. For carried
+// flows ReleaseWaiting must be called instead, which hands waiting opening packets over.
 func (a *Agent) HandleReport(now time.Time, id fleet.InstanceID, report Report) []Ticket {
 	a.reports[id] = siblingReport{report: report, expiresAt: now.Add(reportLifetime)}
+	a.recordWaiting(id, report)
 	freeSlots := int(report.Limit) - int(report.Running)
-	if freeSlots <= 0 || a.admission.QueueLength() == 0 {
+	if freeSlots <= 0 {
+		return nil
+	}
+	a.waiting.recordOffer(id)
+	if a.admission.QueueLength() == 0 {
 		return nil
 	}
 	return a.admission.HandOver(freeSlots)
@@ -81,29 +88,72 @@
 	waitingReportInterval = 150 * time.Millisecond
 )
 
+// UrgentReport returns the siblings that should be sent a report between two periodic ones:
+// the recipient of an offer of a free slot or, if requests wait here, all report recipients.
+// isOffer tells which.
+func (a *Agent) UrgentReport(now time.Time) (recipients []*fleet.Target, isOffer bool) {
+	if sibling := a.OfferRecipient(now); sibling != nil {
+		return []*fleet.Target{sibling}, true
+	}
+	if a.ShouldReportWaiting(now) {
+		return a.ReportRecipients(), false
+	}
+	return nil, false
+}
+
+// waitingCount returns the number of requests and opening packets that wait here.
+func (a *Agent) waitingCount() int { return a.admission.QueueLength() + a.waiting.Len() }
+
+// recordWaiting records whether requests wait at a sibling by its latest report.
+func (a *Agent) recordWaiting(id fleet.InstanceID, report Report) {
+	if report.Running > report.Limit {
+		a.waitingSiblings[id] = struct{}{}
+	} else {
+		delete(a.waitingSiblings, id)
+	}
+}
+
 // OfferRecipient returns the sibling that should be sent a report at once because this
-// agent has a free slot: the one with the most requests waiting by its latest report. It
-// counts the offer. It returns nil if none waits, or if no offer may be made now.
+// agent has a free slot and nothing waits for it: the one with the most requests waiting by its
+// latest report. It counts the offer. It returns nil if none waits, or if no offer may be made
+// now.
 func (a *Agent) OfferRecipient(now time.Time) *fleet.Target {
-	if a.draining || !a.admission.HasFreeSlot() || now.Before(a.nextOfferAt) {
+	if a.draining || !a.admission.HasFreeSlot() || a.waiting.Len() > 0 || now.Before(a.nextOfferAt) {
 		return nil
 	}
-	var longest *fleet.Target
+	longest := a.longestWaitingSibling(now)
+	if longest != nil {
+		a.nextOfferAt = now.Add(offerInterval)
+		a.countOffer(longest)
+	}
+	return longest
+}
+
+// longestWaitingSibling returns the sibling with the most requests waiting by its latest report,
+// or nil if none waits. It considers only waitingSiblings, since it is called after each batch
+// of packets and there may be thousands of siblings.
+func (a *Agent) longestWaitingSibling(now time.Time) *fleet.Target {
+	var longest fleet.InstanceID
 	most := 0
-	for _, sibling := range a.Siblings() {
-		report, known := a.latestReport(now, sibling.ID())
-		if !known {
+	for id := range a.waitingSiblings {
+		report, known := a.latestReport(now, id)
+		waiting := int(report.Running) - int(report.Limit)
+		if !known || waiting <= 0 {
+			delete(a.waitingSiblings, id)
 			continue
 		}
-		if waiting := int(report.Running) - int(report.Limit); waiting > most {
-			longest, most = sibling, waiting
+		if waiting > most || waiting == most && id < longest {
+			longest, most = id, waiting
 		}
 	}
-	if longest != nil {
-		a.nextOfferAt = now.Add(offerInterval)
-		a.countOffer(longest)
+	if most == 0 {
+		return nil
 	}
-	return longest
+	if at := slices.IndexFunc(a.siblings, func(s *fleet.Target) bool { return s.ID() == longest }); at >= 0 {
+		return a.siblings[at]
+	}
+	delete(a.waitingSiblings, longest)
+	return nil
 }
 
 // countOffer lowers the stored Running of a sibling by one, for the request that it may
@@ -118,7 +168,7 @@
 // ShouldReportWaiting reports whether siblings should be sent a report at once because
 // requests wait here. If so, the next one is due after waitingReportInterval.
 func (a *Agent) ShouldReportWaiting(now time.Time) bool {
-	if a.admission.QueueLength() == 0 || now.Before(a.nextWaitingReportAt) {
+	if a.waitingCount() == 0 || now.Before(a.nextWaitingReportAt) {
 		return false
 	}
 	a.nextWaitingReportAt = now.Add(waitingReportInterval)
@@ -197,7 +247,7 @@
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
 	report := Report{
-		Running:     uint32(math.Round(a.load.occupied()) + float64(a.admission.QueueLength())),
+		Running:     uint32(math.Round(a.load.occupied()) + float64(a.waitingCount())),
 		Limit:       uint32(a.load.Limit()),
 		Owned:       uint32(a.ownedCount),
 		MaxOwned:    uint32(a.config.MaxFlows),
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -106,13 +106,31 @@
 	// reservedUntil is until when late opening packets take no slot unless the backend server
 	// is idle.
 	reservedUntil time.Time
+	// offers holds the siblings that have reported a free slot since the last release.
+	offers []fleet.InstanceID
+}
+
+// Len returns the number of opening packets that wait.
+func (r *waitingRoom) Len() int { return len(r.openings) }
+
+// recordOffer records that a sibling has a free slot, if an opening packet waits for one.
+func (r *waitingRoom) recordOffer(sibling fleet.InstanceID) {
+	if r.Len() > 0 && !slices.Contains(r.offers, sibling) {
+		r.offers = append(r.offers, sibling)
+	}
 }
 
 // next returns the index of the opening packet that goes next, or -1 if none waits.
 func (r *waitingRoom) next() int {
+	return r.nextOf(func(*waitingOpening) bool { return true })
+}
+
+// nextOf returns the index of the opening packet that goes next of those for which isEligible
+// returns true, or -1 if there is none.
+func (r *waitingRoom) nextOf(isEligible func(*waitingOpening) bool) int {
 	best := -1
 	for i := range r.openings {
-		if best < 0 || r.openings[i].isBefore(&r.openings[best]) {
+		if isEligible(&r.openings[i]) && (best < 0 || r.openings[i].isBefore(&r.openings[best])) {
 			best = i
 		}
 	}
@@ -269,26 +287,63 @@
 
 // ReleaseWaiting returns what becomes of opening packets whose wait is over: those for which
 // there is room are delivered here or forwarded to a sibling, the others are refused. It must
-// be called after answers of the backend server and now and then.
+// be called after answers of the backend server, after load reports and now and then.
 func (a *Agent) ReleaseWaiting(now time.Time) []Resolution {
 	var released []Resolution
 	a.reassessWaiting(now)
 	for _, opening := range a.waiting.takeRefused(now) {
 		released = append(released, opening.resolve(&Reset{Reason: RefuseWait}))
 	}
-	for {
+	for a.waiting.Len() > 0 {
 		index := a.waiting.next()
-		if index < 0 {
-			return released
-		}
-		if opening := &a.waiting.openings[index]; !a.hasRoomFor(now, opening) {
+		opening := &a.waiting.openings[index]
+		if !a.hasRoomFor(now, opening) {
 			if !opening.isLate {
 				a.recordShortage(now)
 			}
-			return released
+			break
 		}
 		released = append(released, a.release(now, a.waiting.take(index)))
 	}
+	return a.releaseToOffers(now, released)
+}
+
+// releaseToOffers hands opening packets over to the siblings that have reported a free slot, at
+// most one for each, and adds them to released. The opening packet that goes next may have
+// visited such a sibling already, while others have not.
+func (a *Agent) releaseToOffers(now time.Time, released []Resolution) []Resolution {
+	for _, sibling := range a.waiting.offers {
+		for a.hasCapacity(now, sibling) {
+			index := a.waiting.nextOf(func(w *waitingOpening) bool { return a.offerTarget(w, sibling) != nil })
+			if index < 0 {
+				break
+			}
+			opening := a.waiting.take(index)
+			released = append(released, a.releaseAs(now, opening, handOver{a.offerTarget(&opening, sibling), HandOverFull}))
+		}
+	}
+	a.waiting.offers = a.waiting.offers[:0]
+	return released
+}
+
+// hasCapacity reports whether a sibling has a free slot by its latest report.
+func (a *Agent) hasCapacity(now time.Time, sibling fleet.InstanceID) bool {
+	report, known := a.latestReport(now, sibling)
+	return known && report.limitUsage() < 1
+}
+
+// offerTarget returns the sibling as the target of a waiting opening packet, or nil if the packet
+// must not be handed over to it.
+func (a *Agent) offerTarget(opening *waitingOpening, sibling fleet.InstanceID) *fleet.Target {
+	service := a.view.Service(opening.service)
+	if service == nil {
+		return nil
+	}
+	target := service.Target(sibling)
+	if target == nil || !isEligible(target, opening.visited) {
+		return nil
+	}
+	return target
 }
 
 // hasRoomFor reports whether a waiting opening packet need not wait any more: the backend
@@ -315,9 +370,14 @@
 	if service == nil {
 		return opening.resolve(&Reset{Reason: RefuseNotAccepting})
 	}
-	received := opening.received()
-	decision := a.placeReleased(now, service, received)
-	return opening.resolve(copyAction(a.applyPlacement(now, service, received, decision)))
+	return a.releaseAs(now, opening, a.placeReleased(now, service, opening.received()))
+}
+
+// releaseAs applies the placement decision about an opening packet that has waited.
+func (a *Agent) releaseAs(now time.Time, opening waitingOpening, decision placementDecision) Resolution {
+	a.recordPlacement(now, opening.isLate, decision)
+	service := a.view.Service(opening.service)
+	return opening.resolve(copyAction(a.applyPlacement(now, service, opening.received(), decision)))
 }
 
 // placeReleased decides who serves a flow that need not wait any more: a sibling with a free
