Exchange urgent load reports between agents of carried flows

Cause: these agents sent periodic load reports only, and looked for room elsewhere only after answers of their own server or every 50 ms.

Change: after each batch of packets the agent sends the load report that is due (core UrgentReport, which agents that terminate flows use too), and after a batch with load reports it releases waiting opening packets at once. The counter offers_sent counts offers of both kinds of agents.

--- a/internal/daemon/agent/reporter.go
+++ b/internal/daemon/agent/reporter.go
@@ -33,25 +33,20 @@
 	r.sendTo(report, siblings)
 }
 
-// sendUrgentReports sends a load report between two periodic ones where one is due: to the
-// sibling with the most waiting requests if this agent has a free slot, else to the report
-// recipients if requests have started to wait here.
+// sendUrgentReports sends a load report between two periodic ones if one is due.
 func (r *reporter) sendUrgentReports() {
 	now := clock.Now()
 	r.agent.mu.Lock()
-	var siblings []*fleet.Target
-	if sibling := r.agent.core.OfferRecipient(now); sibling != nil {
-		r.agent.counters.Add("offers_sent", 1)
-		siblings = append(siblings, sibling)
-	} else if r.agent.core.ShouldReportWaiting(now) {
-		siblings = r.agent.core.ReportRecipients()
-	}
+	siblings, isOffer := r.agent.core.UrgentReport(now)
 	if len(siblings) == 0 {
 		r.agent.mu.Unlock()
 		return
 	}
 	report := r.agent.core.Report(now)
 	r.agent.mu.Unlock()
+	if isOffer {
+		r.agent.counters.Add("offers_sent", 1)
+	}
 	r.sendTo(report, siblings)
 }
 
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -189,7 +189,7 @@
 	})
 	group.Go(func() error {
 		return c.node.RunReadLoop(ctx, c.node.Socket(), func() error {
-			defer inboundHandler.Flush()
+			defer inboundHandler.finishInbound()
 			return receiver.ReceiveBatch(inboundHandler.Handle)
 		})
 	})
@@ -250,6 +250,7 @@
 		handler.Resolve(&retries[i])
 	}
 	handler.releaseWaiting(now)
+	handler.sendUrgentReport(now)
 	handler.Flush()
 	if trialOnly != c.wasTrialOnly {
 		c.wasTrialOnly = trialOnly
--- a/internal/daemon/carrier/packethandler.go
+++ b/internal/daemon/carrier/packethandler.go
@@ -26,6 +26,8 @@
 	backendWriter *peer.Writer
 	// backendEndpoint is where the backend server takes packets.
 	backendEndpoint netip.AddrPort
+	// hasLoadReport reports whether a load report came since the last releaseWaiting.
+	hasLoadReport bool
 }
 
 // newPacketHandler returns a handler for one goroutine.
@@ -63,10 +65,38 @@
 	}
 }
 
-// HandleLoadReport records a sibling's load report. No requests of carried flows wait at
-// the agent, so there are none to hand over. It is called with the carrier's mutex held.
+// HandleLoadReport records a sibling's load report. finishInbound hands opening packets over to
+// the sibling. It is called with the carrier's mutex held.
 func (h *packetHandler) HandleLoadReport(now time.Time, sibling fleet.InstanceID, report core.Report) {
 	h.carrier.core.HandleReport(now, sibling, report)
+	h.hasLoadReport = true
+}
+
+// finishInbound completes a batch of datagrams from other processes: it releases opening packets
+// after load reports, sends the urgent load report that is due, and sends the queued packets.
+func (h *packetHandler) finishInbound() {
+	now := clock.Now()
+	if h.hasLoadReport {
+		h.releaseWaiting(now)
+	}
+	h.sendUrgentReport(now)
+	h.Flush()
+}
+
+// sendUrgentReport sends a load report between two periodic ones if one is due.
+func (h *packetHandler) sendUrgentReport(now time.Time) {
+	h.carrier.mu.Lock()
+	recipients, isOffer := h.carrier.core.UrgentReport(now)
+	if len(recipients) == 0 {
+		h.carrier.mu.Unlock()
+		return
+	}
+	report := h.carrier.core.Report(now)
+	h.carrier.mu.Unlock()
+	if isOffer {
+		h.carrier.counters.Add("offers_sent", 1)
+	}
+	h.SendReport(report, recipients)
 }
 
 // queue adds a packet to a batch. A packet that cannot be added is counted and dropped.
@@ -103,12 +133,14 @@
 		h.handleBackendPacket(now, reader.Datagram(i))
 	}
 	h.releaseWaiting(now)
+	h.sendUrgentReport(now)
 	return nil
 }
 
 // releaseWaiting processes the opening packets whose wait for room is over, and claims or denies
 // polled flows.
 func (h *packetHandler) releaseWaiting(now time.Time) {
+	h.hasLoadReport = false
 	h.SendPollAnswers(now)
 	h.carrier.mu.Lock()
 	released := h.carrier.core.ReleaseWaiting(now)
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -106,6 +106,11 @@
 // Flush sends the datagrams queued for other processes.
 func (d *Dispatcher) Flush() { d.sender.Flush() }
 
+// SendReport sends a load report to siblings, together with all queued datagrams.
+func (d *Dispatcher) SendReport(report core.Report, siblings []*fleet.Target) {
+	SendReport(d.Node, d.sender, d.Logger, report, siblings)
+}
+
 // sendControl encodes body as CBOR and queues it as a control datagram. A body that cannot
 // be encoded is dropped, counted and logged.
 func (d *Dispatcher) sendControl(header *datagram.Header, body any, to netip.AddrPort) {
