Tell operators why opening packets wait and whose were refused

Cause: a `wait` line told no reason, no counter told how many opening packets waited, and refusals were not counted by service.

Change: the agent's decision to wait carries its reason (late, full or urgent), the slots taken and the number waiting. The line, the counters wait_late, wait_full and wait_urgent, and the gauge waiting show them. Refusals are also counted by service (refuse_wait/NAME).

Result: tests of the reasons and of the line; the counters by service and the gauge have no test of their own.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/radishmast/radishmast/internal/core/fleet"
+import (
+	"strings"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
 
 // Action is what the caller of the Agent must do with a packet: one of *Deliver, *Forward,
 // *Hold, *AwaitView, *Wait, *Deny, *Reset and *Drop.
@@ -66,6 +70,9 @@
 // retried, handed over or referred. The names are published as metrics.
 type Reason string
 
+// IsRefusal reports whether the caller of a new flow gets a reset before anything was delivered.
+func (r Reason) IsRefusal() bool { return strings.HasPrefix(string(r), "refuse_") }
+
 // Reasons, grouped by what happens to the packet or flow.
 const (
 	DropUnknownService       Reason = "drop_unknown_service"
--- a/internal/core/agent/burst_test.go
+++ b/internal/core/agent/burst_test.go
@@ -97,7 +97,7 @@
 // arrive adds a caller of a kind that has sent a number of copies before.
 func (b *burst) arrive(kind int, copies uint32) *burstCaller {
 	caller := &burstCaller{kind: kind, isLate: copies > 0, copies: copies, nextCopyAt: b.now.Add(copyIntervals[min(int(copies), len(copyIntervals)-1)])}
-	caller.id = flow.NewID(flow.NewAddress(flow.TCP, kindAddress(kind)), netip.AddrPortFrom(netip.MustParseAddr("10.1.0.1"), uint16(len(b.all)+1)))
+	caller.id = b.flowOf(kind, len(b.all)+1)
 	caller.startedAt = b.now
 	for _, interval := range copyIntervals[:copies] {
 		caller.startedAt = caller.startedAt.Add(-interval)
@@ -109,12 +109,22 @@
 	return caller
 }
 
-// sendOpening sends an opening packet of the caller to any agent. It holds the caller's port.
-func (b *burst) sendOpening(caller *burstCaller) {
+// flowOf returns the flow of a caller's port to the service of a kind.
+func (b *burst) flowOf(kind, port int) flow.ID {
+	return flow.NewID(flow.NewAddress(flow.TCP, kindAddress(kind)), netip.AddrPortFrom(netip.MustParseAddr("10.1.0.1"), uint16(port)))
+}
+
+// opening returns the next opening packet of a caller. It holds the caller's port.
+func (b *burst) opening(caller *burstCaller) *ReceivedPacket {
 	port := caller.id.Caller().Port()
 	packet := flow.NewPacket(caller.id, flow.Opening, 7, caller.copies, []byte{byte(port >> 8), byte(port)})
-	at := b.order[b.random.IntN(len(b.order))]
-	b.receive(at, &ReceivedPacket{Packet: packet, Service: fleet.ServiceIDOf(b.kinds[caller.kind].published(caller.kind).Name), Revision: fleet.Revision{Number: 2}})
+	service := fleet.ServiceIDOf(b.kinds[caller.kind].published(caller.kind).Name)
+	return &ReceivedPacket{Packet: packet, Service: service, Revision: fleet.Revision{Number: 2}}
+}
+
+// sendOpening sends an opening packet of the caller to any agent.
+func (b *burst) sendOpening(caller *burstCaller) {
+	b.receive(b.order[b.random.IntN(len(b.order))], b.opening(caller))
 }
 
 // receive passes an opening packet to an agent and carries out its decision.
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -26,7 +26,7 @@
 		action.Placed = true
 		return action
 	case postponement:
-		return a.waitForRoom(now, service, received)
+		return a.waitForRoom(now, service, received, v.reason)
 	case refusal:
 		a.reset.Reason = v.reason
 		return &a.reset
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -175,8 +175,11 @@
 		return acceptance{}
 	}
 	remaining := min(objective-timeSinceFirstCopy(received.Packet), a.queueLimit(service))
-	if a.waiting.hasMoreUrgent(service.Priority()) || a.load.expectedResponseTime(assumedServiceTime(service)) > remaining {
-		return a.postpone(service, received)
+	switch {
+	case a.waiting.hasMoreUrgent(service.Priority()):
+		return a.postpone(service, received, WaitUrgent)
+	case a.load.expectedResponseTime(assumedServiceTime(service)) > remaining:
+		return a.postpone(service, received, WaitFull)
 	}
 	return acceptance{}
 }
--- a/internal/core/agent/reservation.go
+++ b/internal/core/agent/reservation.go
@@ -43,7 +43,7 @@
 		return refusal{RefuseTimeout}
 	}
 	if !a.admitsLate(now) && a.isLate(now, service, objectiveDeadline(now, service, received.Packet)) {
-		return postponement{}
+		return postponement{WaitLate}
 	}
 	return nil
 }
--- a/internal/core/agent/reservation_test.go
+++ b/internal/core/agent/reservation_test.go
@@ -120,3 +120,24 @@
 	a.waiting.openings = []waitingOpening{waiting}
 	require.Len(t, a.ReleaseWaiting(b.now.Add(180*time.Millisecond)), 1)
 }
+
+// Guards against a `wait` line with a wrong reason.
+func TestWaitTellsTheReason(t *testing.T) {
+	less := kindOfRequest{priority: 2, objective: 300 * time.Millisecond, timeout: 2 * time.Second, serviceTime: 15 * time.Millisecond}
+	b := newBurst(t, []float64{1}, burstRead, less)
+	a := b.servers[b.order[0]].agent
+	wait := func(kind int, copies uint32) *Wait {
+		action := a.Receive(b.now, b.opening(&burstCaller{kind: kind, id: b.flowOf(kind, 9000+len(a.waiting.openings)), copies: copies}))
+		require.IsType(t, &Wait{}, action)
+		return action.(*Wait)
+	}
+	b.arrive(0, 0)
+	a.recordShortage(b.now)
+	require.Equal(t, &Wait{Reason: WaitLate, SlotsTaken: 1, Waiting: 1}, wait(0, 1))
+	for a.waiting.Len() < 2 {
+		b.arrive(0, 0)
+	}
+	taken := a.load.Running()
+	require.Equal(t, &Wait{Reason: WaitFull, SlotsTaken: taken, Waiting: 3}, wait(0, 0))
+	require.Equal(t, &Wait{Reason: WaitUrgent, SlotsTaken: taken, Waiting: 4}, wait(1, 0))
+}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -101,8 +101,8 @@
 	return nil, false
 }
 
-// waitingCount returns the number of requests and opening packets that wait here.
-func (a *Agent) waitingCount() int { return a.admission.QueueLength() + a.waiting.Len() }
+// Waiting returns the number of requests and opening packets that wait here.
+func (a *Agent) Waiting() int { return a.admission.QueueLength() + a.waiting.Len() }
 
 // recordWaiting records whether requests wait at a sibling by its latest report.
 func (a *Agent) recordWaiting(id fleet.InstanceID, report Report) {
@@ -168,7 +168,7 @@
 // ShouldReportWaiting reports whether siblings should be sent a report at once because
 // requests wait here. If so, the next one is due after waitingReportInterval.
 func (a *Agent) ShouldReportWaiting(now time.Time) bool {
-	if a.waitingCount() == 0 || now.Before(a.nextWaitingReportAt) {
+	if a.Waiting() == 0 || now.Before(a.nextWaitingReportAt) {
 		return false
 	}
 	a.nextWaitingReportAt = now.Add(waitingReportInterval)
@@ -247,7 +247,7 @@
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
 	report := Report{
-		Running:     uint32(math.Round(a.load.occupied()) + float64(a.waitingCount())),
+		Running:     uint32(math.Round(a.load.occupied()) + float64(a.Waiting())),
 		Limit:       uint32(a.load.Limit()),
 		Owned:       uint32(a.ownedCount),
 		MaxOwned:    uint32(a.config.MaxFlows),
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -38,14 +39,31 @@
 // copyIntervals.
 const openingTimeout = 1400 * time.Millisecond
 
+// WaitReason is why an opening packet waits.
+type WaitReason string
+
+const (
+	// WaitLate means that the opening packet is late and the free slots are reserved for others.
+	WaitLate WaitReason = "late"
+	// WaitFull means that the backend server has no room.
+	WaitFull WaitReason = "full"
+	// WaitUrgent means that a more urgent opening packet waits.
+	WaitUrgent WaitReason = "urgent"
+)
+
 // Wait is the action for an opening packet that waits in the agent. ReleaseWaiting returns
 // what becomes of it.
-type Wait struct{}
+type Wait struct {
+	Reason WaitReason
+	// SlotsTaken is the number of slots taken, and Waiting that of the opening packets that wait,
+	// this one included.
+	SlotsTaken, Waiting int
+}
 
 func (*Wait) isAction() {}
 
 // postponement means that the flow waits until the backend server or a sibling has room.
-type postponement struct{}
+type postponement struct{ reason WaitReason }
 
 func (postponement) isPlacementDecision() {}
 
@@ -196,18 +214,18 @@
 
 // postpone decides about a new flow for which there is no room here and no known room
 // elsewhere: it is handed over to the next candidate, or waits if it has visited enough.
-func (a *Agent) postpone(service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+func (a *Agent) postpone(service *fleet.RoutedService, received *ReceivedPacket, reason WaitReason) placementDecision {
 	if len(received.Visited) < maxFullVisits {
 		visited := a.visitedWithSelf(received.Visited)
 		if next := a.candidates(service, received.Origin).NextAccepting(received.Packet.Flow().Hash(), visited); next != nil {
 			return handOver{next, HandOverFull}
 		}
 	}
-	return postponement{}
+	return postponement{reason}
 }
 
 // waitForRoom makes an opening packet wait.
-func (a *Agent) waitForRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+func (a *Agent) waitForRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, reason WaitReason) Action {
 	packet := received.Packet
 	copies := min(int(packet.AcknowledgedToken()), len(copyIntervals)-1)
 	opening := waitingOpening{
@@ -229,7 +247,7 @@
 	opening.packet = packet.Clone()
 	a.reassessWaiting(now)
 	a.waiting.add(opening, a.waitingLimit(service))
-	return &Wait{}
+	return &Wait{Reason: reason, SlotsTaken: int(math.Round(a.load.occupied())), Waiting: a.waiting.Len()}
 }
 
 // timeSinceFirstCopy returns how long ago, at least, the caller sent the first copy of an
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -156,6 +156,11 @@
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	c.core.Start(clock.Now())
 	n.OnPublish(c.applyView)
+	counters.Gauge("waiting", func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.core.Waiting())
+	})
 	return c, nil
 }
 
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -209,7 +209,7 @@
 		d.answerPoll(datagram.OwnershipDenial, d.received.Sender, packet.Flow())
 	case *core.Wait:
 		d.Mutex.Unlock()
-		d.recordDecision("wait", "", "")
+		d.recordWait(action)
 	case *core.Reset:
 		reason := action.Reason
 		d.Mutex.Unlock()
@@ -271,10 +271,22 @@
 	d.sender.Queue(&d.outHeader, d.received.Packet.Bytes(), action.Target.Data())
 }
 
-// reset replies to the current packet with a reset, and logs and counts the reason.
+// recordWait logs and counts that the current packet waits.
+func (d *Dispatcher) recordWait(wait *core.Wait) {
+	decision := d.decision("wait", "", core.Reason(wait.Reason))
+	decision.SlotsTaken, decision.Waiting = wait.SlotsTaken, wait.Waiting
+	d.Decisions.Record(decision)
+	d.Counters.Add("wait_"+string(wait.Reason), 1)
+}
+
+// reset replies to the current packet with a reset, and logs and counts the reason, a refusal
+// also by service.
 func (d *Dispatcher) reset(reason core.Reason) {
 	d.recordDecision("reset", "", reason)
 	d.Counters.Add(string(reason), 1)
+	if service := d.Node.View().Service(d.received.Service); service != nil && reason.IsRefusal() {
+		d.Counters.Add(string(reason)+"/"+service.Name(), 1)
+	}
 	d.Delivery.Reset(d.received.Packet)
 }
 
@@ -311,6 +323,11 @@
 // recordDecision logs a decision about the current packet. peer is the name of the agent
 // that the packet is forwarded to, and empty for any other decision.
 func (d *Dispatcher) recordDecision(event, peer string, reason core.Reason) {
+	d.Decisions.Record(d.decision(event, peer, reason))
+}
+
+// decision returns a decision about the current packet, see recordDecision.
+func (d *Dispatcher) decision(event, peer string, reason core.Reason) operator.Decision {
 	decision := operator.Decision{
 		Event:    event,
 		Flow:     d.received.Packet.Flow(),
@@ -326,5 +343,5 @@
 		// earlier copies instead of a token.
 		decision.Copies = d.received.Packet.AcknowledgedToken()
 	}
-	d.Decisions.Record(decision)
+	return decision
 }
--- a/internal/link/operator/decisions.go
+++ b/internal/link/operator/decisions.go
@@ -44,6 +44,9 @@
 	Copies uint32
 	// Visited is the number of agents that the packet has visited.
 	Visited int
+	// SlotsTaken is the number of slots taken and Waiting that of the opening packets that wait,
+	// for a packet that waits. They are 0 for other packets.
+	SlotsTaken, Waiting int
 	// Revision is the highest revision in the view that the decision is based on, and Age the
 	// time since that view was last compared with the platform.
 	Revision fleet.Revision
@@ -91,6 +94,9 @@
 	if decision.Visited > 0 {
 		fields["visited"] = decision.Visited
 	}
+	if decision.Waiting > 0 {
+		fields["slots"], fields["waiting"] = decision.SlotsTaken, decision.Waiting
+	}
 	d.logger.WithFields(fields).Info(decision.Event)
 }
 
