Do not refuse an opening packet whose next copy may have been sent

Cause: an opening packet that is handed over after it has waited carries no time, so that the receiver took its caller's next copy to be due a whole interval later. It could refuse the packet after another agent had delivered the copy. A packet to be refused for lack of room also stayed so when a copy came to the same agent.

Change: the flag Waited marks such a packet. Its receiver forgets it where it would refuse it, unless it is the last copy. A new copy replaces the earlier one also among those to be refused.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -24,8 +24,8 @@
 	Opens bool
 }
 
-// Forward sends the packet to another agent. The receiver gets Placed, Searched, Relayed and
-// Referred in the fields of the same name of its ReceivedPacket.
+// Forward sends the packet to another agent. The receiver gets Placed, Searched, Relayed,
+// Referred and Waited in the fields of the same name of its ReceivedPacket.
 type Forward struct {
 	Target *fleet.Target
 	// Placed reports whether the receiver was chosen to serve a new flow.
@@ -38,6 +38,8 @@
 	// has not offered the packet to its own backend server then, so it must not be added to
 	// the visited agents.
 	Referred bool
+	// Waited reports whether the packet is an opening packet that has waited here.
+	Waited bool
 	// Reason is the counter of the hand-over or referral. It is empty for an ordinary
 	// search step.
 	Reason Reason
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -132,6 +132,9 @@
 	// Polled reports whether the sender polls many agents and must be told if this one owns the
 	// flow or not.
 	Polled bool
+	// Waited reports whether the packet is an opening packet that has waited at another agent, so
+	// that its caller may already have sent the next copy.
+	Waited bool
 	// Sender is the process that sent the packet here.
 	Sender fleet.InstanceID
 	// FromAgent reports whether the sender is another agent, not a balancer.
--- a/internal/core/agent/burst_test.go
+++ b/internal/core/agent/burst_test.go
@@ -150,7 +150,7 @@
 	case *Forward:
 		forwarded := *received
 		forwarded.Visited = server.agent.visitedWithSelf(slices.Clone(received.Visited))
-		forwarded.Placed, forwarded.FromAgent = v.Placed, true
+		forwarded.Placed, forwarded.FromAgent, forwarded.Waited = v.Placed, true, received.Waited || v.Waited
 		require.NotContains(b.t, forwarded.Visited, v.Target.ID(), "an opening packet must not come back")
 		b.receive(v.Target.ID(), &forwarded)
 	case *Reset:
--- a/internal/core/agent/offer_test.go
+++ b/internal/core/agent/offer_test.go
@@ -54,6 +54,7 @@
 		require.Equal(t, idle.config.Self, forward.Target.ID())
 		require.Equal(t, HandOverFull, forward.Reason)
 		require.True(t, forward.Placed)
+		require.True(t, forward.Waited)
 	}
 	require.Empty(t, full.ReleaseWaiting(settledAt))
 	require.Empty(t, c.agents[c.ids()[2]].waiting.openings)
--- a/internal/core/agent/reservation_test.go
+++ b/internal/core/agent/reservation_test.go
@@ -119,6 +119,12 @@
 	require.Empty(t, a.waiting.openings)
 	a.waiting.openings = []waitingOpening{waiting}
 	require.Len(t, a.ReleaseWaiting(b.now.Add(180*time.Millisecond)), 1)
+	waiting.waited = true
+	a.waiting.openings = []waitingOpening{waiting}
+	require.Empty(t, a.ReleaseWaiting(b.now.Add(180*time.Millisecond)), "it has waited elsewhere before")
+	waiting.isLastCopy = true
+	a.waiting.openings = []waitingOpening{waiting}
+	require.Len(t, a.ReleaseWaiting(b.now.Add(180*time.Millisecond)), 1)
 }
 
 // Guards against a `wait` line with a wrong reason.
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -76,6 +76,8 @@
 	visited  []fleet.InstanceID
 	origin   fleet.InstanceID
 	placed   bool
+	// waited reports whether it has waited at another agent before.
+	waited bool
 	// objectiveAt is the objective deadline, or zero if the service publishes no objective.
 	objectiveAt time.Time
 	// isLate reports whether the answer is expected after objectiveAt, as of the last call of
@@ -98,9 +100,10 @@
 }
 
 // isRefusable reports whether the caller may get a reset. Once it has sent the next copy it may
-// not, since another agent may have delivered that.
+// not, since another agent may have delivered that. When it sends that copy is not known if the
+// opening packet has waited at another agent.
 func (w *waitingOpening) isRefusable(now time.Time) bool {
-	return w.isLastCopy || now.Before(w.nextCopyAt)
+	return w.isLastCopy || !w.waited && now.Before(w.nextCopyAt)
 }
 
 // isBefore reports whether the opening packet goes before another, older one.
@@ -182,9 +185,11 @@
 	return opening
 }
 
-// forget removes the opening packets of a flow.
+// forget removes the opening packets of a flow, also those to be refused.
 func (r *waitingRoom) forget(id flow.ID) {
-	r.openings = slices.DeleteFunc(r.openings, func(w waitingOpening) bool { return w.flow == id })
+	isOfFlow := func(w waitingOpening) bool { return w.flow == id }
+	r.openings = slices.DeleteFunc(r.openings, isOfFlow)
+	r.evicted = slices.DeleteFunc(r.evicted, isOfFlow)
 }
 
 // takeRefused removes the opening packets whose wait is over, and returns them and the evicted
@@ -235,6 +240,7 @@
 		visited:     slices.Clone(received.Visited),
 		origin:      received.Origin,
 		placed:      received.Placed,
+		waited:      received.Waited,
 		objectiveAt: objectiveDeadline(now, service, packet),
 		timeoutAt:   timeoutDeadline(now, service, packet),
 		nextCopyAt:  now.Add(copyIntervals[copies] - copyMargin),
@@ -395,7 +401,11 @@
 func (a *Agent) releaseAs(now time.Time, opening waitingOpening, decision placementDecision) Resolution {
 	a.recordPlacement(now, opening.isLate, decision)
 	service := a.view.Service(opening.service)
-	return opening.resolve(copyAction(a.applyPlacement(now, service, opening.received(), decision)))
+	action := copyAction(a.applyPlacement(now, service, opening.received(), decision))
+	if forward, forwarded := action.(*Forward); forwarded {
+		forward.Waited = true
+	}
+	return opening.resolve(action)
 }
 
 // placeReleased decides who serves a flow that need not wait any more: a sibling with a free
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -32,6 +32,7 @@
 	received.Referred = header.Flags&datagram.Referred != 0
 	received.LookedUp = header.Flags&datagram.LookedUp != 0
 	received.Polled = header.Flags&datagram.Polled != 0
+	received.Waited = header.Flags&datagram.Waited != 0
 	received.Sender = fleet.InstanceID(header.From)
 	received.FromAgent = header.From != header.Origin
 	received.Visited = received.Visited[:0]
@@ -42,8 +43,8 @@
 
 // forwardHeader returns the header with which a packet is forwarded. in is the header with
 // which it was received. The origin and the reply endpoint stay as received. The flags are
-// those that the core sets; Relayed, Referred and LookedUp also stay set if the packet came
-// with them. The revision is the higher of this agent's and the one received.
+// those that the core sets; Relayed, Referred, LookedUp and Waited also stay set if the packet
+// came with them. The revision is the higher of this agent's and the one received.
 //
 // This agent is added to Visited, except when the core refers the packet to the
 // registered owner of its flow: it has then not checked whether its own backend server holds the
@@ -61,7 +62,7 @@
 	out.Revision = max(out.Revision, in.Revision)
 	out.Origin, out.Reply = in.Origin, in.Reply
 	out.Visited = visited
-	out.Flags = forwardFlags(action) | in.Flags&(datagram.Relayed|datagram.Referred|datagram.LookedUp)
+	out.Flags = forwardFlags(action) | in.Flags&(datagram.Relayed|datagram.Referred|datagram.LookedUp|datagram.Waited)
 	return out
 }
 
@@ -80,6 +81,9 @@
 	if action.Referred {
 		flags |= datagram.Referred
 	}
+	if action.Waited {
+		flags |= datagram.Waited
+	}
 	return flags
 }
 
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -92,6 +92,9 @@
 	// Polled marks a packet that its sender sends to many agents at once. Each answers with an
 	// OwnershipClaim or an OwnershipDenial.
 	Polled
+	// Waited marks an opening packet that has waited at an agent, so that its caller may already
+	// have sent the next copy.
+	Waited
 )
 
 // Header precedes the body of every datagram. It is encoded as a CBOR array, so the order
