--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/radishmast/radishmast/internal/core/fleet"
+import (
+	"strings"
+
+	"github.com/radishmast/radishmast/internal/core/fleet"
+)
 
 // Action is what the caller of the Agent must do with a packet: one of *Deliver, *Forward,
 // *Hold, *AwaitView, *Wait, *Deny, *Reset and *Drop.
@@ -20,8 +24,8 @@
 	Opens bool
 }
 
-// Forward sends the packet to another agent. The receiver gets Placed, Searched, Relayed and
-// Referred in the fields of the same name of its ReceivedPacket.
+// Forward sends the packet to another agent. The receiver gets Placed, Searched, Relayed,
+// Referred and Waited in the fields of the same name of its ReceivedPacket.
 type Forward struct {
 	Target *fleet.Target
 	// Placed reports whether the receiver was chosen to serve a new flow.
@@ -34,6 +38,8 @@
 	// has not offered the packet to its own backend server then, so it must not be added to
 	// the visited agents.
 	Referred bool
+	// Waited reports whether the packet is an opening packet that has waited here.
+	Waited bool
 	// Reason is the counter of the hand-over or referral. It is empty for an ordinary
 	// search step.
 	Reason Reason
@@ -66,6 +72,9 @@
 // retried, handed over or referred. The names are published as metrics.
 type Reason string
 
+// IsRefusal reports whether the caller of a new flow gets a reset before anything was delivered.
+func (r Reason) IsRefusal() bool { return strings.HasPrefix(string(r), "refuse_") }
+
 // Reasons, grouped by what happens to the packet or flow.
 const (
 	DropUnknownService       Reason = "drop_unknown_service"
@@ -95,9 +104,11 @@
 	RefuseNotAccepting Reason = "refuse_not_accepting"
 	RefuseConnections  Reason = "refuse_connections"
 	RefuseWait         Reason = "refuse_wait"
-	RefuseDial         Reason = "refuse_dial"
-	RefuseCold         Reason = "refuse_cold"
-	RefuseRetryBudget  Reason = "refuse_retry_budget"
+	// RefuseTimeout means that the answer would come after the timeout of the service.
+	RefuseTimeout     Reason = "refuse_timeout"
+	RefuseDial        Reason = "refuse_dial"
+	RefuseCold        Reason = "refuse_cold"
+	RefuseRetryBudget Reason = "refuse_retry_budget"
 
 	RetryDial            Reason = "retry_dial"
 	RetryWait            Reason = "retry_wait"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -132,6 +132,9 @@
 	// Polled reports whether the sender polls many agents and must be told if this one owns the
 	// flow or not.
 	Polled bool
+	// Waited reports whether the packet is an opening packet that has waited at another agent, so
+	// that its caller may already have sent the next copy.
+	Waited bool
 	// Sender is the process that sent the packet here.
 	Sender fleet.InstanceID
 	// FromAgent reports whether the sender is another agent, not a balancer.
@@ -229,7 +232,9 @@
 	random              *rand.Rand
 	// reports holds the latest load report of each sibling.
 	reports map[fleet.InstanceID]siblingReport
-	budget  retryBudget
+	// waitingSiblings holds the siblings at which requests wait by their latest report.
+	waitingSiblings map[fleet.InstanceID]struct{}
+	budget          retryBudget
 	// directory holds the flows that other agents have registered with this one.
 	directory      directory
 	forwardHistory forwardHistory
@@ -244,7 +249,8 @@
 	// outsiders limits the search outside the services of flows.
 	outsiders *rate.Limiter
 	// waiting holds the opening packets that wait for room.
-	waiting waitingRoom
+	waiting     waitingRoom
+	queueLimits queueLimits
 	// startedAt is when this process started, or zero before Start.
 	startedAt time.Time
 	// allFlowsKnown reports whether all flows of the backend server were opened through
@@ -291,11 +297,13 @@
 		lookups:        newLookups(),
 		polls:          make(map[flow.ID]*pollState),
 		pendingClaims:  make(map[flow.ID]pendingClaim),
+		queueLimits:    make(queueLimits),
 		denials:        newDenials(),
 		owners:         newOwnerLists(false),
 		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
 
-		membershipHash: view.MembershipHash(),
+		membershipHash:  view.MembershipHash(),
+		waitingSiblings: make(map[fleet.InstanceID]struct{}),
 	}
 	a.setSiblings()
 	return a
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -11,7 +11,9 @@
 // receiveOpening decides which agent serves a new flow, and records the decision for
 // retransmissions of the opening packet.
 func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	return a.applyPlacement(now, service, received, a.place(now, service, received))
+	decision := a.place(now, service, received)
+	a.recordPlacement(now, a.isLate(now, service, objectiveDeadline(now, service, received.Packet)), decision)
+	return a.applyPlacement(now, service, received, decision)
 }
 
 // applyPlacement turns a placement decision about an opening packet into an action.
@@ -24,7 +26,7 @@
 		action.Placed = true
 		return action
 	case postponement:
-		return a.waitForRoom(now, service, received)
+		return a.waitForRoom(now, service, received, v.reason)
 	case refusal:
 		a.reset.Reason = v.reason
 		return &a.reset
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -156,6 +156,11 @@
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	c.core.Start(clock.Now())
 	n.OnPublish(c.applyView)
+	counters.Gauge("waiting", func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.core.Waiting())
+	})
 	return c, nil
 }
 
@@ -189,7 +194,7 @@
 	})
 	group.Go(func() error {
 		return c.node.RunReadLoop(ctx, c.node.Socket(), func() error {
-			defer inboundHandler.Flush()
+			defer inboundHandler.finishInbound()
 			return receiver.ReceiveBatch(inboundHandler.Handle)
 		})
 	})
@@ -250,6 +255,7 @@
 		handler.Resolve(&retries[i])
 	}
 	handler.releaseWaiting(now)
+	handler.sendUrgentReport(now)
 	handler.Flush()
 	if trialOnly != c.wasTrialOnly {
 		c.wasTrialOnly = trialOnly
