Place carried flows by expected work where the settings say so

Cause: a hand-over when full counts a request of 13 ms like one of 91 ms. Change: agents of carried flows learn service times per service, track the work left at their server and report it. With the setting placement "work" a new flow goes to the server, of this one and two drawn at random, that is expected to answer first. The default setting keeps the present decisions.

--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -103,6 +103,7 @@
 	RetryWait            Reason = "retry_wait"
 	HandOverFull         Reason = "handover_full"
 	HandOverEven         Reason = "handover_even"
+	HandOverWork         Reason = "handover_work"
 	HandOverOffered      Reason = "handover_offered"
 	HandOverCold         Reason = "handover_cold"
 	HandOverNotSelected  Reason = "handover_not_selected"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -211,6 +211,8 @@
 	// draining reports whether the agent accepts no new flows because it leaves.
 	draining bool
 	load     *Load
+	// work is what is expected of the requests of carried flows.
+	work expectedWork
 	// admission decides which waiting request gets a free slot.
 	admission *Admission
 	weight    weightLearner
@@ -281,6 +283,7 @@
 		view:           view,
 		flows:          make(map[flow.ID]*flowEntry),
 		load:           load,
+		work:           newExpectedWork(int(load.slots)),
 		admission:      NewAdmission(load),
 		weight:         newWeightLearner(),
 		random:         random,
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -310,6 +311,7 @@
 func (a *Agent) SweepCarried(now time.Time) {
 	a.forwardHistory.sweep(now)
 	a.denials.sweep(now)
+	a.sweepReporters(now)
 	for id, entry := range a.flows {
 		if a.isHung(now, entry) {
 			entry.countedFailed = true
@@ -354,5 +356,10 @@
 // RecordViewConfirmed records when the view was last compared with the platform.
 func (a *Agent) RecordViewConfirmed(at time.Time) { a.viewConfirmedAt = at }
 
-// SetLabels replaces Config.Labels.
-func (a *Agent) SetLabels(labels map[string]string) { a.config.Labels = labels }
+// SetLabels replaces Config.Labels. A change may mean another version of the backend server.
+func (a *Agent) SetLabels(labels map[string]string) {
+	if !maps.Equal(a.config.Labels, labels) {
+		a.forgetServiceTimes()
+	}
+	a.config.Labels = labels
+}
--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -21,9 +21,11 @@
 	if service := a.view.Service(entry.service); service != nil && service.IsUpload() {
 		entry.transfer = new(transfer)
 		a.load.beginTransfer(now)
+		a.expectRequest(now, entry)
 		return
 	}
 	a.load.start(now)
+	a.expectRequest(now, entry)
 }
 
 // recordRequest records that bytes of a request are delivered. Service time counts from the
@@ -45,6 +47,7 @@
 	entry.requestDeliveredAt = now
 	entry.queued = a.load.isSaturated()
 	a.load.beginService(now)
+	a.receiveRequest(now, entry)
 }
 
 // completeRequest records the first bytes of an answer: it releases the flow's slot and
@@ -61,8 +64,10 @@
 	a.load.finish(now, latency)
 	entry.slotReservedAt = time.Time{}
 	if entry.requestDeliveredAt.IsZero() {
+		a.endRequest(now, entry)
 		return
 	}
+	a.learnServiceTime(now, entry)
 	serviceTime := now.Sub(entry.requestDeliveredAt)
 	if !entry.queued {
 		a.load.recordServiceTime(serviceTime)
@@ -85,6 +90,7 @@
 		return
 	}
 	a.load.cancel(now)
+	a.endRequest(now, entry)
 	entry.slotReservedAt = time.Time{}
 	if !entry.requestDeliveredAt.IsZero() {
 		a.load.endService(now, false)
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -127,6 +127,7 @@
 // of the opening packet must go to the same agent.
 func (a *Agent) reassign(now time.Time, id flow.ID, resolution *Resolution, sibling *fleet.Target, reason Reason) {
 	a.countHandOver(sibling)
+	a.countWorkHandedOver(now, resolution.Service, sibling.ID())
 	a.recordHandOver(now, resolution.Service, id, sibling.ID())
 	resolution.Action = &Forward{Target: sibling, Placed: true, Reason: reason}
 }
@@ -160,6 +161,9 @@
 	a.setSiblings()
 	a.membershipHash = view.MembershipHash()
 	if backend := view.Backend(a.config.Self); backend != nil {
+		if a.slowStart.isOtherStart(backend) {
+			a.forgetServiceTimes()
+		}
 		a.slowStart.updateListing(backend)
 	}
 	for id := range a.requestStats {
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -19,6 +19,7 @@
 	switch v := decision.(type) {
 	case handOver:
 		a.countHandOver(v.target)
+		a.countWorkHandedOver(now, service.ID(), v.target.ID())
 		a.recordHandOver(now, service.ID(), received.Packet.Flow(), v.target.ID())
 		action := a.forwardTo(v.target, v.reason)
 		action.Placed = true
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -10,7 +10,7 @@
 )
 
 // Placement is the policy by which the primary of a new flow decides who serves
-// it: one of UniformHash, HashOnly, HandOverWhenFull and TwoChoices.
+// it: one of UniformHash, HashOnly, HandOverWhenFull, TwoChoices and LeastWork.
 type Placement interface{ isPlacement() }
 
 // UniformHash always serves flows at their primary, and all backend servers keep the
@@ -65,10 +65,7 @@
 	if !a.config.PlacesNear {
 		return service.Candidates
 	}
-	if balancer := a.view.Node(origin); balancer != nil {
-		return service.Near(balancer.DataCentre())
-	}
-	return service.Near(a.config.DataCentre)
+	return service.Near(a.entryDataCentre(origin))
 }
 
 // place decides who serves a new flow. A flow that another agent has handed over is not
@@ -88,6 +85,8 @@
 		return a.placeWhenFull(now, service, received)
 	case TwoChoices:
 		return a.placeByReports(now, service, received)
+	case LeastWork:
+		return a.placeByWork(now, service, received)
 	}
 	return acceptance{}
 }
@@ -129,7 +128,7 @@
 	if a.admission.HasFreeSlot() {
 		return a.placeEvenly(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
 	}
-	sibling := a.leastLoadedSibling(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
+	sibling := a.siblingWithRoom(now, service, received)
 	if sibling == nil {
 		return a.placeWithinObjective(service, received)
 	}
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/work"
 )
 
 // reportLifetime is how long a sibling's report is valid.
@@ -39,10 +40,21 @@
 	// Services holds what is known of the requests of each service, for the services with
 	// the most requests.
 	Services []ServiceReport
+	// Work is the expected remaining work of the requests of carried flows at the backend server,
+	// in microseconds of slot-time.
+	Work uint32
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
 
+// work returns the remaining work that the report shows. Until the next one it approaches the
+// work of the average utilisation: each request that runs is halfway through on average.
+func (r Report) work(now time.Time) work.Reported {
+	serviceTime := time.Duration(r.ServiceTime) * time.Microsecond
+	usual := time.Duration(r.utilisation() * float64(r.Limit) * float64(serviceTime) / 2)
+	return work.NewReported(now, time.Duration(r.Work)*time.Microsecond, usual, float64(r.Limit))
+}
+
 // perMille is the number that stands for a share of 1 in a Report.
 const perMille = 1000
 
@@ -60,12 +72,22 @@
 type siblingReport struct {
 	report    Report
 	expiresAt time.Time
+	// work is the remaining work at the sibling.
+	work work.Reported
+	// isListed reports whether expectedWork lists the sibling.
+	isListed bool
 }
 
 // HandleReport stores a sibling's report. It returns the tickets of waiting requests that
 // the caller must hand over to the sibling, at most one for each of its free slots.
 func (a *Agent) HandleReport(now time.Time, id fleet.InstanceID, report Report) []Ticket {
-	a.reports[id] = siblingReport{report: report, expiresAt: now.Add(reportLifetime)}
+	a.reports[id] = siblingReport{
+		report:    report,
+		expiresAt: now.Add(reportLifetime),
+		work:      report.work(now),
+		isListed:  a.reports[id].isListed,
+	}
+	a.addReporter(id)
 	freeSlots := int(report.Limit) - int(report.Running)
 	if freeSlots <= 0 || a.admission.QueueLength() == 0 {
 		return nil
@@ -196,6 +218,7 @@
 func (a *Agent) Report(now time.Time) Report {
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
+	a.updateUnlearned(now)
 	report := Report{
 		Running:     uint32(math.Round(a.load.occupied()) + float64(a.admission.QueueLength())),
 		Limit:       uint32(a.load.Limit()),
@@ -206,6 +229,7 @@
 		ServiceTime: uint32(a.load.knownServiceTime().Microseconds()),
 		Ejected:     a.outliers.ejected,
 		Services:    a.serviceReports(),
+		Work:        a.reportedWorkLeft(now),
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/core/agent/slowstart.go
+++ b/internal/core/agent/slowstart.go
@@ -49,7 +49,7 @@
 // means that the list now names another start of the server. The cold start of the earlier
 // one then ends, and isCold begins the listed one, if the list names any.
 func (s *slowStart) updateListing(backend *fleet.Backend) {
-	if s.bootID != "" && s.bootID != backend.BootID {
+	if s.isOtherStart(backend) {
 		s.assumed = false
 		s.coldUntil, s.listedRemaining = time.Time{}, 0
 	}
@@ -57,6 +57,12 @@
 	s.bootID = backend.BootID
 }
 
+// isOtherStart reports whether the entry of the backend server names another start than the
+// entry before.
+func (s *slowStart) isOtherStart(backend *fleet.Backend) bool {
+	return s.bootID != "" && s.bootID != backend.BootID
+}
+
 // assumeCold assumes that the backend server is cold, because it has lost its flows.
 func (s *slowStart) assumeCold(now time.Time) {
 	if !s.isCold(now) {
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -122,6 +122,7 @@
 // bytes were delivered.
 func (a *Agent) abortTransfer(now time.Time, entry *flowEntry) {
 	a.load.endTransfer(now)
+	a.endRequest(now, entry)
 	entry.transfer = nil
 	entry.slotReservedAt = time.Time{}
 }
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -256,8 +256,7 @@
 // slot if there is none here.
 func (a *Agent) placeReleased(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if a.load.isFull() {
-		visited := a.visitedWithSelf(received.Visited)
-		if sibling := a.leastLoadedSibling(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited); sibling != nil {
+		if sibling := a.siblingWithRoom(now, service, received); sibling != nil {
 			return handOver{sibling, HandOverFull}
 		}
 	}
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -147,7 +147,7 @@
 		DataCentre:   s.DataCentre,
 		MaxFlows:     s.Connections,
 		MaxHandOvers: s.Connections * handOversPerFlow,
-		Placement:    core.HandOverWhenFull{},
+		Placement:    placement(s.Placement),
 		Carried:      true,
 		PlacesNear:   options.PlacesNear,
 		MaxPayload:   options.MaxPayload,
@@ -159,6 +159,14 @@
 	return c, nil
 }
 
+// placement returns the policy of a placement setting, which must have been checked.
+func placement(name string) core.Placement {
+	if name == settings.PlacementWork {
+		return core.LeastWork{}
+	}
+	return core.HandOverWhenFull{}
+}
+
 // start starts the goroutines of the agent in group. They end when ctx is done.
 func (c *Carrier) start(ctx context.Context, group *errgroup.Group) error {
 	if err := c.node.Start(ctx, group); err != nil {
--- a/internal/daemon/settings/carrier_test.go
+++ b/internal/daemon/settings/carrier_test.go
@@ -21,6 +21,7 @@
 	s, err := ReadCarrier([]byte(validCarrier))
 	require.NoError(t, err)
 	require.Equal(t, defaultConnections, s.Connections)
+	require.Equal(t, PlacementHandOver, s.Placement)
 	require.Equal(t, map[string]string{"service": "orders"}, s.Labels)
 	for field, text := range map[string]string{
 		"outbound": strings.Replace(validCarrier, "127.0.0.1:4", "nowhere", 1),
@@ -33,6 +34,23 @@
 	}
 }
 
+// Guards against a placement that is misspelt, or that only other agents have, and so is silently
+// that of the default.
+func TestCarrierPlacementIsChecked(t *testing.T) {
+	withPlacement := func(value string) []byte {
+		return []byte(strings.Replace(validCarrier, `"labels"`, `"placement":"`+value+`","labels"`, 1))
+	}
+	for _, value := range []string{PlacementHandOver, PlacementWork} {
+		s, err := ReadCarrier(withPlacement(value))
+		require.NoError(t, err)
+		require.Equal(t, value, s.Placement)
+	}
+	for _, value := range []string{"", "least", "choices"} {
+		_, err := ReadCarrier(withPlacement(value))
+		require.EqualError(t, err, `settings: field "placement": must be one of ["handover" "work"]`)
+	}
+}
+
 // Guards against changes that are missed because no signal follows them, or because the
 // file was invalid before, and against invalid settings that are applied.
 func TestWatcherAppliesChangedSettingsUnlessInvalid(t *testing.T) {
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -112,13 +112,26 @@
 	Labels map[string]string `json:"labels"`
 	// Connections is the number of flows that the agent can own.
 	Connections int `json:"connections"`
+	// Placement is the rule that decides which agent serves a new flow: PlacementHandOver (the
+	// default) or PlacementWork.
+	Placement string `json:"placement"`
 }
 
+// Values of Carrier.Placement.
+const (
+	// PlacementHandOver hands a new flow over when the backend server has no free slot, and a
+	// share of the flows while it is busier than the mean.
+	PlacementHandOver = "handover"
+	// PlacementWork hands a new flow over when another backend server is expected to answer it
+	// sooner.
+	PlacementWork = "work"
+)
+
 // ReadCarrier decodes the settings of an agent of carried flows, sets defaults and checks
 // them. If a check fails, it returns the settings together with the error; if data cannot be
 // decoded, nil.
 func ReadCarrier(data []byte) (*Carrier, error) {
-	s := &Carrier{Connections: defaultConnections}
+	s := &Carrier{Connections: defaultConnections, Placement: PlacementHandOver}
 	if err := decode(data, s); err != nil {
 		return nil, err
 	}
@@ -131,6 +144,7 @@
 		checkEndpoint("outbound", s.Outbound),
 		checkEndpoint("backend", s.Backend),
 		checkCount("connections", s.Connections, maxConnections),
+		checkOneOf("placement", s.Placement, PlacementHandOver, PlacementWork),
 	)
 }
 
