Compare the wait for a slot, and report its average

Change: servers are compared by the time until a slot is free plus the service time. A server that is full is compared too, and servers of other data centres are considered only then.

--- a/internal/core/agent/expectedwork.go
+++ b/internal/core/agent/expectedwork.go
@@ -13,6 +13,8 @@
 type expectedWork struct {
 	estimates *work.Estimates
 	backlog   *work.Backlog
+	// wait is the time that new requests wait for a slot.
+	wait work.Average
 	// reporters lists the siblings with a valid report, and some whose report has just expired.
 	reporters []fleet.InstanceID
 }
@@ -93,9 +95,15 @@
 // workLeft returns the expected remaining work at the backend server, in slot-time.
 func (a *Agent) workLeft(now time.Time) time.Duration { return a.work.backlog.Left(now) }
 
-// reportedWorkLeft returns the remaining work in microseconds, as in a Report.
-func (a *Agent) reportedWorkLeft(now time.Time) uint32 {
-	return uint32(min(a.workLeft(now).Microseconds(), math.MaxUint32))
+// sampleWait adds the time that a new request would wait for a slot now to its average.
+func (a *Agent) sampleWait(now time.Time) { a.work.wait.Add(now, a.work.backlog.Wait(now)) }
+
+// reportedWork returns the work that a new request waits for on average, in microseconds of
+// slot-time, as in a Report.
+func (a *Agent) reportedWork(now time.Time) uint32 {
+	a.sampleWait(now)
+	left := time.Duration(float64(a.work.wait.Value()) * a.load.slots)
+	return uint32(min(left.Microseconds(), math.MaxUint32))
 }
 
 // addReporter lists a sibling whose report is stored, if placement draws from the list.
--- a/internal/core/agent/leastwork.go
+++ b/internal/core/agent/leastwork.go
@@ -20,49 +20,54 @@
 	drawnChoices = 2
 	// maxDraws bounds the attempts to draw servers that may get the flow.
 	maxDraws = 16
-	// oneWayDelay is the delay that is assumed between two agents of a data centre.
-	oneWayDelay = time.Millisecond
+	// nearDelay and farDelay are the one-way delays that are assumed between two agents of one
+	// data centre and of different ones.
+	nearDelay = time.Millisecond
+	farDelay  = 10 * time.Millisecond
 )
 
-// choice is a server drawn for a new flow, with its latest report.
-type choice struct {
-	target *fleet.Target
-	report Report
-}
-
 // choices are the servers drawn for a new flow.
 type choices struct {
-	drawn      [drawnChoices]choice
+	targets    [drawnChoices]*fleet.Target
 	candidates [drawnChoices]work.Candidate
 	count      int
 }
 
 // has reports whether a target was drawn already.
-func (c *choices) has(target *fleet.Target) bool {
-	return slices.ContainsFunc(c.drawn[:c.count], func(drawn choice) bool { return drawn.target == target })
-}
+func (c *choices) has(target *fleet.Target) bool { return slices.Contains(c.targets[:c.count], target) }
 
 // all returns the candidates drawn.
 func (c *choices) all() []work.Candidate { return c.candidates[:c.count] }
 
+// add adds a target.
+func (c *choices) add(target *fleet.Target, candidate work.Candidate) {
+	c.targets[c.count], c.candidates[c.count] = target, candidate
+	c.count++
+}
+
 // placesByWork reports whether LeastWork is in force.
 func (a *Agent) placesByWork() bool {
 	_, configured := a.config.Placement.(LeastWork)
 	return configured && a.config.Carried
 }
 
-// placeByWork applies LeastWork.
+// placeByWork applies LeastWork. Servers in other data centres are considered only while no slot is
+// free here, or to even out the utilisation.
 func (a *Agent) placeByWork(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
-	if !a.placesByWork() || !a.admission.HasFreeSlot() {
+	if !a.placesByWork() {
 		return a.placeWhenFull(now, service, received)
 	}
-	var c choices
-	a.drawChoices(now, service, received, acceptsFlows, &c)
-	if c.count == 0 {
+	var near choices
+	a.drawChoices(now, service, received, a.isNearChoice, &near)
+	if near.count == 0 {
 		return a.placeWhenFull(now, service, received)
 	}
-	if best := work.Choose(a.ownCandidate(now, service), c.all()); best >= 0 {
-		return handOver{c.drawn[best].target, HandOverWork}
+	here := a.ownCandidate(now, service)
+	if best := work.Choose(here, near.all()); best >= 0 {
+		return handOver{near.targets[best], HandOverWork}
+	}
+	if !a.admission.HasFreeSlot() {
+		return a.placeFarByWork(now, service, received, here)
 	}
 	if a.config.PlacesNear && a.utilisation > nearUtilisation {
 		return a.placeEvenly(now, a.candidates(service, received.Origin), received.Packet.Flow(), a.visitedWithSelf(received.Visited))
@@ -70,16 +75,29 @@
 	return acceptance{}
 }
 
-// shortestDelaySibling returns the sibling that takes a flow while this server is full: of two
+// placeFarByWork decides about a flow for which no slot is free here, and no server near is
+// expected to answer sooner.
+func (a *Agent) placeFarByWork(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, here work.Candidate) placementDecision {
+	var far choices
+	if a.config.PlacesNear {
+		a.drawChoices(now, service, received, a.isFarChoice, &far)
+	}
+	if best := work.Choose(here, far.all()); best >= 0 {
+		return handOver{far.targets[best], HandOverWork}
+	}
+	return a.placeWithinObjective(service, received)
+}
+
+// shortestDelaySibling returns the sibling that takes a flow while this server is full: of two near
 // with a free slot the one that is expected to answer first. It returns nil if none was found.
 func (a *Agent) shortestDelaySibling(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
 	var c choices
-	a.drawChoices(now, service, received, hasFreeSlot, &c)
+	a.drawChoices(now, service, received, a.isNearChoiceWithSlot, &c)
 	best := work.Shortest(c.all())
 	if best < 0 {
 		return nil
 	}
-	return c.drawn[best].target
+	return c.targets[best]
 }
 
 // siblingWithRoom returns the sibling that takes a flow while this server is full: by LeastWork
@@ -100,31 +118,48 @@
 	return !report.Ejected && report.Limit > 0 && report.Owned < report.MaxOwned
 }
 
-// hasFreeSlot reports whether a sibling accepts new flows and has a free slot by its report.
-func hasFreeSlot(report Report) bool { return acceptsFlows(report) && report.limitUsage() < 1 }
+// isNearChoice reports whether a sibling that accepts flows is in the data centre that a flow
+// enters. Where flows do not stay near, all siblings are.
+func (a *Agent) isNearChoice(target *fleet.Target, report Report, received *ReceivedPacket) bool {
+	isNear := !a.config.PlacesNear || target.DataCentre() == a.entryDataCentre(received.Origin)
+	return isNear && acceptsFlows(report)
+}
+
+// isNearChoiceWithSlot reports whether a sibling near has a free slot by its report.
+func (a *Agent) isNearChoiceWithSlot(target *fleet.Target, report Report, received *ReceivedPacket) bool {
+	return report.limitUsage() < 1 && a.isNearChoice(target, report, received)
+}
+
+// isFarChoice reports whether a sibling with a free slot by its report is in another data centre
+// than the one that a flow enters.
+func (a *Agent) isFarChoice(target *fleet.Target, report Report, received *ReceivedPacket) bool {
+	return target.DataCentre() != a.entryDataCentre(received.Origin) && acceptsFlows(report) && report.limitUsage() < 1
+}
 
 // ownCandidate returns the backend server of this agent as a candidate for a flow.
 func (a *Agent) ownCandidate(now time.Time, service *fleet.RoutedService) work.Candidate {
 	return work.Candidate{
-		Left:        a.workLeft(now),
-		Slots:       a.load.slots,
+		Wait:        a.work.backlog.Wait(now),
 		ServiceTime: a.estimateOf(now, service.ID()).Mean(),
 	}
 }
 
 // siblingCandidate returns the backend server of a sibling as a candidate for a flow.
-func (a *Agent) siblingCandidate(now time.Time, service *fleet.RoutedService, stored *siblingReport) work.Candidate {
+func (a *Agent) siblingCandidate(now time.Time, service *fleet.RoutedService, target *fleet.Target, stored *siblingReport) work.Candidate {
+	distance := nearDelay
+	if target.DataCentre() != a.config.DataCentre {
+		distance = farDelay
+	}
 	return work.Candidate{
-		Left:        stored.work.LeftAt(now),
-		Slots:       float64(stored.report.Limit),
+		Wait:        stored.work.Wait(now),
 		ServiceTime: a.serviceTimeAt(now, service.ID(), stored.report),
-		Distance:    oneWayDelay,
+		Distance:    distance,
 	}
 }
 
-// drawChoices draws siblings at random among those with a valid report that may get a flow. The
-// number of attempts is bounded, so that its cost does not grow with the fleet.
-func (a *Agent) drawChoices(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, accepts func(Report) bool, c *choices) {
+// drawChoices draws siblings at random among those with a valid report that may get a flow and that
+// accepts allows. The number of attempts is bounded, so that its cost does not grow with the fleet.
+func (a *Agent) drawChoices(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, accepts func(*fleet.Target, Report, *ReceivedPacket) bool, c *choices) {
 	for range maxDraws {
 		if len(a.work.reporters) == 0 || c.count == drawnChoices {
 			return
@@ -136,21 +171,16 @@
 			continue
 		}
 		target := service.Target(a.work.reporters[index])
-		if target == nil || c.has(target) || !a.mayChoose(target, received) || !accepts(stored.report) {
+		if target == nil || c.has(target) || !a.mayChoose(target, received) || !accepts(target, stored.report, received) {
 			continue
 		}
-		c.drawn[c.count] = choice{target, stored.report}
-		c.candidates[c.count] = a.siblingCandidate(now, service, &stored)
-		c.count++
+		c.add(target, a.siblingCandidate(now, service, target, &stored))
 	}
 }
 
-// mayChoose reports whether a flow may be handed over to a target by its expected work.
+// mayChoose reports whether a flow may be handed over to a target at all.
 func (a *Agent) mayChoose(target *fleet.Target, received *ReceivedPacket) bool {
-	if target.ID() == a.config.Self || target.IsResidual() || !isEligible(target, received.Visited) {
-		return false
-	}
-	return !a.config.PlacesNear || target.DataCentre() == a.entryDataCentre(received.Origin)
+	return target.ID() != a.config.Self && !target.IsResidual() && isEligible(target, received.Visited)
 }
 
 // entryDataCentre returns the data centre of the balancer that received a flow's packets, or that
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -80,6 +80,9 @@
 	if received.Placed {
 		return a.placeWithinObjective(service, received)
 	}
+	if a.config.Carried {
+		a.sampleWait(now)
+	}
 	switch a.config.Placement.(type) {
 	case HandOverWhenFull:
 		return a.placeWhenFull(now, service, received)
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -40,19 +40,17 @@
 	// Services holds what is known of the requests of each service, for the services with
 	// the most requests.
 	Services []ServiceReport
-	// Work is the expected remaining work of the requests of carried flows at the backend server,
-	// in microseconds of slot-time.
+	// Work is the work of the requests of carried flows that a new request has had to wait for at
+	// the backend server lately, on average, in microseconds of slot-time. What is left at this
+	// moment would say nothing when the report is used, many requests later.
 	Work uint32
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
 
-// work returns the remaining work that the report shows. Until the next one it approaches the
-// work of the average utilisation: each request that runs is halfway through on average.
+// work returns the work that the report shows.
 func (r Report) work(now time.Time) work.Reported {
-	serviceTime := time.Duration(r.ServiceTime) * time.Microsecond
-	usual := time.Duration(r.utilisation() * float64(r.Limit) * float64(serviceTime) / 2)
-	return work.NewReported(now, time.Duration(r.Work)*time.Microsecond, usual, float64(r.Limit))
+	return work.NewReported(now, time.Duration(r.Work)*time.Microsecond, float64(r.Limit))
 }
 
 // perMille is the number that stands for a share of 1 in a Report.
@@ -229,7 +227,7 @@
 		ServiceTime: uint32(a.load.knownServiceTime().Microseconds()),
 		Ejected:     a.outliers.ejected,
 		Services:    a.serviceReports(),
-		Work:        a.reportedWorkLeft(now),
+		Work:        a.reportedWork(now),
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/core/work/backlog.go
+++ b/internal/core/work/backlog.go
@@ -13,13 +13,23 @@
 type Backlog struct {
 	// slots is the number of requests that the server runs at once.
 	slots int
-	// inTransit holds the expected work of the requests of which bytes are still to come, and
-	// transitWork its sum.
-	inTransit   map[RequestID]time.Duration
-	transitWork time.Duration
+	// inTransit holds the requests of which bytes are still to come. transitWork and
+	// transitSlots are the sums of their expected work and of their shares.
+	inTransit    map[RequestID]transitRequest
+	transitWork  time.Duration
+	transitSlots float64
 	// received holds the requests that the server has received, in order. The first ones, one
 	// for each slot, run.
 	received []receivedRequest
+	// freeIn is when each slot becomes free, as Wait computes it. It is kept to be reused.
+	freeIn []time.Duration
+}
+
+// transitRequest is a request of which bytes are still to come.
+type transitRequest struct {
+	// work is the part of the expected work that counts, which is a share of it.
+	work  time.Duration
+	share float64
 }
 
 // receivedRequest is a request that the server has received.
@@ -32,7 +42,7 @@
 
 // NewBacklog returns the empty backlog of a server.
 func NewBacklog(slots int) *Backlog {
-	return &Backlog{slots: slots, inTransit: make(map[RequestID]time.Duration)}
+	return &Backlog{slots: slots, inTransit: make(map[RequestID]transitRequest)}
 }
 
 // SetSlots sets the number of requests that the server runs at once.
@@ -45,9 +55,10 @@
 // counts until then.
 func (b *Backlog) Expect(id RequestID, estimate *Estimate, share float64) {
 	b.removeTransit(id)
-	expected := time.Duration(share * float64(estimate.Mean()))
+	expected := transitRequest{work: time.Duration(share * float64(estimate.Mean())), share: share}
 	b.inTransit[id] = expected
-	b.transitWork += expected
+	b.transitWork += expected.work
+	b.transitSlots += expected.share
 }
 
 // Receive records that the server has received all bytes of a request.
@@ -73,8 +84,13 @@
 
 // removeTransit removes a request from those in transit.
 func (b *Backlog) removeTransit(id RequestID) {
-	b.transitWork -= b.inTransit[id]
+	expected := b.inTransit[id]
 	delete(b.inTransit, id)
+	b.transitWork -= expected.work
+	b.transitSlots -= expected.share
+	if len(b.inTransit) == 0 {
+		b.transitSlots = 0 // Sums of fractions do not return to zero exactly.
+	}
 }
 
 // startQueued gives the free slots to the requests that were received first.
@@ -86,6 +102,43 @@
 	}
 }
 
+// Wait returns how long a request that arrives now is expected to wait for a slot. It is zero while
+// a slot is free, whatever the requests that run still need. Requests in transit go first.
+func (b *Backlog) Wait(now time.Time) time.Duration {
+	if float64(len(b.received))+b.transitSlots < float64(b.slots) {
+		return 0
+	}
+	b.freeIn = b.freeIn[:0]
+	for i := range b.received {
+		if r := &b.received[i]; !r.startedAt.IsZero() {
+			b.freeIn = append(b.freeIn, r.estimate.Rest(now.Sub(r.startedAt)))
+		}
+	}
+	for len(b.freeIn) < b.slots {
+		b.freeIn = append(b.freeIn, 0)
+	}
+	for i := range b.received {
+		if r := &b.received[i]; r.startedAt.IsZero() {
+			b.occupyNext(r.estimate.Mean())
+		}
+	}
+	for range b.inTransit {
+		b.occupyNext(b.transitWork / time.Duration(len(b.inTransit)))
+	}
+	return slices.Min(b.freeIn)
+}
+
+// occupyNext lets a request occupy the slot that is free first.
+func (b *Backlog) occupyNext(serviceTime time.Duration) {
+	next := 0
+	for i := range b.freeIn {
+		if b.freeIn[i] < b.freeIn[next] {
+			next = i
+		}
+	}
+	b.freeIn[next] += serviceTime
+}
+
 // Left returns the expected remaining work, in slot-time.
 func (b *Backlog) Left(now time.Time) time.Duration {
 	left := b.transitWork
--- a/internal/core/work/choice.go
+++ b/internal/core/work/choice.go
@@ -8,20 +8,16 @@
 
 // Candidate is a server that may serve a request.
 type Candidate struct {
-	// Left is the expected remaining work at the server, in slot-time.
-	Left time.Duration
-	// Slots is the number of requests that the server runs at once.
-	Slots float64
+	// Wait is the time that the request is expected to wait for a slot at the server.
+	Wait time.Duration
 	// ServiceTime is the expected service time of the request at the server.
 	ServiceTime time.Duration
 	// Distance is the one-way delay to the server.
 	Distance time.Duration
 }
 
-// Delay returns the time in which the request is expected to be answered by the server.
-func (c *Candidate) Delay() time.Duration {
-	return time.Duration(float64(c.Left)/c.Slots) + c.ServiceTime
-}
+// Delay returns the time in which the server is expected to answer the request.
+func (c *Candidate) Delay() time.Duration { return c.Wait + c.ServiceTime }
 
 // Shortest returns the index of the candidate with the shortest expected delay, or -1 if there
 // is none.
@@ -49,34 +45,33 @@
 	return best
 }
 
-// Reported is the remaining work at another server by its latest load report, with the work that
-// was handed over to it since.
+// Reported is the work that a new request must wait for at another server: the usual work by the
+// server's latest load report, and the work that was handed over to it since.
 type Reported struct {
-	left  time.Duration
-	at    time.Time
-	slots float64
-	// usual is the work that is left at the server on average.
-	usual time.Duration
+	// left is the work at the instant at. It falls to the usual work as the server proceeds.
+	left, usual time.Duration
+	at          time.Time
+	slots       float64
 }
 
-// NewReported returns the work that a load report shows: left at the instant at, and usual on
-// average.
-func NewReported(at time.Time, left, usual time.Duration, slots float64) Reported {
-	return Reported{left: left, at: at, slots: slots, usual: usual}
+// NewReported returns the work of a server with a number of slots that a load report shows.
+func NewReported(at time.Time, usual time.Duration, slots float64) Reported {
+	return Reported{left: usual, usual: usual, at: at, slots: slots}
 }
 
-// LeftAt returns the expected remaining work at an instant: the server has worked since, and has
-// received new requests. As the report ages, the work approaches the usual one.
-func (r *Reported) LeftAt(now time.Time) time.Duration {
+// leftAt returns the work at an instant.
+func (r *Reported) leftAt(now time.Time) time.Duration {
 	done := time.Duration(r.slots * float64(max(now.Sub(r.at), 0)))
-	if r.left > r.usual {
-		return max(r.left-done, r.usual)
-	}
-	return min(r.left+done, r.usual)
+	return max(r.left-done, r.usual)
+}
+
+// Wait returns the time that a new request is expected to wait for a slot.
+func (r *Reported) Wait(now time.Time) time.Duration {
+	return time.Duration(float64(r.leftAt(now)) / max(r.slots, 1))
 }
 
 // Add adds the work of a request that was handed over to the server.
 func (r *Reported) Add(now time.Time, serviceTime time.Duration) {
-	r.left = r.LeftAt(now) + serviceTime
+	r.left = r.leftAt(now) + serviceTime
 	r.at = now
 }
