Publish the work left at a server and the error of expected service times

Whether placement by expected work helps depends on how well service times can be predicted, which operators could not see. The agents publish predicted_service_us, prediction_error_us and work_left_us.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -87,6 +87,9 @@
 	// requestDeliveredAt is when the first bytes of the current request were delivered, of an
 	// upload request the last ones, or zero before that.
 	requestDeliveredAt time.Time
+	// expectedServiceTime is how long the current request was expected to take when it was
+	// delivered.
+	expectedServiceTime time.Duration
 	// queued reports whether the backend server was saturated when the current request
 	// was delivered, so that the request had to queue there.
 	queued bool
@@ -177,6 +180,9 @@
 	// ObserveAnswer receives the time from taking a slot for a request to the first bytes
 	// of its answer.
 	ObserveAnswer(latency time.Duration)
+	// ObserveServiceTime receives the service time of a request of a carried flow as expected when
+	// the backend server received it, and as it was.
+	ObserveServiceTime(expected, actual time.Duration)
 	// ObserveLookup receives the time that the lookup of a flow's owner took.
 	ObserveLookup(latency time.Duration)
 }
@@ -188,6 +194,8 @@
 func (noopObserver) ObserveAnswer(time.Duration)  {}
 func (noopObserver) ObserveLookup(time.Duration)  {}
 
+func (noopObserver) ObserveServiceTime(time.Duration, time.Duration) {}
+
 // Agent holds the flow table of one agent and decides about its packets.
 type Agent struct {
 	config Config
--- a/internal/core/agent/expectedwork.go
+++ b/internal/core/agent/expectedwork.go
@@ -70,7 +70,9 @@
 // receiveRequest records that the backend server has received the current request of a flow.
 func (a *Agent) receiveRequest(now time.Time, entry *flowEntry) {
 	a.work.backlog.SetSlots(now, int(a.load.slots))
-	a.work.backlog.Receive(now, requestID(entry), a.estimateOf(now, entry.service))
+	estimate := a.estimateOf(now, entry.service)
+	entry.expectedServiceTime = estimate.Mean()
+	a.work.backlog.Receive(now, requestID(entry), estimate)
 }
 
 // endRequest removes the work of a request that ended without an answer.
@@ -89,11 +91,14 @@
 	if !started || !now.After(startedAt) {
 		return
 	}
-	a.estimateOf(now, entry.service).Record(now.Sub(startedAt))
+	actual := now.Sub(startedAt)
+	a.config.Observer.ObserveServiceTime(entry.expectedServiceTime, actual)
+	a.estimateOf(now, entry.service).Record(actual)
 }
 
-// workLeft returns the expected remaining work at the backend server, in slot-time.
-func (a *Agent) workLeft(now time.Time) time.Duration { return a.work.backlog.Left(now) }
+// WorkLeft returns the expected remaining work of the requests of carried flows at the backend
+// server, in slot-time.
+func (a *Agent) WorkLeft(now time.Time) time.Duration { return a.work.backlog.Left(now) }
 
 // sampleWait adds the time that a new request would wait for a slot now to its average.
 func (a *Agent) sampleWait(now time.Time) { a.work.wait.Add(now, a.work.backlog.Wait(now)) }
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -155,6 +155,7 @@
 		Labels:       s.Labels,
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	c.core.Start(clock.Now())
+	counters.Gauge("work_left_us", c.workLeft)
 	n.OnPublish(c.applyView)
 	return c, nil
 }
@@ -304,6 +305,13 @@
 	return nil
 }
 
+// workLeft returns the expected remaining work at the backend server in microseconds of slot-time.
+func (c *Carrier) workLeft() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.core.WorkLeft(clock.Now()).Microseconds())
+}
+
 // leave stops taking new flows, fails the readiness check and publishes that the agent is
 // leaving. It returns after leavingDuration, in which packets are still forwarded.
 func (c *Carrier) leave() {
--- a/internal/daemon/exchange/observer.go
+++ b/internal/daemon/exchange/observer.go
@@ -9,16 +9,19 @@
 
 // observer publishes the latencies that an agent's core measures.
 type observer struct {
-	opening, answer, lookup *metrics.LatencyHistogram
+	opening, answer, lookup      *metrics.LatencyHistogram
+	serviceTime, predictionError *metrics.LatencyHistogram
 }
 
 // NewObserver returns an observer that publishes each latency as a histogram in
 // microseconds.
 func NewObserver(counters *metrics.Counters) core.Observer {
 	return &observer{
-		opening: counters.NewLatencyHistogram("opening_latency_us"),
-		answer:  counters.NewLatencyHistogram("answer_latency_us"),
-		lookup:  counters.NewLatencyHistogram("lookup_latency_us"),
+		opening:         counters.NewLatencyHistogram("opening_latency_us"),
+		answer:          counters.NewLatencyHistogram("answer_latency_us"),
+		lookup:          counters.NewLatencyHistogram("lookup_latency_us"),
+		serviceTime:     counters.NewLatencyHistogram("predicted_service_us"),
+		predictionError: counters.NewLatencyHistogram("prediction_error_us"),
 	}
 }
 
@@ -30,3 +33,9 @@
 
 // ObserveLookup implements core.Observer.
 func (o *observer) ObserveLookup(latency time.Duration) { o.lookup.Observe(latency) }
+
+// ObserveServiceTime implements core.Observer.
+func (o *observer) ObserveServiceTime(expected, actual time.Duration) {
+	o.serviceTime.Observe(expected)
+	o.predictionError.Observe((expected - actual).Abs())
+}
