--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/work"
 )
 
 // reportLifetime is how long a sibling's report is valid.
@@ -40,10 +41,19 @@
 	// Services holds what is known of the requests of each service, for the services with
 	// the most requests.
 	Services []ServiceReport
+	// Work is the work of the requests of carried flows that a new request has had to wait for at
+	// the backend server lately, on average, in microseconds of slot-time. What is left at this
+	// moment would say nothing when the report is used, many requests later.
+	Work uint32
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
 
+// work returns the work that the report shows.
+func (r Report) work(now time.Time) work.Reported {
+	return work.NewReported(now, time.Duration(r.Work)*time.Microsecond, float64(r.Limit))
+}
+
 // perMille is the number that stands for a share of 1 in a Report.
 const perMille = 1000
 
@@ -61,13 +71,23 @@
 type siblingReport struct {
 	report    Report
 	expiresAt time.Time
+	// work is the remaining work at the sibling.
+	work work.Reported
+	// isListed reports whether expectedWork lists the sibling.
+	isListed bool
 }
 
 // HandleReport stores a sibling's report. It returns the tickets of waiting requests that
 // the caller must hand over to the sibling, at most one for each of its free slots. For carried
 // flows ReleaseWaiting must be called instead, which hands waiting opening packets over.
 func (a *Agent) HandleReport(now time.Time, id fleet.InstanceID, report Report) []Ticket {
-	a.reports[id] = siblingReport{report: report, expiresAt: now.Add(reportLifetime)}
+	a.reports[id] = siblingReport{
+		report:    report,
+		expiresAt: now.Add(reportLifetime),
+		work:      report.work(now),
+		isListed:  a.reports[id].isListed,
+	}
+	a.addReporter(id)
 	a.recordWaiting(id, report)
 	freeSlots := int(report.Limit) - int(report.Running)
 	if freeSlots <= 0 {
@@ -246,6 +266,7 @@
 func (a *Agent) Report(now time.Time) Report {
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
+	a.updateUnlearned(now)
 	report := Report{
 		Running:     uint32(math.Round(a.load.occupied()) + float64(a.Waiting())),
 		Limit:       uint32(a.load.Limit()),
@@ -256,6 +277,7 @@
 		ServiceTime: uint32(a.load.knownServiceTime().Microseconds()),
 		Ejected:     a.outliers.ejected,
 		Services:    a.serviceReports(),
+		Work:        a.reportedWork(now),
 	}
 	if a.draining {
 		report.Limit = 0
