--- a/internal/core/work/backlog.go
+++ b/internal/core/work/backlog.go
@@ -40,14 +40,14 @@
 	startedAt time.Time
 }
 
-// NewBacklog returns the empty backlog of a server.
+// NewBacklog returns the empty backlog of a server with a number of slots, at least one.
 func NewBacklog(slots int) *Backlog {
-	return &Backlog{slots: slots, inTransit: make(map[RequestID]transitRequest)}
+	return &Backlog{slots: max(slots, 1), inTransit: make(map[RequestID]transitRequest)}
 }
 
-// SetSlots sets the number of requests that the server runs at once.
+// SetSlots sets the number of requests that the server runs at once, at least one.
 func (b *Backlog) SetSlots(now time.Time, slots int) {
-	b.slots = slots
+	b.slots = max(slots, 1)
 	b.startQueued(now)
 }
 
--- a/internal/core/work/backlog_test.go
+++ b/internal/core/work/backlog_test.go
@@ -33,6 +33,14 @@
 	require.Equal(t, start.Add(14*ms), startedAt, "a queued request starts when a slot is free")
 }
 
+// Guards against a crash by a server that is listed without slots.
+func TestServerWithoutSlotsCountsAsOneWithASlot(t *testing.T) {
+	b, e := NewBacklog(0), newLearned(10*ms)
+	require.Zero(t, b.Wait(start))
+	b.Receive(start, 1, e)
+	require.Equal(t, 10*ms, b.Wait(start))
+}
+
 // Guards against transfers that count like requests at the server.
 func TestTransfersCountWithTheirShare(t *testing.T) {
 	b, upload := NewBacklog(2), newLearned(4*ms)
