Measure uploads without a noticed end from their bytes only

Cause: an answer to an upload whose last packet is full recorded a latency of zero and a transfer time that included the service. An answer before the first byte recorded a transfer time since the zero time and counted a request in service for ever.

Change: the transfer time ends, and the latency begins, with the last byte delivered. An answer before the first byte only releases the share.

Result: TestServiceTimeOfAnUploadCountsFromItsLastByte and TestAnswerBeforeTheFirstByteIsNoRequest failed before and pass.

--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -50,12 +50,12 @@
 // completeRequest records the first bytes of an answer: it releases the flow's slot and
 // records the latency, the service time and the outcome of the request.
 func (a *Agent) completeRequest(now time.Time, entry *flowEntry) {
-	if entry.slotReservedAt.IsZero() {
-		return
-	}
 	if entry.isTransferring() {
 		a.completeUnnoticed(now, entry)
 	}
+	if entry.slotReservedAt.IsZero() {
+		return
+	}
 	latency := now.Sub(entry.slotReservedAt)
 	a.config.Observer.ObserveAnswer(latency)
 	a.load.finish(now, latency)
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -102,18 +102,24 @@
 
 // completeTransfer ends the transfer of a request, which takes a slot from now on.
 func (a *Agent) completeTransfer(now time.Time, entry *flowEntry) {
-	a.load.recordTransferTime(now.Sub(entry.transfer.startedAt))
+	current := entry.transfer
+	a.load.recordTransferTime(current.lastBytesAt.Sub(current.startedAt))
 	a.load.endTransfer(now)
 	entry.transfer = nil
 	a.load.start(now)
-	entry.slotReservedAt = now
+	entry.slotReservedAt = current.lastBytesAt
 	a.beginService(now, entry)
 }
 
 // completeUnnoticed ends the transfer of a request that is answered although its end was not
-// noticed: its last packet was full, or the backend server answers before it has all bytes.
+// noticed: its last packet was full, or the backend server answers before it has all bytes. An
+// answer before the first byte ends no request.
 func (a *Agent) completeUnnoticed(now time.Time, entry *flowEntry) {
 	lastBytesAt := entry.transfer.lastBytesAt
+	if lastBytesAt.IsZero() {
+		a.abortTransfer(now, entry)
+		return
+	}
 	a.completeTransfer(now, entry)
 	entry.requestDeliveredAt = lastBytesAt
 }
--- a/internal/core/agent/upload_test.go
+++ b/internal/core/agent/upload_test.go
@@ -156,6 +156,42 @@
 	require.Positive(t, replayUploads(newUploadAgent(t, false), uploadEvents()), "the load must be such that requests of other services wait")
 }
 
+// Guards against a service time or a latency that counts the transfer, also where the end of the
+// request is not noticed since its last packet is full.
+func TestServiceTimeOfAnUploadCountsFromItsLastByte(t *testing.T) {
+	for _, last := range []int{lastPayload, testMaxPayload} {
+		a := newUploadAgent(t, true)
+		now := settledAt
+		openUpload(now, a, 4000, openingSequence)
+		for index := range 3 {
+			now = now.Add(60 * time.Millisecond)
+			size := testMaxPayload
+			if index == 2 {
+				size = last
+			}
+			sendPayload(now, a, 4000, openingSequence+1+uint32(index*testMaxPayload), size)
+		}
+		answerUpload(now.Add(uploadServiceTime), a, 4000)
+		require.Equal(t, uploadServiceTime, time.Duration(a.load.serviceTime))
+		require.Equal(t, uploadServiceTime, time.Duration(a.load.latency))
+		require.Equal(t, 120*time.Millisecond, time.Duration(a.load.transferTime))
+		requireNothingRuns(t, a)
+	}
+}
+
+// Guards against a server that seems to run a request for ever, or a transfer of unknown start,
+// when it answers before the first byte.
+func TestAnswerBeforeTheFirstByteIsNoRequest(t *testing.T) {
+	a := newUploadAgent(t, true)
+	openUpload(settledAt, a, 4000, openingSequence)
+	answerUpload(settledAt, a, 4000)
+	requireNothingRuns(t, a)
+	require.Zero(t, a.load.transferTime)
+	require.Zero(t, a.load.serviceTimeSamples)
+	sendUpload(settledAt, a, 4000, openingSequence+1, 0)
+	require.Equal(t, 1, a.load.Running())
+}
+
 // A server that gives up on a stopped caller answers after a long time. Guards against a service
 // time that counts the wait for the caller.
 func TestAnswerToAnIdleTransferIsNoServiceTime(t *testing.T) {
