Bound the segments that an agent remembers of a transfer

Cause: a caller that makes up sequence numbers added a segment with each packet.

Change: at most 64 segments beyond a gap are remembered. A request with more ends with its answer.

Result: TestStateOfATransferIsBounded failed before (999 segments) and passes.

--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -19,6 +19,8 @@
 	// transferIdleTimeout is how long a transfer without new bytes keeps its share of a slot.
 	// It is longer than the first retransmission timeout of callers.
 	transferIdleTimeout = 500 * time.Millisecond
+	// maxSegmentsBeyondGap limits the state of a transfer. Callers have fewer packets in flight.
+	maxSegmentsBeyondGap = 64
 )
 
 // transfer tracks the bytes of one upload request that were delivered to the backend server.
@@ -57,7 +59,9 @@
 	if packet.PayloadSize() < maxPayload {
 		t.end, t.isEndKnown = end, true
 	}
-	t.beyondGap = append(t.beyondGap, segment{start, end})
+	if len(t.beyondGap) < maxSegmentsBeyondGap {
+		t.beyondGap = append(t.beyondGap, segment{start, end})
+	}
 	t.closeGaps()
 }
 
--- a/internal/core/agent/upload_test.go
+++ b/internal/core/agent/upload_test.go
@@ -240,6 +240,18 @@
 	requireNothingRuns(t, a)
 }
 
+// Guards against memory that grows with the sequence numbers that a caller makes up.
+func TestStateOfATransferIsBounded(t *testing.T) {
+	a := newUploadAgent(t, true)
+	openUpload(settledAt, a, 4000, openingSequence)
+	for index := range uint32(1000) {
+		sendPayload(settledAt, a, 4000, 100+index*2*testMaxPayload, testMaxPayload)
+	}
+	require.LessOrEqual(t, len(a.flows[flowOf(4000)].transfer.beyondGap), maxSegmentsBeyondGap)
+	answerUpload(settledAt, a, 4000)
+	requireNothingRuns(t, a)
+}
+
 // Guards against a change for services without uploads: a flow takes a slot when it opens, and the
 // service time counts from the first byte.
 func TestRequestsOfOtherServicesTakeASlotFromTheOpening(t *testing.T) {
