Remember the delivered bytes of an upload whose transfer is idle

A packet that was lost twice, and came after the idle timeout, then began a new transfer that was never complete, so that its request took only a share of a slot in service. A repeated packet without new bytes took the share again.

The next packet with new bytes takes it again. An answer to a transfer without a share is not measured.

Result: TestIdleTransferReleasesItsShareUntilItsNextPacket and TestRetransmissionAfterTheIdleTimeoutCompletesTheUpload failed before and pass.

--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -19,8 +19,7 @@
 	}
 	entry.slotReservedAt = now
 	if service := a.view.Service(entry.service); service != nil && service.IsUpload() {
-		entry.transfer = new(transfer)
-		a.load.beginTransfer(now)
+		a.beginTransfer(now, entry)
 		return
 	}
 	a.load.start(now)
@@ -81,7 +80,7 @@
 		return
 	}
 	if entry.isTransferring() {
-		a.abortTransfer(now, entry)
+		a.releaseShare(now, entry)
 		return
 	}
 	a.load.cancel(now)
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -29,8 +29,10 @@
 	startedAt time.Time
 	// lastBytesAt is when new bytes were last delivered.
 	lastBytesAt time.Time
-	// next is the sequence number that follows the bytes delivered without a gap.
-	next uint32
+	// next is the sequence number that follows the bytes delivered without a gap, if
+	// isNextKnown.
+	next        uint32
+	isNextKnown bool
 	// beyondGap holds the segments delivered that do not follow next, in no order.
 	beyondGap []segment
 	// end is the sequence number that follows the last byte of the request, if isEndKnown.
@@ -45,22 +47,32 @@
 // around.
 func isBefore(a, b uint32) bool { return int32(a-b) < 0 }
 
-// add records the payload of a delivered packet. A packet that is not full ends the request.
+// segmentOf returns the sequence numbers of a packet's payload.
+func segmentOf(packet flow.Packet) segment {
+	return segment{packet.Sequence(), packet.Sequence() + uint32(packet.PayloadSize())}
+}
+
+// isNew reports whether a segment has bytes that were not delivered before.
+func (t *transfer) isNew(s segment) bool {
+	return !t.isNextKnown || isBefore(t.next, s.end) && !slices.Contains(t.beyondGap, s)
+}
+
+// add records the payload of a delivered packet that has new bytes. A packet that is not full
+// ends the request.
 func (t *transfer) add(now time.Time, packet flow.Packet, maxPayload int) {
-	start := packet.Sequence()
-	end := start + uint32(packet.PayloadSize())
+	delivered := segmentOf(packet)
 	if t.startedAt.IsZero() {
-		t.startedAt, t.next = now, start
+		t.startedAt = now
 	}
-	if !isBefore(t.next, end) || slices.Contains(t.beyondGap, segment{start, end}) {
-		return
+	if !t.isNextKnown {
+		t.next, t.isNextKnown = delivered.start, true
 	}
 	t.lastBytesAt = now
-	if packet.PayloadSize() < maxPayload {
-		t.end, t.isEndKnown = end, true
+	if packet.PayloadSize() < maxPayload && !t.isEndKnown {
+		t.end, t.isEndKnown = delivered.end, true
 	}
 	if len(t.beyondGap) < maxSegmentsBeyondGap {
-		t.beyondGap = append(t.beyondGap, segment{start, end})
+		t.beyondGap = append(t.beyondGap, delivered)
 	}
 	t.closeGaps()
 }
@@ -83,7 +95,7 @@
 
 // isComplete reports whether all bytes of the request were delivered. It is not noticed for a
 // request whose last packet is full.
-func (t *transfer) isComplete() bool { return t.isEndKnown && t.next == t.end }
+func (t *transfer) isComplete() bool { return t.isEndKnown && !isBefore(t.next, t.end) }
 
 // isIdle reports whether the transfer has had no new bytes for so long that it keeps no share
 // of a slot.
@@ -92,8 +104,11 @@
 }
 
 // recordUpload records that bytes of an upload request are delivered. Once all of them are, the
-// request takes a slot.
+// request takes a slot. Bytes delivered before count for nothing.
 func (a *Agent) recordUpload(now time.Time, entry *flowEntry, packet flow.Packet) {
+	if entry.isTransferring() && !entry.transfer.isNew(segmentOf(packet)) {
+		return
+	}
 	a.reserveSlot(now, entry)
 	if !entry.isTransferring() {
 		return
@@ -104,34 +119,46 @@
 	}
 }
 
+// beginTransfer makes an upload request take a share of a slot: when its flow opens, with its
+// first bytes, or with further bytes after the share was released.
+func (a *Agent) beginTransfer(now time.Time, entry *flowEntry) {
+	if entry.transfer == nil {
+		entry.transfer = new(transfer)
+	}
+	a.load.beginTransfer(now)
+}
+
 // completeTransfer ends the transfer of a request, which takes a slot from now on.
 func (a *Agent) completeTransfer(now time.Time, entry *flowEntry) {
 	current := entry.transfer
 	a.load.recordTransferTime(current.lastBytesAt.Sub(current.startedAt))
 	a.load.endTransfer(now)
-	entry.transfer = nil
 	a.load.start(now)
 	entry.slotReservedAt = current.lastBytesAt
+	entry.transfer = nil
 	a.beginService(now, entry)
 }
 
 // completeUnnoticed ends the transfer of a request that is answered although its end was not
 // noticed: its last packet was full, or the backend server answers before it has all bytes. An
-// answer before the first byte ends no request.
+// answer to an idle transfer, or before the first byte, says nothing about the service time.
 func (a *Agent) completeUnnoticed(now time.Time, entry *flowEntry) {
 	lastBytesAt := entry.transfer.lastBytesAt
-	if lastBytesAt.IsZero() {
-		a.abortTransfer(now, entry)
+	if entry.slotReservedAt.IsZero() || lastBytesAt.IsZero() {
+		a.releaseShare(now, entry)
+		entry.transfer = nil
 		return
 	}
 	a.completeTransfer(now, entry)
 	entry.requestDeliveredAt = lastBytesAt
 }
 
-// abortTransfer ends the transfer of a request that ended, or stopped counting, before all its
-// bytes were delivered.
-func (a *Agent) abortTransfer(now time.Time, entry *flowEntry) {
+// releaseShare releases the share of a slot that the transfer of a request takes, if it does.
+// The bytes delivered so far stay known.
+func (a *Agent) releaseShare(now time.Time, entry *flowEntry) {
+	if entry.slotReservedAt.IsZero() {
+		return
+	}
 	a.load.endTransfer(now)
-	entry.transfer = nil
 	entry.slotReservedAt = time.Time{}
 }
--- a/internal/core/agent/upload_test.go
+++ b/internal/core/agent/upload_test.go
@@ -156,6 +156,50 @@
 	require.Positive(t, replayUploads(newUploadAgent(t, false), uploadEvents()), "the load must be such that requests of other services wait")
 }
 
+// Guards against callers that stop in the middle of an upload and keep others out, and against
+// one that goes on and is not counted.
+func TestIdleTransferReleasesItsShareUntilItsNextPacket(t *testing.T) {
+	a := newUploadAgent(t, true)
+	const stopped = maxTransfersPerSlot * slots
+	for port := range uint16(stopped) {
+		require.True(t, openUpload(settledAt, a, 4000+port, openingSequence))
+		sendUploadPacket(settledAt, a, 4000+port, openingSequence+1, 0)
+	}
+	require.True(t, a.load.isFull())
+	a.SweepCarried(settledAt.Add(transferIdleTimeout))
+	require.True(t, a.load.isFull(), "a transfer keeps its share for the first retransmission")
+	now := settledAt.Add(transferIdleTimeout + time.Millisecond)
+	a.SweepCarried(now)
+	requireNothingRuns(t, a)
+	sendUploadPacket(now, a, 4000, openingSequence+1, 0)
+	requireNothingRuns(t, a)
+	sendUploadPacket(now, a, 4000, openingSequence+1, 1)
+	require.Equal(t, 1, a.load.transfers)
+	sendUpload(now, a, 4000, openingSequence+1, 2)
+	require.Equal(t, 1, a.load.Running())
+	require.Zero(t, a.load.transfers)
+}
+
+// A packet is lost twice, so that its transfer is idle until the second retransmission. Guards
+// against a request in service that takes only a share, since the bytes before were forgotten.
+func TestRetransmissionAfterTheIdleTimeoutCompletesTheUpload(t *testing.T) {
+	a := newUploadAgent(t, true)
+	openUpload(settledAt, a, 4000, openingSequence)
+	for index := range uploadPackets {
+		if index != 5 {
+			sendUploadPacket(settledAt, a, 4000, openingSequence+1, index)
+		}
+	}
+	now := settledAt.Add(transferIdleTimeout + time.Millisecond)
+	a.SweepCarried(now)
+	requireNothingRuns(t, a)
+	sendUploadPacket(now, a, 4000, openingSequence+1, 5)
+	require.Equal(t, 1, a.load.Running())
+	answerUpload(now.Add(uploadServiceTime), a, 4000)
+	require.Equal(t, uploadServiceTime, time.Duration(a.load.serviceTime))
+	requireNothingRuns(t, a)
+}
+
 // Guards against a service time or a latency that counts the transfer, also where the end of the
 // request is not noticed since its last packet is full.
 func TestServiceTimeOfAnUploadCountsFromItsLastByte(t *testing.T) {
