Know where each upload of a flow starts

Cause: the first packet that an agent saw counted as the start of an upload. If the first packet was lost, the request counted as complete too early, and its service time included the retransmission. A late retransmission of an earlier upload on the flow began a transfer, or a request in service, that nothing ended.

Change: an upload starts after the opening packet or after the upload before, and packets without bytes beyond that count for nothing. The first packet seen still counts as the start on flows that the agent has adopted.

Result: TestUploadIsCompleteOnceAllBytesAreDelivered and TestUploadsFollowEachOtherOnOneFlow failed before and pass.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -84,6 +84,10 @@
 	// transfer is the state of the current upload request until all its bytes are delivered,
 	// or nil. It takes a share of a slot instead of a slot.
 	transfer *transfer
+	// nextRequest is the sequence number of the first byte of the next upload request, if
+	// isNextRequestKnown.
+	nextRequest        uint32
+	isNextRequestKnown bool
 	// requestDeliveredAt is when the first bytes of the current request were delivered, of an
 	// upload request the last ones, or zero before that.
 	requestDeliveredAt time.Time
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -46,13 +46,15 @@
 	a.lastAttempt++
 	a.budget.deposit()
 	entry := &flowEntry{
-		attempt:       a.lastAttempt,
-		service:       service.ID(),
-		state:         statePending,
-		sequence:      received.Packet.Sequence(),
-		expires:       now.Add(a.halfOpenTimeout()),
-		openingPacket: slices.Clone(received.Packet.Bytes()),
-		visited:       slices.Clone(received.Visited),
+		attempt:            a.lastAttempt,
+		service:            service.ID(),
+		state:              statePending,
+		sequence:           received.Packet.Sequence(),
+		nextRequest:        received.Packet.Sequence() + 1,
+		expires:            now.Add(a.halfOpenTimeout()),
+		openingPacket:      slices.Clone(received.Packet.Bytes()),
+		visited:            slices.Clone(received.Visited),
+		isNextRequestKnown: true,
 	}
 	a.flows[received.Packet.Flow()] = entry
 	a.reserveSlot(now, entry)
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -97,16 +97,39 @@
 // request whose last packet is full.
 func (t *transfer) isComplete() bool { return t.isEndKnown && !isBefore(t.next, t.end) }
 
+// highest returns the sequence number that follows the last byte delivered.
+func (t *transfer) highest() uint32 {
+	highest := t.next
+	for _, s := range t.beyondGap {
+		if isBefore(highest, s.end) {
+			highest = s.end
+		}
+	}
+	return highest
+}
+
 // isIdle reports whether the transfer has had no new bytes for so long that it keeps no share
 // of a slot.
 func (t *transfer) isIdle(now time.Time) bool {
 	return !t.startedAt.IsZero() && now.Sub(t.lastBytesAt) > transferIdleTimeout
 }
 
+// newTransfer returns the transfer of the next request of a flow. Its first byte follows the
+// opening packet or the request before. That is not known of an adopted flow, whose first
+// delivered packet counts as the start.
+func newTransfer(entry *flowEntry) *transfer {
+	return &transfer{next: entry.nextRequest, isNextKnown: entry.isNextRequestKnown}
+}
+
 // recordUpload records that bytes of an upload request are delivered. Once all of them are, the
-// request takes a slot. Bytes delivered before count for nothing.
+// request takes a slot. Bytes delivered before count for nothing, also those of an earlier
+// request.
 func (a *Agent) recordUpload(now time.Time, entry *flowEntry, packet flow.Packet) {
-	if entry.isTransferring() && !entry.transfer.isNew(segmentOf(packet)) {
+	current := entry.transfer
+	if current == nil {
+		current = newTransfer(entry)
+	}
+	if !current.isNew(segmentOf(packet)) {
 		return
 	}
 	a.reserveSlot(now, entry)
@@ -123,7 +146,7 @@
 // first bytes, or with further bytes after the share was released.
 func (a *Agent) beginTransfer(now time.Time, entry *flowEntry) {
 	if entry.transfer == nil {
-		entry.transfer = new(transfer)
+		entry.transfer = newTransfer(entry)
 	}
 	a.load.beginTransfer(now)
 }
@@ -135,7 +158,7 @@
 	a.load.endTransfer(now)
 	a.load.start(now)
 	entry.slotReservedAt = current.lastBytesAt
-	entry.transfer = nil
+	entry.forgetTransfer()
 	a.beginService(now, entry)
 }
 
@@ -146,7 +169,7 @@
 	lastBytesAt := entry.transfer.lastBytesAt
 	if entry.slotReservedAt.IsZero() || lastBytesAt.IsZero() {
 		a.releaseShare(now, entry)
-		entry.transfer = nil
+		entry.forgetTransfer()
 		return
 	}
 	a.completeTransfer(now, entry)
@@ -162,3 +185,11 @@
 	a.load.endTransfer(now)
 	entry.slotReservedAt = time.Time{}
 }
+
+// forgetTransfer ends the transfer of a request and remembers where the next request starts.
+func (e *flowEntry) forgetTransfer() {
+	if e.transfer.isNextKnown {
+		e.nextRequest, e.isNextRequestKnown = e.transfer.highest(), true
+	}
+	e.transfer = nil
+}
--- a/internal/core/agent/upload_test.go
+++ b/internal/core/agent/upload_test.go
@@ -1,12 +1,14 @@
 package agent
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
@@ -156,6 +158,32 @@
 	require.Positive(t, replayUploads(newUploadAgent(t, false), uploadEvents()), "the load must be such that requests of other services wait")
 }
 
+// Guards against a request that counts as complete before all its bytes are delivered, or never,
+// when packets are lost and sent again, repeated or out of order, and when sequence numbers wrap.
+func TestUploadIsCompleteOnceAllBytesAreDelivered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := newUploadAgent(t, true)
+		near := rapid.Uint32Range(0, uploadPackets*testMaxPayload).Draw(t, "distance from the wrap")
+		opening := math.MaxUint32 - near
+		require.True(t, openUpload(settledAt, a, 4000, opening))
+		var all, order []int
+		for index := range uploadPackets {
+			all = append(all, index)
+		}
+		order = append(rapid.SliceOfN(rapid.SampledFrom(all), 0, 30).Draw(t, "first"), rapid.Permutation(all).Draw(t, "rest")...)
+		delivered := make(map[int]bool)
+		for _, index := range order {
+			sendUploadPacket(settledAt, a, 4000, opening+1, index)
+			delivered[index] = true
+			complete := len(delivered) == uploadPackets
+			require.Equal(t, complete, a.load.Running() == 1, "%d of %d packets", len(delivered), uploadPackets)
+			require.Equal(t, complete, a.load.transfers == 0)
+		}
+		answerUpload(settledAt, a, 4000)
+		requireNothingRuns(t, a)
+	})
+}
+
 // Guards against callers that stop in the middle of an upload and keep others out, and against
 // one that goes on and is not counted.
 func TestIdleTransferReleasesItsShareUntilItsNextPacket(t *testing.T) {
@@ -248,6 +276,28 @@
 	requireNothingRuns(t, a)
 }
 
+// Guards against a late retransmission of an earlier upload on the same flow that takes a share
+// or a slot, or keeps the next upload from being complete.
+func TestUploadsFollowEachOtherOnOneFlow(t *testing.T) {
+	const uploadSize = (uploadPackets-1)*testMaxPayload + lastPayload
+	a := newUploadAgent(t, true)
+	openUpload(settledAt, a, 4000, openingSequence)
+	first := uint32(openingSequence + 1)
+	for range 3 {
+		sendUpload(settledAt, a, 4000, first, 0)
+		require.Equal(t, 1, a.load.Running())
+		answerUpload(settledAt, a, 4000)
+		for _, late := range []int{3, uploadPackets - 1} {
+			sendUploadPacket(settledAt, a, 4000, first, late)
+			requireNothingRuns(t, a)
+		}
+		sendUploadPacket(settledAt, a, 4000, first+uploadSize, 0)
+		sendUploadPacket(settledAt, a, 4000, first, uploadPackets-1)
+		require.Zero(t, a.load.Running())
+		first += uploadSize
+	}
+}
+
 // Guards against more complete requests at one moment than the server queues.
 func TestUploadsCompleteAtOnceStayWithinTheBound(t *testing.T) {
 	a := newUploadAgent(t, true)
