End an upload as it began when the kind of its service changes

Cause: the agent looked up the kind of the service with each packet. When it was changed between the opening and the first bytes of a request, a request in service was counted that never ended.

Change: a request that began as an upload ends as one.

--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -18,7 +18,7 @@
 		return
 	}
 	entry.slotReservedAt = now
-	if service := a.view.Service(entry.service); service != nil && service.IsUpload() {
+	if entry.isTransferring() || a.isUpload(entry) {
 		a.beginTransfer(now, entry)
 		return
 	}
@@ -28,7 +28,7 @@
 // recordRequest records that bytes of a request are delivered. Service time counts from the
 // first of them or, for an upload request, from the last.
 func (a *Agent) recordRequest(now time.Time, service *fleet.RoutedService, entry *flowEntry, packet flow.Packet) {
-	if service.IsUpload() {
+	if service.IsUpload() || entry.isTransferring() {
 		a.recordUpload(now, entry, packet)
 		return
 	}
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -114,6 +114,12 @@
 	return !t.startedAt.IsZero() && now.Sub(t.lastBytesAt) > transferIdleTimeout
 }
 
+// isUpload reports whether the requests of a flow are uploads.
+func (a *Agent) isUpload(entry *flowEntry) bool {
+	service := a.view.Service(entry.service)
+	return service != nil && service.IsUpload()
+}
+
 // newTransfer returns the transfer of the next request of a flow. Its first byte follows the
 // opening packet or the request before. That is not known of an adopted flow, whose first
 // delivered packet counts as the start.
--- a/internal/core/agent/upload_test.go
+++ b/internal/core/agent/upload_test.go
@@ -30,15 +30,20 @@
 // newUploadAgent returns an agent alone whose service has uploads, or not.
 func newUploadAgent(t require.TestingT, upload bool) *Agent {
 	c := newTestCluster(t, 1)
+	c.publishUpload(t, upload)
+	a := c.agents[c.ids()[0]]
+	a.config.Placement, a.config.MaxFlows, a.config.MaxPayload = HandOverWhenFull{}, 10000, testMaxPayload
+	return a
+}
+
+// publishUpload publishes whether requests of the service are uploads.
+func (c *testCluster) publishUpload(t require.TestingT, upload bool) {
 	services, _, _ := c.state.Documents()
-	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 2}, Services: slices.Clone(services.Services)}
+	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: services.Number + 1}, Services: slices.Clone(services.Services)}
 	next.Services[0].Upload, next.Services[0].LatencyObjective = upload, 200*time.Millisecond
 	_, err := c.state.Apply(epoch, next)
 	require.NoError(t, err)
 	c.applyView()
-	a := c.agents[c.ids()[0]]
-	a.config.Placement, a.config.MaxFlows, a.config.MaxPayload = HandOverWhenFull{}, 10000, testMaxPayload
-	return a
 }
 
 // openUpload opens a flow and reports whether its opening packet is delivered at once.
@@ -360,3 +365,25 @@
 	require.Equal(t, 80*time.Millisecond, time.Duration(a.load.serviceTime))
 	requireNothingRuns(t, a)
 }
+
+// Guards against a request that never ends when the kind of its service is changed before its first
+// bytes or in the middle.
+func TestUploadEndsAsItBeganWhenTheServiceChanges(t *testing.T) {
+	for _, sent := range []int{0, 5} {
+		for _, upload := range []bool{true, false} {
+			c := newTestCluster(t, 1)
+			c.publishUpload(t, upload)
+			a := c.agents[c.ids()[0]]
+			a.config.MaxPayload = testMaxPayload
+			openUpload(settledAt, a, 4000, openingSequence)
+			for index := range sent {
+				sendUploadPacket(settledAt, a, 4000, openingSequence+1, index)
+			}
+			c.publishUpload(t, !upload)
+			sendUploadPacket(settledAt, a, 4000, openingSequence+1, sent)
+			answerUpload(settledAt, a, 4000)
+			a.HandleBackendPacket(settledAt, flow.Reply{Flow: flowOf(4000), IsFinal: true})
+			requireNothingRuns(t, a)
+		}
+	}
+}
