--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -18,9 +18,8 @@
 		return
 	}
 	entry.slotReservedAt = now
-	if service := a.view.Service(entry.service); service != nil && service.IsUpload() {
-		entry.transfer = new(transfer)
-		a.load.beginTransfer(now)
+	if entry.isTransferring() || a.isUpload(entry) {
+		a.beginTransfer(now, entry)
 		a.expectRequest(now, entry)
 		return
 	}
@@ -31,7 +30,7 @@
 // recordRequest records that bytes of a request are delivered. Service time counts from the
 // first of them or, for an upload request, from the last.
 func (a *Agent) recordRequest(now time.Time, service *fleet.RoutedService, entry *flowEntry, packet flow.Packet) {
-	if service.IsUpload() {
+	if service.IsUpload() || entry.isTransferring() {
 		a.recordUpload(now, entry, packet)
 		return
 	}
@@ -53,12 +52,12 @@
 // completeRequest records the first bytes of an answer: it releases the flow's slot and
 // records the latency, the service time and the outcome of the request.
 func (a *Agent) completeRequest(now time.Time, entry *flowEntry) {
-	if entry.slotReservedAt.IsZero() {
-		return
-	}
 	if entry.isTransferring() {
 		a.completeUnnoticed(now, entry)
 	}
+	if entry.slotReservedAt.IsZero() {
+		return
+	}
 	latency := now.Sub(entry.slotReservedAt)
 	a.config.Observer.ObserveAnswer(latency)
 	a.load.finish(now, latency)
@@ -86,7 +85,7 @@
 		return
 	}
 	if entry.isTransferring() {
-		a.abortTransfer(now, entry)
+		a.releaseShare(now, entry)
 		return
 	}
 	a.load.cancel(now)
