--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -161,7 +161,7 @@
 		return HandOverLeaving
 	case a.ownedCount >= a.config.MaxFlows:
 		return HandOverConnections
-	case a.IsTrialOnly() && !a.responses.allowTrial(now):
+	case a.IsTrialOnly() && !a.responses.isTrialDue(now):
 		return HandOverServerSilent
 	}
 	return ""
@@ -178,12 +178,11 @@
 
 // placeDuringSlowStart hands a new flow over that exceeds the slow start rate of the backend
 // server, or refuses it if no other agent accepts it.
-func (a *Agent) placeDuringSlowStart(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+func (a *Agent) placeDuringSlowStart(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if decision, found := a.placeElsewhere(now, service, received, HandOverCold).(handOver); found {
-		return a.applyPlacement(now, service, received, decision)
+		return decision
 	}
-	a.reset.Reason = RefuseCold
-	return &a.reset
+	return refusal{RefuseCold}
 }
 
 // Start records when the process of an agent for carried flows started, and assumes that its
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -11,12 +11,16 @@
 // receiveOpening decides which agent serves a new flow, and records the decision for
 // retransmissions of the opening packet.
 func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	return a.applyPlacement(now, service, received, a.place(now, service, received))
+	return a.applyPlacement(now, service, received, a.placeOpening(now, service, received))
 }
 
 // applyPlacement turns a placement decision about an opening packet into an action.
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
-	switch v := decision.(type) {
+	decision = a.resolveDraw(decision)
+	if _, accepted := decision.(acceptance); accepted && a.config.Carried {
+		a.slowStart.setRate(now, service.ColdStartRate(a.config.Labels))
+	}
+	switch v := a.settle(now, service, received, decision).(type) {
 	case handOver:
 		a.countHandOver(v.target)
 		a.recordHandOver(now, service.ID(), received.Packet.Flow(), v.target.ID())
@@ -28,19 +32,50 @@
 	case refusal:
 		a.reset.Reason = v.reason
 		return &a.reset
+	case discard:
+		return a.dropPacket(v.reason)
 	}
 	return a.acceptFlow(now, service, received)
 }
 
-// acceptFlow adds a new flow to the flow table and delivers its first packet. The packet is
-// dropped if the table is full. A new flow that exceeds the slow start rate is handed over
-// or refused.
-func (a *Agent) acceptFlow(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
-		return a.dropPacket(DropTableFull)
+// resolveDraw draws one of the two decisions of a draw, and returns any other decision as it
+// is.
+func (a *Agent) resolveDraw(decision placementDecision) placementDecision {
+	drawn, isDraw := decision.(draw)
+	if !isDraw {
+		return decision
+	}
+	if a.random.Float64() < drawn.share {
+		return drawn.handOver
 	}
-	if a.config.Carried && !a.slowStart.allow(now, service.ColdStartRate(a.config.Labels)) {
-		return a.placeDuringSlowStart(now, service, received)
+	return drawn.otherwise
+}
+
+// settle returns the final decision where the placement policy accepts or postpones a new
+// flow, and changes nothing. The opening packet is dropped if the flow table is full. A flow
+// that exceeds the slow start rate is handed over or refused, and one whose wait would be
+// over at once is refused.
+func (a *Agent) settle(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) placementDecision {
+	switch decision.(type) {
+	case acceptance:
+		if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
+			return discard{DropTableFull}
+		}
+		if a.config.Carried && !a.slowStart.allows(now, service.ColdStartRate(a.config.Labels)) {
+			return a.placeDuringSlowStart(now, service, received)
+		}
+	case postponement:
+		if giveUpAt, _ := a.endOfWait(now, service, received.Packet); !now.Before(giveUpAt) {
+			return refusal{RefuseWait}
+		}
+	}
+	return decision
+}
+
+// acceptFlow adds a new flow to the flow table and delivers its first packet.
+func (a *Agent) acceptFlow(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	if a.config.Carried {
+		a.slowStart.take(now, service.ColdStartRate(a.config.Labels))
 	}
 	a.ownedCount++
 	a.lastAttempt++
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -37,12 +37,13 @@
 func (TwoChoices) isPlacement()       {}
 
 // placementDecision is what an agent decides about a new flow: one of acceptance, handOver,
-// postponement and refusal.
+// draw, postponement, refusal and discard. Deciding changes nothing; applyPlacement carries a
+// decision out.
 type placementDecision interface{ isPlacementDecision() }
 
 // acceptance means that this agent takes the flow, unless its flow table is full or slow
-// start does not allow it.
-type acceptance struct{}
+// start does not allow it. reason is for ExplainPlacement.
+type acceptance struct{ reason Reason }
 
 // handOver means that the flow goes to the agent at target, which forwards it again only if
 // it must not accept it. reason is the counter to increment.
@@ -51,12 +52,24 @@
 	reason Reason
 }
 
+// draw means that the flow is handed over with a probability of share, and otherwise stays.
+type draw struct {
+	share     float64
+	handOver  handOver
+	otherwise acceptance
+}
+
 // refusal means that the caller gets a reset. reason is the counter to increment.
 type refusal struct{ reason Reason }
 
+// discard means that the opening packet is dropped. reason is the counter to increment.
+type discard struct{ reason Reason }
+
 func (acceptance) isPlacementDecision() {}
 func (handOver) isPlacementDecision()   {}
+func (draw) isPlacementDecision()       {}
 func (refusal) isPlacementDecision()    {}
+func (discard) isPlacementDecision()    {}
 
 // candidates returns the candidates of a flow whose packets a balancer receives. Where flows stay
 // near, the data centre of that balancer comes first, or that of this agent if the balancer is
@@ -71,8 +84,8 @@
 	return service.Near(a.config.DataCentre)
 }
 
-// place decides who serves a new flow. A flow that another agent has handed over is not
-// handed over again to balance load.
+// place decides who serves a new flow, and changes nothing. A flow that another agent has
+// handed over is not handed over again to balance load.
 func (a *Agent) place(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if reason := a.ineligibleReason(now, service, received); reason != "" {
 		decision := a.placeElsewhere(now, service, received, reason)
@@ -89,7 +102,17 @@
 	case TwoChoices:
 		return a.placeByReports(now, service, received)
 	}
-	return acceptance{}
+	return acceptance{AcceptPrimary}
+}
+
+// placeOpening decides who serves a new flow and, if the backend server gets it as a trial,
+// records the trial.
+func (a *Agent) placeOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+	decision := a.place(now, service, received)
+	if a.config.Carried && a.IsTrialOnly() && a.ineligibleReason(now, service, received) == "" {
+		a.responses.recordTrial(now)
+	}
+	return decision
 }
 
 // ineligibleReason returns why this agent must not accept new flows of the service, or ""
@@ -168,13 +191,16 @@
 func (a *Agent) placeWithinObjective(service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	objective := serverObjective(service)
 	if objective == 0 || !a.config.Carried || !a.load.isFull() {
-		return acceptance{}
+		return acceptance{AcceptNoOther}
 	}
 	remaining := objective - timeSinceFirstCopy(received.Packet)
-	if a.waiting.hasMoreUrgent(service.Priority()) || a.load.expectedResponseTime(assumedServiceTime(service)) > remaining {
-		return a.postpone(service, received)
+	switch {
+	case a.waiting.hasMoreUrgent(service.Priority()):
+		return a.postpone(service, received, WaitUrgent)
+	case a.load.expectedResponseTime(assumedServiceTime(service)) > remaining:
+		return a.postpone(service, received, WaitFull)
 	}
-	return acceptance{}
+	return acceptance{AcceptInTime}
 }
 
 // placeEvenly hands a share of the flows over to the least utilised candidate while this
@@ -186,14 +212,14 @@
 		peers, candidates = a.siblings, candidates.Near("")
 	}
 	share := a.handOverShare(now, peers)
-	if share == 0 || a.random.Float64() >= share {
-		return acceptance{}
+	if share == 0 {
+		return acceptance{AcceptFreeSlot}
 	}
 	sibling := a.leastUtilisedCandidate(now, candidates, id, visited)
 	if sibling == nil {
-		return acceptance{}
+		return acceptance{AcceptFreeSlot}
 	}
-	return handOver{sibling, HandOverEven}
+	return draw{share: share, handOver: handOver{sibling, HandOverEven}, otherwise: acceptance{AcceptFreeSlot}}
 }
 
 // placeByReports applies TwoChoices. Without a report of the second candidate it accepts
@@ -201,11 +227,14 @@
 func (a *Agent) placeByReports(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	step := a.candidates(service, received.Origin).NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited))
 	if step.Next == nil || !step.Next.IsAccepting() {
-		return acceptance{}
+		return acceptance{AcceptPrimary}
 	}
 	report, known := a.latestReport(now, step.Next.ID())
-	if !known || report.limitUsage() >= a.load.limitUsage() {
-		return acceptance{}
+	if !known {
+		return acceptance{AcceptPrimary}
+	}
+	if report.limitUsage() >= a.load.limitUsage() {
+		return acceptance{AcceptLessBusy}
 	}
 	return handOver{step.Next, HandOverFull}
 }
--- a/internal/core/agent/receive.go
+++ b/internal/core/agent/receive.go
@@ -41,11 +41,20 @@
 // since its sender may not have received the new services document yet. It is dropped if no
 // candidate is left or the packet was already searched for.
 func (a *Agent) receiveDataCentreOut(service *fleet.RoutedService, received *ReceivedPacket) Action {
-	step := service.NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited))
-	if step.Next == nil || received.Searched {
+	next := a.targetElsewhere(service, received)
+	if next == nil {
 		return a.dropPacket(DropDataCentreOut)
 	}
-	return a.forwardTo(step.Next, "")
+	return a.forwardTo(next, "")
+}
+
+// targetElsewhere returns the next candidate for a packet whose service has no selector for
+// this data centre, or nil if none is left or the packet was already searched for.
+func (a *Agent) targetElsewhere(service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
+	if received.Searched {
+		return nil
+	}
+	return service.NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited)).Next
 }
 
 // receiveKnown decides about a packet whose flow has an entry in the flow table. An opening
@@ -76,7 +85,7 @@
 	opening := received.Packet.Kind() == flow.Opening
 	target := handOverTarget(service, entry, received)
 	switch {
-	case target != nil && (!opening || target.IsAccepting()):
+	case target != nil:
 		return a.followHandOver(now, entry, target, opening)
 	case !opening:
 		return a.search(now, service, received)
@@ -86,12 +95,15 @@
 }
 
 // handOverTarget returns the agent that a flow was handed over to. It returns nil if that agent
-// cannot be reached or has been visited.
+// cannot be reached or has been visited or, for an opening packet, accepts no new flows.
 func handOverTarget(service *fleet.RoutedService, entry *flowEntry, received *ReceivedPacket) *fleet.Target {
 	target := service.Target(entry.owner)
 	if target == nil || !target.IsReachable() || slices.Contains(received.Visited, entry.owner) {
 		return nil
 	}
+	if received.Packet.Kind() == flow.Opening && !target.IsAccepting() {
+		return nil
+	}
 	return target
 }
 
@@ -140,7 +152,7 @@
 // resolve the conflict afterwards if two agents had opened it.
 func (a *Agent) receiveConnectionless(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	if received.Searched {
-		return a.acceptFlow(now, service, received)
+		return a.applyPlacement(now, service, received, acceptance{AcceptPrimary})
 	}
 	step := service.NextCandidate(received.Packet.Flow().Hash(), a.visitedWithSelf(received.Visited))
 	if step.Next != nil {
@@ -151,7 +163,7 @@
 		return a.dropPacket(DropNoTarget)
 	}
 	if primary.ID() == a.config.Self {
-		return a.acceptFlow(now, service, received)
+		return a.applyPlacement(now, service, received, acceptance{AcceptPrimary})
 	}
 	action := a.forwardTo(primary, "")
 	action.Searched = true
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -66,15 +66,11 @@
 	return m.isUnresponsive() && now.Sub(m.unresponsiveSince) >= resetTimeout
 }
 
-// allowTrial reports whether a trial may be delivered now. If so, the next one is allowed
-// after trialInterval.
-func (m *responseMonitor) allowTrial(now time.Time) bool {
-	if now.Before(m.nextTrialAt) {
-		return false
-	}
-	m.nextTrialAt = now.Add(trialInterval)
-	return true
-}
+// isTrialDue reports whether a trial may be delivered now.
+func (m *responseMonitor) isTrialDue(now time.Time) bool { return !now.Before(m.nextTrialAt) }
+
+// recordTrial records that a trial was allowed. The next one is due after trialInterval.
+func (m *responseMonitor) recordTrial(now time.Time) { m.nextTrialAt = now.Add(trialInterval) }
 
 // maxBouncedOpenings is the number of opening packets in a row that an unlisted server may
 // bounce before it is presumed removed. A listed server may bounce more: it may be full for
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -196,6 +196,12 @@
 func (a *Agent) Report(now time.Time) Report {
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
+	return a.currentReport()
+}
+
+// currentReport returns the agent's load as of now, with the utilisation and the ejection as
+// of the last report. It changes nothing.
+func (a *Agent) currentReport() Report {
 	report := Report{
 		Running:     uint32(math.Round(a.load.occupied()) + float64(a.admission.QueueLength())),
 		Limit:       uint32(a.load.Limit()),
--- a/internal/core/agent/slowstart.go
+++ b/internal/core/agent/slowstart.go
@@ -82,15 +82,26 @@
 	return now.Before(s.coldUntil)
 }
 
-// allow reports whether one more new flow may be delivered, and takes a token for it if the
-// backend server is cold. perSecond is the rate of new flows that the server can handle in
-// cold start, or zero if that is not known; then every flow is allowed.
-func (s *slowStart) allow(now time.Time, perSecond float64) bool {
-	if perSecond == 0 || !s.isCold(now) {
-		return true
-	}
-	if s.limiter.Limit() != rate.Limit(perSecond) {
+// allows reports whether one more new flow may be delivered. perSecond is the rate of new
+// flows that the backend server can handle in cold start, or zero if that is not known; then
+// every flow is allowed. It changes nothing: the receiver is a copy, on which isCold may
+// begin the listed cold start.
+func (s slowStart) allows(now time.Time, perSecond float64) bool {
+	return perSecond == 0 || !s.isCold(now) || s.limiter.TokensAt(now) >= 1
+}
+
+// setRate sets the rate at which tokens are added while the backend server is cold. It must be
+// called before take, and for new flows that are not delivered too, since tokens are added
+// from the first call on.
+func (s *slowStart) setRate(now time.Time, perSecond float64) {
+	if perSecond != 0 && s.isCold(now) && s.limiter.Limit() != rate.Limit(perSecond) {
 		s.limiter.SetLimitAt(now, rate.Limit(perSecond))
 	}
-	return s.limiter.AllowN(now, 1)
+}
+
+// take takes a token for a new flow that is delivered, if the backend server is cold.
+func (s *slowStart) take(now time.Time, perSecond float64) {
+	if perSecond != 0 && s.isCold(now) {
+		s.limiter.AllowN(now, 1)
+	}
 }
--- a/internal/core/agent/slowstart_test.go
+++ b/internal/core/agent/slowstart_test.go
@@ -108,7 +108,7 @@
 	c.agents[id].Start(settledAt.Add(-time.Hour))
 	c.setSlowStart(t, 10, "boot 1", 0)
 	c.open(t, id, 4000)
-	require.True(t, c.agents[id].slowStart.allow(settledAt, 10))
+	require.True(t, c.agents[id].slowStart.allows(settledAt, 10))
 	c.backends[id].open = make(map[flow.ID]bool)
 	c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
 	require.True(t, c.agents[id].slowStart.isCold(settledAt))
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -44,7 +44,8 @@
 func (*Wait) isAction() {}
 
 // postponement means that the flow waits until the backend server or a sibling has room.
-type postponement struct{}
+// reason says what it waits for.
+type postponement struct{ reason Reason }
 
 func (postponement) isPlacementDecision() {}
 
@@ -147,28 +148,38 @@
 
 // postpone decides about a new flow for which there is no room here and no known room
 // elsewhere: it is handed over to the next candidate, or waits if it has visited enough.
-func (a *Agent) postpone(service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+func (a *Agent) postpone(service *fleet.RoutedService, received *ReceivedPacket, reason Reason) placementDecision {
 	if len(received.Visited) < maxFullVisits {
 		visited := a.visitedWithSelf(received.Visited)
 		if next := a.candidates(service, received.Origin).NextAccepting(received.Packet.Flow().Hash(), visited); next != nil {
 			return handOver{next, HandOverFull}
 		}
 	}
-	return postponement{}
+	return postponement{reason}
 }
 
-// waitForRoom makes an opening packet wait.
-func (a *Agent) waitForRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	packet := received.Packet
+// endOfWait returns when an opening packet that begins to wait now gives up, and whether its
+// caller sends no more copies then.
+func (a *Agent) endOfWait(now time.Time, service *fleet.RoutedService, packet flow.Packet) (giveUpAt time.Time, isLastCopy bool) {
 	copies := min(int(packet.AcknowledgedToken()), len(copyIntervals)-1)
-	giveUpAt, isLast := now.Add(copyIntervals[copies]-copyMargin), copies == len(copyIntervals)-1
+	giveUpAt = now.Add(copyIntervals[copies] - copyMargin)
 	if timeoutAt := a.lastUsefulStart(now, service, packet); timeoutAt.Before(giveUpAt) {
-		giveUpAt, isLast = timeoutAt, true
-	}
-	if !now.Before(giveUpAt) {
-		return &Reset{Reason: RefuseWait}
+		return timeoutAt, true
 	}
-	a.waiting.add(waitingOpening{
+	return giveUpAt, copies == len(copyIntervals)-1
+}
+
+// waitForRoom makes an opening packet wait.
+func (a *Agent) waitForRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	a.waiting.add(a.newWaitingOpening(now, service, received), a.waitingLimit(service))
+	return &Wait{}
+}
+
+// newWaitingOpening returns an opening packet that begins to wait now.
+func (a *Agent) newWaitingOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) waitingOpening {
+	packet := received.Packet
+	giveUpAt, isLastCopy := a.endOfWait(now, service, packet)
+	return waitingOpening{
 		flow:       packet.Flow(),
 		service:    service.ID(),
 		priority:   service.Priority(),
@@ -177,9 +188,8 @@
 		origin:     received.Origin,
 		placed:     received.Placed,
 		giveUpAt:   giveUpAt,
-		isLastCopy: isLast,
-	}, a.waitingLimit(service))
-	return &Wait{}
+		isLastCopy: isLastCopy,
+	}
 }
 
 // timeSinceFirstCopy returns how long ago, at least, the caller sent the first copy of an
@@ -261,7 +271,7 @@
 			return handOver{sibling, HandOverFull}
 		}
 	}
-	return a.place(now, service, received)
+	return a.placeOpening(now, service, received)
 }
 
 // resolve returns what to do with the opening packet.
