--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -102,6 +102,17 @@
 // before has not answered in time.
 func (b *Balancer) routeOpening(service *fleet.RoutedService, packet flow.Packet, hash uint64) Decision {
 	b.hints.Delete(hash)
+	decision := b.decideOpening(service, packet, hash)
+	if decision.Drop == DropNone && b.config.HasCopyCounts {
+		// The target of the opening packet knows the owner of the flow, so it gets the flow's
+		// next packets until the owner sends a hint.
+		b.hints.Put(hash, decision.Target.ID())
+	}
+	return decision
+}
+
+// decideOpening decides which target an opening packet is forwarded to, and changes nothing.
+func (b *Balancer) decideOpening(service *fleet.RoutedService, packet flow.Packet, hash uint64) Decision {
 	candidates := service.Near(b.config.DataCentre)
 	decision := Decision{Service: service, Target: candidates.Primary(hash)}
 	if decision.Target == nil {
@@ -109,16 +120,10 @@
 		decision.NeedsReset = b.config.SendsResets
 		return decision
 	}
-	if !b.config.HasCopyCounts {
-		return decision
-	}
-	if copies := packet.AcknowledgedToken(); copies > 0 {
+	if copies := packet.AcknowledgedToken(); b.config.HasCopyCounts && copies > 0 {
 		decision.Suspect = candidates.NthAccepting(hash, copies-1)
 		decision.Target = candidates.NthAccepting(hash, copies)
 	}
-	// The target of the opening packet knows the owner of the flow, so it gets the flow's
-	// next packets until the owner sends a hint.
-	b.hints.Put(hash, decision.Target.ID())
 	return decision
 }
 
