Serve the explanation of a placement at the control endpoint

Agents of both kinds and balancers answer GET /placement with the decision about an opening packet and its candidates. Errors are JSON with a status: 404 with the known services, 400 for a malformed query or a service without opening packets, 503 while the process has no valid view. Why a target gets no new flows is described in one place, fleet.Target.Exclusion, for both cores.

--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -33,15 +33,12 @@
 	WaitSlot Reason = "wait_slot"
 )
 
-// What excludes a candidate, beside the reasons why this agent itself must not accept a flow.
+// What excludes a candidate by its load report, beside a fleet.Exclusion and the reasons why
+// this agent itself must not accept a flow.
 const (
-	ExcludedNotSelected  Reason = "not_selected"
-	ExcludedNotAccepting Reason = "not_accepting"
-	ExcludedSuspected    Reason = "suspected"
-	ExcludedUnreachable  Reason = "unreachable"
-	ExcludedNoReport     Reason = "no_report"
-	ExcludedOldReport    Reason = "old_report"
-	ExcludedFull         Reason = "full"
+	ExcludedNoReport  Reason = "no_report"
+	ExcludedOldReport Reason = "old_report"
+	ExcludedFull      Reason = "full"
 )
 
 // Outcome is what becomes of an opening packet.
@@ -81,7 +78,9 @@
 	// ExpectedDelay is how long a request is expected to take, with the time that it queues, or
 	// zero if the service time is unknown.
 	ExpectedDelay time.Duration
-	// Excluded is why the server is no choice by its load report, or empty if it is one.
+	// Excluded is why the server is no choice, or empty if it is one. A server without a load
+	// report or with a full one gets a flow all the same if this agent must not accept it and
+	// there is no other choice.
 	Excluded Reason
 }
 
@@ -262,21 +261,16 @@
 // exclusion returns why eachWithCapacity passes a target over, or an empty reason if it does
 // not.
 func (a *Agent) exclusion(now time.Time, target *fleet.Target, hasReport bool) Reason {
-	_, isValid := a.latestReport(now, target.ID())
+	if exclusion := target.Exclusion(); exclusion != fleet.ExcludedNot {
+		return Reason(exclusion)
+	}
+	report, isValid := a.latestReport(now, target.ID())
 	switch {
-	case target.IsResidual():
-		return ExcludedNotSelected
-	case !target.IsReachable():
-		return ExcludedUnreachable
-	case target.IsSuspected():
-		return ExcludedSuspected
-	case !target.IsAccepting():
-		return ExcludedNotAccepting
 	case !hasReport:
 		return ExcludedNoReport
 	case !isValid:
 		return ExcludedOldReport
-	case a.reports[target.ID()].report.limitUsage() >= 1:
+	case report.limitUsage() >= 1:
 		return ExcludedFull
 	}
 	return ""
--- a/internal/core/agent/explanation_test.go
+++ b/internal/core/agent/explanation_test.go
@@ -257,9 +257,7 @@
 	a.HandleReport(at, ids[1], Report{Running: 1, Limit: 2, MaxOwned: 9, ServiceTime: 20000})
 	a.HandleReport(at, ids[2], Report{Running: 5, Limit: 2, MaxOwned: 9, ServiceTime: 20000})
 	a.HandleReport(settledAt.Add(-reportLifetime-time.Second), ids[3], freeReport(""))
-	for id, state := range map[fleet.InstanceID]fleet.PeerState{ids[4]: fleet.PeerServerUnresponsive} {
-		c.state.Peers().Merge(epoch, fleet.PeerRecord{ID: id, Incarnation: 1, State: state})
-	}
+	c.state.Peers().Merge(epoch, fleet.PeerRecord{ID: ids[4], Incarnation: 1, State: fleet.PeerServerUnresponsive})
 	c.state.Peers().SetReachable(epoch, ids[5], false)
 	c.applyView()
 	// A counted hand-over leaves an entry without a load report.
@@ -272,7 +270,7 @@
 	for _, candidate := range explanation.Candidates {
 		byID[candidate.ID] = candidate
 	}
-	for i, want := range []Reason{ExcludedFull, "", ExcludedFull, ExcludedOldReport, ExcludedNotAccepting, ExcludedUnreachable, ExcludedNoReport} {
+	for i, want := range []Reason{ExcludedFull, "", ExcludedFull, ExcludedOldReport, Reason(fleet.ExcludedNotAccepting), Reason(fleet.ExcludedUnreachable), ExcludedNoReport} {
 		require.Equal(t, want, byID[ids[i]].Excluded, "b%d", i)
 	}
 	require.Equal(t, 300*time.Millisecond, byID[ids[1]].ReportAge)
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -129,6 +129,7 @@
 		return nil, err
 	}
 	n.OnPublish(a.applyView)
+	n.OnExplain(a.explainPlacement)
 	counters.Gauge("flows_owned", func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -72,11 +72,12 @@
 // for packets from the fabric, the receiver of datagrams, and the readiness endpoint. It adds
 // their goroutines to group.
 func start(ctx context.Context, group *errgroup.Group, s *settings.Balancer, options Options, n *node.Node, counters *metrics.Counters, logger log.Interface) error {
+	balancer := core.New(options.Core, core.NewHints(s.Hints))
+	n.OnExplain(newExplainer(balancer, n.View))
 	if err := n.Start(ctx, group); err != nil {
 		return err
 	}
 	decisions := operator.NewDecisions(logger, counters)
-	balancer := core.New(options.Core, core.NewHints(s.Hints))
 	for range s.Readers {
 		in, err := listen.Retry(ctx, logger, func() (*net.UDPConn, error) {
 			return peer.Listen(ctx, settings.Endpoint(s.Fabric))
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -156,6 +156,7 @@
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	c.core.Start(clock.Now())
 	n.OnPublish(c.applyView)
+	n.OnExplain(c.explainPlacement)
 	return c, nil
 }
 
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -86,6 +86,7 @@
 	// controller is used by the control goroutine only, once Run has been called.
 	controller *control.Controller
 	onPublish  func(*fleet.View)
+	explain    Explainer
 	sendProbe  func(control.Probe)
 
 	// lastEncoded is the control message that was encoded last, with its encoding.
@@ -260,6 +261,9 @@
 // be called before Start.
 func (n *Node) OnPublish(publish func(*fleet.View)) { n.onPublish = publish }
 
+// OnExplain sets the function that explains placements. It must be called before Start.
+func (n *Node) OnExplain(explain Explainer) { n.explain = explain }
+
 // enqueueEvent queues a function like Enqueue, but waits while the queue is full. It is for
 // events whose loss would leave the controller with a wrong picture for good, such as the end
 // of a link. It gives up when ctx is done. The control goroutine must not call it.
--- a/internal/daemon/node/ready.go
+++ b/internal/daemon/node/ready.go
@@ -27,7 +27,13 @@
 // IsReady reports whether the node has a valid view with services and backend servers, and is
 // not leaving.
 func (n *Node) IsReady(now time.Time) bool {
-	return !n.leaving.Load() && n.IsValid(now) && !n.Revisions().Services.IsMissing() && !n.Revisions().Backends.IsMissing()
+	return !n.leaving.Load() && n.mayPlace(now)
+}
+
+// mayPlace reports whether the node has a valid view with services and backend servers, so that
+// it places new flows here or elsewhere.
+func (n *Node) mayPlace(now time.Time) bool {
+	return n.IsValid(now) && !n.Revisions().Services.IsMissing() && !n.Revisions().Backends.IsMissing()
 }
 
 // ServeReady serves the readiness endpoint, to which the fabric sends its readiness probes,
--- a/internal/daemon/node/serve.go
+++ b/internal/daemon/node/serve.go
@@ -34,6 +34,7 @@
 	mux.HandleFunc(link.Path, n.acceptLink)
 	mux.Handle(MetricsPath, n.counters.Handler())
 	mux.Handle("/status", operator.NewStatusHandler(n.Status))
+	mux.Handle(operator.PlacementPattern, operator.NewPlacementHandler(n.explainPlacement))
 	mux.Handle(operator.DocumentsPattern, operator.NewDocumentsHandler(n.View))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return n.Run(ctx) })
