--- a/internal/cmd/cmdutil/source.go
+++ b/internal/cmd/cmdutil/source.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
@@ -36,6 +37,9 @@
 	flags.StringVar(&p.url, "platform", os.Getenv(EnvPlatform), "URL of the platform ($"+EnvPlatform+")")
 }
 
+// IsSet reports whether the flag or its variable is set.
+func (p *PlatformFlag) IsSet() bool { return p.url != "" }
+
 // Client returns a client of the platform, or a UsageError if the flag holds no URL with a
 // host.
 func (p *PlatformFlag) Client(f *Factory) (*platform.Client, error) {
@@ -103,6 +107,9 @@
 	flags.StringVar(&n.endpoint, "node", os.Getenv(EnvNode), "control endpoint of a daemon ($"+EnvNode+")")
 }
 
+// IsSet reports whether the flag or its variable is set.
+func (n *NodeFlag) IsSet() bool { return n.endpoint != "" }
+
 // Check returns a UsageError if the endpoint is missing or malformed.
 func (n *NodeFlag) Check() error {
 	if _, err := netip.ParseAddrPort(n.endpoint); err != nil {
@@ -125,6 +132,17 @@
 	return counters, n.get(ctx, f, "/debug/vars", &counters)
 }
 
+// Placement reads where the daemon would place an opening packet now. It returns a UsageError if
+// the daemon does not accept the query, as for an unknown service.
+func (n *NodeFlag) Placement(ctx context.Context, f *Factory, query operator.PlacementQuery) (operator.Placement, error) {
+	parameters := url.Values{
+		"service": {query.Service}, "caller": {query.Caller.String()}, "size": {strconv.Itoa(query.Size)},
+	}
+	var placement operator.Placement
+	err := n.get(ctx, f, operator.PlacementPath+"?"+parameters.Encode(), &placement)
+	return placement, err
+}
+
 // get decodes the daemon's JSON response to a request for path into result.
 func (n *NodeFlag) get(ctx context.Context, f *Factory, path string, result any) error {
 	if err := n.Check(); err != nil {
@@ -141,8 +159,24 @@
 		return UnreachableError{fmt.Errorf("ask daemon %s: %w; check --node and that the daemon runs", n.endpoint, err)}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return n.responseError(response)
+	}
 	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
 		return UnreachableError{fmt.Errorf("decode response of daemon %s: %w; check that --node is a control endpoint", n.endpoint, err)}
 	}
 	return nil
 }
+
+// responseError returns the error that a response with a status other than 200 reports: a
+// UsageError if the request was wrong, otherwise an UnreachableError.
+func (n *NodeFlag) responseError(response *http.Response) error {
+	var body operator.ErrorResponse
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil || body.Error == "" {
+		return UnreachableError{fmt.Errorf("daemon %s responded %q; check that --node is the control endpoint of a daemon of this version", n.endpoint, response.Status)}
+	}
+	if response.StatusCode < http.StatusInternalServerError {
+		return Usagef("daemon %s: %s", n.endpoint, body.Error)
+	}
+	return UnreachableError{fmt.Errorf("daemon %s: %s", n.endpoint, body.Error)}
+}
--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -1,9 +1,11 @@
 // Package explain holds the command radishmast explain, which shows whether and why a backend
-// server is eligible for new flows of a service, or which candidates a flow has.
+// server is eligible for new flows of a service, which candidates a flow has, or where a daemon
+// would place a new flow now.
 package explain
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -16,12 +18,21 @@
 	"github.com/radishmast/radishmast/internal/cmd/cmdutil"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/link/operator"
 )
 
 // Options are the flags, arguments and dependencies of the command.
 type Options struct {
 	Factory  *cmdutil.Factory
 	Platform cmdutil.PlatformFlag
+	// Node is the daemon that explains where it would place the caller's opening packet. It is
+	// used if NamesNode is true.
+	Node cmdutil.NodeFlag
+	// NamesNode reports whether --node is given, or $RADISHMAST_NODE is set and no platform is
+	// named.
+	NamesNode bool
+	// Size is the payload size of the caller's opening packet in bytes.
+	Size int
 	// Caller is the address and port of the caller whose flow is explained. If it is empty,
 	// the backend servers are explained instead.
 	Caller string
@@ -37,24 +48,35 @@
 	opts := &Options{Factory: f}
 	flags := cmdutil.NewFlagSet("radishmast explain", f.Streams)
 	opts.Platform.Register(flags)
-	flags.StringVar(&opts.Caller, "caller", "", "caller's IPv4 address and port; shows the candidates of its flow")
+	opts.Node.Register(flags)
+	flags.IntVar(&opts.Size, "size", 0, "with --node: payload size of the opening packet, in bytes")
+	flags.StringVar(&opts.Caller, "caller", "", "caller's IPv4 address and port; shows the candidates of its flow or, with --node, its placement")
 	flags.StringVar(&opts.DataCentre, "data-centre", "", "data centre that the caller's packets enter, if its flows stay near")
 	flags.BoolVar(&opts.JSON, "json", false, "print JSON")
 	return &ffcli.Command{
-		Name:       "explain",
-		ShortUsage: "radishmast explain --platform URL [--caller ADDR [--data-centre NAME]] SERVICE",
-		ShortHelp:  "Show which backend servers a service selects and why, or which candidates a flow has.",
+		Name: "explain",
+		ShortUsage: "radishmast explain --platform URL [--caller ADDR [--data-centre NAME]] [--json] SERVICE\n" +
+			"  radishmast explain --node ADDR --caller ADDR [--size BYTES] [--json] SERVICE",
+		ShortHelp: "Show which backend servers a service selects and why, or where a flow goes.",
 		LongHelp: "Examples:\n  radishmast explain --platform http://10.0.0.1:8500 orders\n" +
 			"  radishmast explain --platform http://10.0.0.1:8500 --caller 10.1.0.1:40000 orders\n" +
 			"Where flows stay in the data centre that they enter, name it:\n" +
 			"  radishmast explain --platform http://10.0.0.1:8500 --caller 10.1.0.1:40000 --data-centre north orders\n" +
-			"A daemon's control endpoint can be given instead of the platform:\n  radishmast explain --platform http://10.0.0.7:7001 orders",
+			"A daemon's control endpoint can be given instead of the platform:\n  radishmast explain --platform http://10.0.0.7:7001 orders\n" +
+			"Where an agent or a balancer would place an opening packet now, without sending one:\n" +
+			"  radishmast explain --node 10.0.0.7:7001 --caller 10.1.0.1:40000 orders",
 		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
 				return cmdutil.Usagef("give the name of one service; radishmast services lists them")
 			}
 			opts.Service = args[0]
+			given := make(map[string]bool)
+			flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
+			if given["node"] && given["platform"] {
+				return cmdutil.Usagef("--node and --platform cannot be combined")
+			}
+			opts.NamesNode = given["node"] || !opts.Platform.IsSet() && opts.Node.IsSet()
 			return runExplain(ctx, opts)
 		},
 	}
@@ -63,12 +85,18 @@
 func runExplain(ctx context.Context, opts *Options) error {
 	var caller netip.AddrPort
 	if opts.Caller != "" {
-		parsed, err := netip.ParseAddrPort(opts.Caller)
-		if err != nil || !parsed.Addr().Is4() {
-			return cmdutil.Usagef("--caller %q is not an IPv4 address and port such as 10.1.0.1:40000", opts.Caller)
+		parsed, err := operator.ParseCaller(opts.Caller)
+		if err != nil {
+			return cmdutil.Usagef("--caller %w", err)
 		}
 		caller = parsed
 	}
+	if opts.NamesNode {
+		return runPlacement(ctx, opts, caller)
+	}
+	if opts.Size != 0 {
+		return cmdutil.Usagef("--size needs --node")
+	}
 	if opts.DataCentre != "" && opts.Caller == "" {
 		return cmdutil.Usagef("--data-centre names where a caller's packets enter; give --caller as well")
 	}
