Show the utilisation of candidates in the explanation of a placement

Where a share of the flows is handed over, the mean utilisation decides, so the table and the JSON now hold it for each candidate with a load report.

--- a/internal/cmd/commands/placement_test.go
+++ b/internal/cmd/commands/placement_test.go
@@ -17,8 +17,8 @@
 	placement := operator.Placement{
 		Process: "braid-1", Role: "agent", DataCentre: "north", Service: query.Service, Caller: query.Caller.String(), Size: query.Size,
 		Candidates: []operator.PlacementCandidate{
-			{Name: "braid-1", DataCentre: "north", IsSelf: true, SlotsTaken: new(uint32(2)), Slots: new(uint32(2)), ExpectedDelayMs: new(28.5), Excluded: "full"},
-			{Name: "braid-2", DataCentre: "north", SlotsTaken: new(uint32(1)), Slots: new(uint32(2)), ExpectedDelayMs: new(19.25), ReportAgeMs: new(312.04)},
+			{Name: "braid-1", DataCentre: "north", IsSelf: true, SlotsTaken: new(uint32(2)), Slots: new(uint32(2)), Utilisation: new(0.914), ExpectedDelayMs: new(28.5), Excluded: "full"},
+			{Name: "braid-2", DataCentre: "north", SlotsTaken: new(uint32(1)), Slots: new(uint32(2)), Utilisation: new(0.4), ExpectedDelayMs: new(19.25), ReportAgeMs: new(312.04)},
 			{Name: "braid-3", DataCentre: "south", SlotsTaken: new(uint32(0)), Slots: new(uint32(2)), ReportAgeMs: new(2400.0), Excluded: "old_report"},
 			{Name: "braid-4", DataCentre: "south", Excluded: "unheard_of"},
 		},
--- a/internal/cmd/explain/placement.go
+++ b/internal/cmd/explain/placement.go
@@ -67,7 +67,7 @@
 // newPlacementTable returns a table of the candidates. A balancer knows their weights only, and
 // an agent their load only.
 func newPlacementTable(placement *operator.Placement) cmdutil.Table {
-	table := cmdutil.Table{Header: []string{"BACKEND SERVER", "DATA CENTRE", "SLOTS TAKEN", "EXPECTED DELAY", "REPORT AGE", "EXCLUDED"}}
+	table := cmdutil.Table{Header: []string{"BACKEND SERVER", "DATA CENTRE", "SLOTS TAKEN", "BUSY", "EXPECTED DELAY", "REPORT AGE", "EXCLUDED"}}
 	if placement.Role == "balancer" {
 		table.Header = []string{"BACKEND SERVER", "DATA CENTRE", "WEIGHT", "EXCLUDED"}
 	}
@@ -95,16 +95,19 @@
 	return strconv.Itoa(int(*weight))
 }
 
-// loadCells returns the slots taken, the expected delay and the age of the load report.
+// loadCells returns the slots taken, the utilisation, the expected delay and the age of the load report.
 func loadCells(candidate *operator.PlacementCandidate) []string {
-	slots, age := unknown, formatMilliseconds(candidate.ReportAgeMs)
+	slots, utilisation, age := unknown, unknown, formatMilliseconds(candidate.ReportAgeMs)
 	if candidate.Slots != nil && candidate.SlotsTaken != nil {
 		slots = fmt.Sprintf("%d of %d", *candidate.SlotsTaken, *candidate.Slots)
 	}
+	if candidate.Utilisation != nil {
+		utilisation = fmt.Sprintf("%.0f%%", 100**candidate.Utilisation)
+	}
 	if candidate.IsSelf {
 		age = "this agent"
 	}
-	return []string{slots, formatMilliseconds(candidate.ExpectedDelayMs), age}
+	return []string{slots, utilisation, formatMilliseconds(candidate.ExpectedDelayMs), age}
 }
 
 // formatMilliseconds returns a time in milliseconds.
--- a/internal/link/operator/placement.go
+++ b/internal/link/operator/placement.go
@@ -50,6 +50,8 @@
 	// SlotsTaken includes requests that wait for a slot.
 	SlotsTaken *uint32 `json:"slotsTaken,omitempty"`
 	Slots      *uint32 `json:"slots,omitempty"`
+	// Utilisation is the average share of the slots in use, from 0 to 1.
+	Utilisation *float64 `json:"utilisation,omitempty"`
 	// ExpectedDelayMs is how long a request is expected to take, with the time that it queues.
 	ExpectedDelayMs *float64 `json:"expectedDelayMs,omitempty"`
 	ReportAgeMs     *float64 `json:"reportAgeMs,omitempty"`
@@ -80,6 +82,7 @@
 	}
 	if candidate.HasReport {
 		described.SlotsTaken, described.Slots = new(candidate.Report.Running), new(candidate.Report.Limit)
+		described.Utilisation = new(float64(candidate.Report.Utilisation) / perMille)
 	}
 	if candidate.HasReport && !candidate.IsSelf {
 		described.ReportAgeMs = new(milliseconds(candidate.ReportAge))
@@ -90,6 +93,9 @@
 	return described
 }
 
+// perMille is the number that stands for a share of 1 in agent.Report.
+const perMille = 1000
+
 // milliseconds returns a duration in milliseconds, rounded to a microsecond.
 func milliseconds(d time.Duration) float64 {
 	return float64(d.Round(time.Microsecond).Microseconds()) / 1000
--- a/internal/link/operator/placement_test.go
+++ b/internal/link/operator/placement_test.go
@@ -52,13 +52,13 @@
 // Guards against an unknown load or delay that is shown as zero, as of an idle server.
 func TestUnknownValuesOfCandidatesAreLeftOut(t *testing.T) {
 	placement := DescribeAgentPlacement(&agent.Explanation{Candidates: []agent.Candidate{
-		{Name: "braid-1", IsSelf: true, HasReport: true, Report: agent.Report{Running: 0, Limit: 2}},
+		{Name: "braid-1", IsSelf: true, HasReport: true, Report: agent.Report{Running: 0, Limit: 2, Utilisation: 250}},
 		{Name: "braid-2", HasReport: true, ReportAge: 1500 * time.Microsecond, ExpectedDelay: 20 * time.Millisecond},
 		{Name: "braid-3", Excluded: agent.ExcludedNoReport},
 	}})
 	require.Equal(t, []PlacementCandidate{
-		{Name: "braid-1", IsSelf: true, SlotsTaken: new(uint32(0)), Slots: new(uint32(2))},
-		{Name: "braid-2", SlotsTaken: new(uint32(0)), Slots: new(uint32(0)), ReportAgeMs: new(1.5), ExpectedDelayMs: new(20.0)},
+		{Name: "braid-1", IsSelf: true, SlotsTaken: new(uint32(0)), Slots: new(uint32(2)), Utilisation: new(0.25)},
+		{Name: "braid-2", SlotsTaken: new(uint32(0)), Slots: new(uint32(0)), Utilisation: new(0.0), ReportAgeMs: new(1.5), ExpectedDelayMs: new(20.0)},
 		{Name: "braid-3", Excluded: "no_report"},
 	}, placement.Candidates)
 }
