--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -87,6 +87,9 @@
 	// requestDeliveredAt is when the first bytes of the current request were delivered, of an
 	// upload request the last ones, or zero before that.
 	requestDeliveredAt time.Time
+	// expectedServiceTime is how long the current request was expected to take when it was
+	// delivered.
+	expectedServiceTime time.Duration
 	// queued reports whether the backend server was saturated when the current request
 	// was delivered, so that the request had to queue there.
 	queued bool
@@ -132,6 +135,9 @@
 	// Polled reports whether the sender polls many agents and must be told if this one owns the
 	// flow or not.
 	Polled bool
+	// Waited reports whether the packet is an opening packet that has waited at another agent, so
+	// that its caller may already have sent the next copy.
+	Waited bool
 	// Sender is the process that sent the packet here.
 	Sender fleet.InstanceID
 	// FromAgent reports whether the sender is another agent, not a balancer.
@@ -177,6 +183,9 @@
 	// ObserveAnswer receives the time from taking a slot for a request to the first bytes
 	// of its answer.
 	ObserveAnswer(latency time.Duration)
+	// ObserveServiceTime receives the service time of a request of a carried flow as expected when
+	// the backend server received it, and as it was.
+	ObserveServiceTime(expected, actual time.Duration)
 	// ObserveLookup receives the time that the lookup of a flow's owner took.
 	ObserveLookup(latency time.Duration)
 }
@@ -188,6 +197,8 @@
 func (noopObserver) ObserveAnswer(time.Duration)  {}
 func (noopObserver) ObserveLookup(time.Duration)  {}
 
+func (noopObserver) ObserveServiceTime(time.Duration, time.Duration) {}
+
 // Agent holds the flow table of one agent and decides about its packets.
 type Agent struct {
 	config Config
@@ -211,6 +222,8 @@
 	// draining reports whether the agent accepts no new flows because it leaves.
 	draining bool
 	load     *Load
+	// work is what is expected of the requests of carried flows.
+	work expectedWork
 	// admission decides which waiting request gets a free slot.
 	admission *Admission
 	weight    weightLearner
@@ -229,7 +242,9 @@
 	random              *rand.Rand
 	// reports holds the latest load report of each sibling.
 	reports map[fleet.InstanceID]siblingReport
-	budget  retryBudget
+	// waitingSiblings holds the siblings at which requests wait by their latest report.
+	waitingSiblings map[fleet.InstanceID]struct{}
+	budget          retryBudget
 	// directory holds the flows that other agents have registered with this one.
 	directory      directory
 	forwardHistory forwardHistory
@@ -244,7 +259,8 @@
 	// outsiders limits the search outside the services of flows.
 	outsiders *rate.Limiter
 	// waiting holds the opening packets that wait for room.
-	waiting waitingRoom
+	waiting     waitingRoom
+	queueLimits queueLimits
 	// startedAt is when this process started, or zero before Start.
 	startedAt time.Time
 	// allFlowsKnown reports whether all flows of the backend server were opened through
@@ -281,6 +297,7 @@
 		view:           view,
 		flows:          make(map[flow.ID]*flowEntry),
 		load:           load,
+		work:           newExpectedWork(int(load.slots)),
 		admission:      NewAdmission(load),
 		weight:         newWeightLearner(),
 		random:         random,
@@ -291,11 +308,13 @@
 		lookups:        newLookups(),
 		polls:          make(map[flow.ID]*pollState),
 		pendingClaims:  make(map[flow.ID]pendingClaim),
+		queueLimits:    make(queueLimits),
 		denials:        newDenials(),
 		owners:         newOwnerLists(false),
 		outsiders:      rate.NewLimiter(outsiderRate, outsiderBurst),
 
-		membershipHash: view.MembershipHash(),
+		membershipHash:  view.MembershipHash(),
+		waitingSiblings: make(map[fleet.InstanceID]struct{}),
 	}
 	a.setSiblings()
 	return a
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -309,6 +310,7 @@
 func (a *Agent) SweepCarried(now time.Time) {
 	a.forwardHistory.sweep(now)
 	a.denials.sweep(now)
+	a.sweepReporters(now)
 	for id, entry := range a.flows {
 		if a.isHung(now, entry) {
 			entry.countedFailed = true
@@ -353,5 +355,11 @@
 // RecordViewConfirmed records when the view was last compared with the platform.
 func (a *Agent) RecordViewConfirmed(at time.Time) { a.viewConfirmedAt = at }
 
-// SetLabels replaces Config.Labels.
-func (a *Agent) SetLabels(labels map[string]string) { a.config.Labels = labels }
+// SetLabels replaces Config.Labels. A change may mean another version of the backend server.
+func (a *Agent) SetLabels(labels map[string]string) {
+	if !maps.Equal(a.config.Labels, labels) {
+		a.forgetServiceTimes()
+	}
+	a.config.Labels = labels
+	clear(a.queueLimits)
+}
--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -22,13 +22,12 @@
 	AcceptInTime Reason = "accept_in_time"
 	// AcceptLessBusy means that the second candidate is at least as busy as this server.
 	AcceptLessBusy Reason = "accept_less_busy"
+	// AcceptShortestDelay means that LeastWork expects no server that was drawn to answer sooner, by
+	// enough to hand the flow over.
+	AcceptShortestDelay Reason = "accept_shortest_delay"
 	// AcceptKnown means that the flow is open here, so that this is a copy of its opening packet.
 	AcceptKnown Reason = "accept_known"
 
-	// WaitUrgent means that an opening packet of higher priority waits.
-	WaitUrgent Reason = "wait_urgent"
-	// WaitFull means that an answer is not expected within the objective.
-	WaitFull Reason = "wait_full"
 	// WaitSlot means that the flow is accepted and waits at its own agent for a free slot.
 	WaitSlot Reason = "wait_slot"
 )
@@ -188,7 +187,7 @@
 		if a.wouldBeEvicted(now, service, received) {
 			return ExplainedDecision{Outcome: OutcomeRefuse, Reason: RefuseWait, Probability: 1}
 		}
-		return ExplainedDecision{Outcome: OutcomeWait, Reason: v.reason, Probability: 1}
+		return ExplainedDecision{Outcome: OutcomeWait, Reason: v.reason.Counter(), Probability: 1}
 	case acceptance:
 		if !a.config.Carried && a.admission.NewFlowsNeedSlots() && !a.admission.HasFreeSlot() {
 			return ExplainedDecision{Outcome: OutcomeWait, Reason: WaitSlot, Probability: 1}
@@ -203,6 +202,7 @@
 func (a *Agent) wouldBeEvicted(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) bool {
 	room := waitingRoom{openings: slices.Clone(a.waiting.openings)}
 	room.forget(received.Packet.Flow())
+	a.reassessAll(now, room.openings)
 	room.add(a.newWaitingOpening(now, service, received), a.waitingLimit(service))
 	return slices.ContainsFunc(room.evicted, func(w waitingOpening) bool { return w.flow == received.Packet.Flow() })
 }
--- a/internal/core/agent/explanation_test.go
+++ b/internal/core/agent/explanation_test.go
@@ -60,15 +60,15 @@
 	},
 	"late, nobody else accepts": {
 		func(t *testing.T, c *testCluster, a *Agent) { fillAll(t, c, a); silenceOthers(c, a) },
-		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull}},
+		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull.Counter()}},
 	},
 	"a more urgent one waits": {
 		func(t *testing.T, c *testCluster, a *Agent) {
 			fillAll(t, c, a)
 			silenceOthers(c, a)
-			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: -1, giveUpAt: settledAt.Add(time.Second)})
+			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: -1, nextCopyAt: settledAt.Add(time.Second), lastStartAt: settledAt.Add(time.Second)})
 		},
-		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitUrgent}},
+		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitUrgent.Counter()}},
 	},
 	"draining": {
 		func(_ *testing.T, _ *testCluster, a *Agent) { a.Drain() },
@@ -116,9 +116,9 @@
 			fillAll(t, c, a)
 			silenceOthers(c, a)
 			a.Receive(settledAt, a.receivedFor(a.view.Service(orders), ordersQuery))
-			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: 9, giveUpAt: settledAt.Add(time.Second)})
+			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: 9, nextCopyAt: settledAt.Add(time.Second), lastStartAt: settledAt.Add(time.Second)})
 		},
-		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull}},
+		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull.Counter()}},
 	},
 	"too many closing flows": {
 		func(_ *testing.T, _ *testCluster, a *Agent) { a.closingCount = maxClosingPerFlow * a.config.MaxFlows },
@@ -222,7 +222,7 @@
 		fillAll(t, c, a)
 		silenceOthers(c, a)
 		for range a.waitingLimit(a.view.Service(orders)) {
-			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: -1, giveUpAt: settledAt.Add(time.Second)})
+			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: -1, nextCopyAt: settledAt.Add(time.Second), lastStartAt: settledAt.Add(time.Second)})
 		}
 	}}
 	a := scenario.build(t)
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -11,24 +11,27 @@
 // receiveOpening decides which agent serves a new flow, and records the decision for
 // retransmissions of the opening packet.
 func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	return a.applyPlacement(now, service, received, a.placeOpening(now, service, received))
+	decision := a.placeOpening(now, service, received)
+	a.recordPlacement(now, a.isLate(now, service, objectiveDeadline(now, service, received.Packet)), decision)
+	return a.applyPlacement(now, service, received, decision)
 }
 
-// applyPlacement turns a placement decision about an opening packet into an action.
+// applyPlacement turns a placement decision about an opening packet, which must not be a draw,
+// into an action.
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
-	decision = a.resolveDraw(decision)
 	if _, accepted := decision.(acceptance); accepted && a.config.Carried {
 		a.slowStart.setRate(now, service.ColdStartRate(a.config.Labels))
 	}
 	switch v := a.settle(now, service, received, decision).(type) {
 	case handOver:
 		a.countHandOver(v.target)
+		a.countWorkHandedOver(now, service.ID(), v.target.ID())
 		a.recordHandOver(now, service.ID(), received.Packet.Flow(), v.target.ID())
 		action := a.forwardTo(v.target, v.reason)
 		action.Placed = true
 		return action
 	case postponement:
-		return a.waitForRoom(now, service, received)
+		return a.waitForRoom(now, service, received, v.reason)
 	case refusal:
 		a.reset.Reason = v.reason
 		return &a.reset
@@ -38,17 +41,24 @@
 	return a.acceptFlow(now, service, received)
 }
 
-// resolveDraw draws one of the two decisions of a draw, and returns any other decision as it
-// is.
-func (a *Agent) resolveDraw(decision placementDecision) placementDecision {
-	drawn, isDraw := decision.(draw)
-	if !isDraw {
-		return decision
-	}
-	if a.random.Float64() < drawn.share {
-		return drawn.handOver
+// resolveDraw returns the decision that is drawn at random if a decision is a draw or a
+// serverDraw, and any other decision as it is.
+func (a *Agent) resolveDraw(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) placementDecision {
+	switch v := decision.(type) {
+	case draw:
+		if a.random.Float64() < v.share {
+			return v.handOver
+		}
+		return v.otherwise
+	case serverDraw:
+		var drawn choices
+		a.drawChoices(now, service, received, v, &drawn)
+		if v == drawNear && drawn.count > 0 {
+			a.estimateOf(now, service.ID()) // The comparison with this server uses its estimate.
+		}
+		return a.resolveDraw(now, service, received, a.decideDrawn(now, service, received, v, &drawn))
 	}
-	return drawn.otherwise
+	return decision
 }
 
 // settle returns the final decision where the placement policy accepts or postpones a new
@@ -65,7 +75,7 @@
 			return a.placeDuringSlowStart(now, service, received)
 		}
 	case postponement:
-		if giveUpAt, _ := a.endOfWait(now, service, received.Packet); !now.Before(giveUpAt) {
+		if opening := a.newWaitingOpening(now, service, received); opening.isExpired(now) {
 			return refusal{RefuseWait}
 		}
 	}
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -10,7 +10,7 @@
 )
 
 // Placement is the policy by which the primary of a new flow decides who serves
-// it: one of UniformHash, HashOnly, HandOverWhenFull and TwoChoices.
+// it: one of UniformHash, HashOnly, HandOverWhenFull, TwoChoices and LeastWork.
 type Placement interface{ isPlacement() }
 
 // UniformHash always serves flows at their primary, and all backend servers keep the
@@ -37,8 +37,8 @@
 func (TwoChoices) isPlacement()       {}
 
 // placementDecision is what an agent decides about a new flow: one of acceptance, handOver,
-// draw, postponement, refusal and discard. Deciding changes nothing; applyPlacement carries a
-// decision out.
+// draw, serverDraw, postponement, refusal and discard. Deciding changes nothing: resolveDraw
+// draws, recordPlacement records a shortage, and applyPlacement carries a decision out.
 type placementDecision interface{ isPlacementDecision() }
 
 // acceptance means that this agent takes the flow, unless its flow table is full or slow
@@ -78,41 +78,64 @@
 	if !a.config.PlacesNear {
 		return service.Candidates
 	}
-	if balancer := a.view.Node(origin); balancer != nil {
-		return service.Near(balancer.DataCentre())
-	}
-	return service.Near(a.config.DataCentre)
+	return service.Near(a.entryDataCentre(origin))
 }
 
 // place decides who serves a new flow, and changes nothing. A flow that another agent has
 // handed over is not handed over again to balance load.
 func (a *Agent) place(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
+	if decision := a.placeByRules(now, service, received); decision != nil {
+		return decision
+	}
+	return a.placeByPolicy(now, service, received)
+}
+
+// placeByRules decides about a new flow to which the placement policy does not apply, and returns
+// nil about any other.
+func (a *Agent) placeByRules(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if reason := a.ineligibleReason(now, service, received); reason != "" {
 		decision := a.placeElsewhere(now, service, received, reason)
 		if _, refused := decision.(refusal); !refused || reason != HandOverServerSilent || !a.isOnlyEjected() {
 			return decision
 		}
 	}
+	if decision := a.placeLate(now, service, received); decision != nil {
+		return decision
+	}
 	if received.Placed {
 		return a.placeWithinObjective(service, received)
 	}
+	return nil
+}
+
+// placeByPolicy applies the placement policy.
+func (a *Agent) placeByPolicy(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	switch a.config.Placement.(type) {
 	case HandOverWhenFull:
 		return a.placeWhenFull(now, service, received)
 	case TwoChoices:
 		return a.placeByReports(now, service, received)
+	case LeastWork:
+		return a.placeByWork(now, service, received)
 	}
 	return acceptance{AcceptPrimary}
 }
 
-// placeOpening decides who serves a new flow and, if the backend server gets it as a trial,
-// records the trial.
+// placeOpening decides who serves a new flow, and draws if the decision is drawn at random. If
+// the backend server gets the flow as a trial, it records the trial.
 func (a *Agent) placeOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
-	decision := a.place(now, service, received)
+	a.cacheQueueLimit(service)
+	decision := a.placeByRules(now, service, received)
+	if decision == nil {
+		if a.config.Carried {
+			a.sampleWait(now)
+		}
+		decision = a.placeByPolicy(now, service, received)
+	}
 	if a.config.Carried && a.IsTrialOnly() && a.ineligibleReason(now, service, received) == "" {
 		a.responses.recordTrial(now)
 	}
-	return decision
+	return a.resolveDraw(now, service, received, decision)
 }
 
 // ineligibleReason returns why this agent must not accept new flows of the service, or ""
@@ -148,11 +171,19 @@
 // placeWhenFull applies HandOverWhenFull. If no sibling has a free slot either, the flow
 // stays here, provided that it can be answered within the service's objective.
 func (a *Agent) placeWhenFull(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
-	visited := a.visitedWithSelf(received.Visited)
 	if a.admission.HasFreeSlot() {
-		return a.placeEvenly(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
+		return a.placeEvenly(now, a.candidates(service, received.Origin), received.Packet.Flow(), a.visitedWithSelf(received.Visited))
 	}
-	sibling := a.leastLoadedSibling(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
+	if a.placesByWork() {
+		return drawNearWithSlot
+	}
+	return a.placeElsewhereWhenFull(now, service, received, &choices{})
+}
+
+// placeElsewhereWhenFull hands a flow over for which no slot is free here, if a sibling has one.
+// drawn holds the servers drawn by LeastWork.
+func (a *Agent) placeElsewhereWhenFull(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, drawn *choices) placementDecision {
+	sibling := a.siblingWithRoom(now, service, received, drawn)
 	if sibling == nil {
 		return a.placeWithinObjective(service, received)
 	}
@@ -184,7 +215,8 @@
 
 // placeWithinObjective accepts a new flow, unless the backend server queues requests itself
 // and is not expected to answer the flow's first request within the service's latency
-// objective, counted from the first copy of the opening packet, or a more urgent flow waits. Such a flow is postponed. This guards against a long queue
+// objective, counted from the first copy of the opening packet, and within queueLimit, or a more
+// urgent flow waits. Such a flow is postponed. This guards against a long queue
 // at the server, which forms when more requests than slots arrive for seconds, as when all
 // servers come back cold: queued requests are served at the same rate whatever the length of
 // the queue, but behind a long queue all of them are late.
@@ -193,7 +225,7 @@
 	if objective == 0 || !a.config.Carried || !a.load.isFull() {
 		return acceptance{AcceptNoOther}
 	}
-	remaining := objective - timeSinceFirstCopy(received.Packet)
+	remaining := min(objective-timeSinceFirstCopy(received.Packet), a.queueLimit(service))
 	switch {
 	case a.waiting.hasMoreUrgent(service.Priority()):
 		return a.postpone(service, received, WaitUrgent)
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/work"
 )
 
 // reportLifetime is how long a sibling's report is valid.
@@ -15,7 +17,7 @@
 type Report struct {
 	_ struct{} `cbor:",toarray"`
 	// Running is the number of requests that hold a slot or wait for one. A new flow counts
-	// as a request.
+	// as a request, also one whose opening packet waits at the agent.
 	Running uint32
 	// Limit is the number of requests that the backend server can run at once, or zero if
 	// the agent is draining. Siblings take the excess of Running over it as the
@@ -39,10 +41,19 @@
 	// Services holds what is known of the requests of each service, for the services with
 	// the most requests.
 	Services []ServiceReport
+	// Work is the work of the requests of carried flows that a new request has had to wait for at
+	// the backend server lately, on average, in microseconds of slot-time. What is left at this
+	// moment would say nothing when the report is used, many requests later.
+	Work uint32
 }
 
 func (r Report) utilisation() float64 { return float64(r.Utilisation) / perMille }
 
+// work returns the work that the report shows.
+func (r Report) work(now time.Time) work.Reported {
+	return work.NewReported(now, time.Duration(r.Work)*time.Microsecond, float64(r.Limit))
+}
+
 // perMille is the number that stands for a share of 1 in a Report.
 const perMille = 1000
 
@@ -60,14 +71,30 @@
 type siblingReport struct {
 	report    Report
 	expiresAt time.Time
+	// work is the remaining work at the sibling.
+	work work.Reported
+	// isListed reports whether expectedWork lists the sibling.
+	isListed bool
 }
 
 // HandleReport stores a sibling's report. It returns the tickets of waiting requests that
-// the caller must hand over to the sibling, at most one for each of its free slots.
+// the caller must hand over to the sibling, at most one for each of its free slots. For carried
+// flows ReleaseWaiting must be called instead, which hands waiting opening packets over.
 func (a *Agent) HandleReport(now time.Time, id fleet.InstanceID, report Report) []Ticket {
-	a.reports[id] = siblingReport{report: report, expiresAt: now.Add(reportLifetime)}
+	a.reports[id] = siblingReport{
+		report:    report,
+		expiresAt: now.Add(reportLifetime),
+		work:      report.work(now),
+		isListed:  a.reports[id].isListed,
+	}
+	a.addReporter(id)
+	a.recordWaiting(id, report)
 	freeSlots := int(report.Limit) - int(report.Running)
-	if freeSlots <= 0 || a.admission.QueueLength() == 0 {
+	if freeSlots <= 0 {
+		return nil
+	}
+	a.waiting.recordOffer(id)
+	if a.admission.QueueLength() == 0 {
 		return nil
 	}
 	return a.admission.HandOver(freeSlots)
@@ -81,29 +108,72 @@
 	waitingReportInterval = 150 * time.Millisecond
 )
 
+// UrgentReport returns the siblings that should be sent a report between two periodic ones:
+// the recipient of an offer of a free slot or, if requests wait here, all report recipients.
+// isOffer tells which.
+func (a *Agent) UrgentReport(now time.Time) (recipients []*fleet.Target, isOffer bool) {
+	if sibling := a.OfferRecipient(now); sibling != nil {
+		return []*fleet.Target{sibling}, true
+	}
+	if a.ShouldReportWaiting(now) {
+		return a.ReportRecipients(), false
+	}
+	return nil, false
+}
+
+// Waiting returns the number of requests and opening packets that wait here.
+func (a *Agent) Waiting() int { return a.admission.QueueLength() + a.waiting.Len() }
+
+// recordWaiting records whether requests wait at a sibling by its latest report.
+func (a *Agent) recordWaiting(id fleet.InstanceID, report Report) {
+	if report.Running > report.Limit {
+		a.waitingSiblings[id] = struct{}{}
+	} else {
+		delete(a.waitingSiblings, id)
+	}
+}
+
 // OfferRecipient returns the sibling that should be sent a report at once because this
-// agent has a free slot: the one with the most requests waiting by its latest report. It
-// counts the offer. It returns nil if none waits, or if no offer may be made now.
+// agent has a free slot and nothing waits for it: the one with the most requests waiting by its
+// latest report. It counts the offer. It returns nil if none waits, or if no offer may be made
+// now.
 func (a *Agent) OfferRecipient(now time.Time) *fleet.Target {
-	if a.draining || !a.admission.HasFreeSlot() || now.Before(a.nextOfferAt) {
+	if a.draining || !a.admission.HasFreeSlot() || a.waiting.Len() > 0 || now.Before(a.nextOfferAt) {
 		return nil
 	}
-	var longest *fleet.Target
+	longest := a.longestWaitingSibling(now)
+	if longest != nil {
+		a.nextOfferAt = now.Add(offerInterval)
+		a.countOffer(longest)
+	}
+	return longest
+}
+
+// longestWaitingSibling returns the sibling with the most requests waiting by its latest report,
+// or nil if none waits. It considers only waitingSiblings, since it is called after each batch
+// of packets and there may be thousands of siblings.
+func (a *Agent) longestWaitingSibling(now time.Time) *fleet.Target {
+	var longest fleet.InstanceID
 	most := 0
-	for _, sibling := range a.Siblings() {
-		report, known := a.latestReport(now, sibling.ID())
-		if !known {
+	for id := range a.waitingSiblings {
+		report, known := a.latestReport(now, id)
+		waiting := int(report.Running) - int(report.Limit)
+		if !known || waiting <= 0 {
+			delete(a.waitingSiblings, id)
 			continue
 		}
-		if waiting := int(report.Running) - int(report.Limit); waiting > most {
-			longest, most = sibling, waiting
+		if waiting > most || waiting == most && id < longest {
+			longest, most = id, waiting
 		}
 	}
-	if longest != nil {
-		a.nextOfferAt = now.Add(offerInterval)
-		a.countOffer(longest)
+	if most == 0 {
+		return nil
 	}
-	return longest
+	if at := slices.IndexFunc(a.siblings, func(s *fleet.Target) bool { return s.ID() == longest }); at >= 0 {
+		return a.siblings[at]
+	}
+	delete(a.waitingSiblings, longest)
+	return nil
 }
 
 // countOffer lowers the stored Running of a sibling by one, for the request that it may
@@ -118,7 +188,7 @@
 // ShouldReportWaiting reports whether siblings should be sent a report at once because
 // requests wait here. If so, the next one is due after waitingReportInterval.
 func (a *Agent) ShouldReportWaiting(now time.Time) bool {
-	if a.admission.QueueLength() == 0 || now.Before(a.nextWaitingReportAt) {
+	if a.Waiting() == 0 || now.Before(a.nextWaitingReportAt) {
 		return false
 	}
 	a.nextWaitingReportAt = now.Add(waitingReportInterval)
@@ -196,14 +266,16 @@
 func (a *Agent) Report(now time.Time) Report {
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
+	a.updateUnlearned(now)
+	a.sampleWait(now)
 	return a.currentReport()
 }
 
 // currentReport returns the agent's load as of now, with the utilisation and the ejection as
-// of the last report. It changes nothing.
+// of the last report, and the work as of the last sample. It changes nothing.
 func (a *Agent) currentReport() Report {
 	report := Report{
-		Running:     uint32(math.Round(a.load.occupied()) + float64(a.admission.QueueLength())),
+		Running:     uint32(math.Round(a.load.occupied()) + float64(a.Waiting())),
 		Limit:       uint32(a.load.Limit()),
 		Owned:       uint32(a.ownedCount),
 		MaxOwned:    uint32(a.config.MaxFlows),
@@ -212,6 +284,7 @@
 		ServiceTime: uint32(a.load.knownServiceTime().Microseconds()),
 		Ejected:     a.outliers.ejected,
 		Services:    a.serviceReports(),
+		Work:        a.reportedWork(),
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -147,7 +147,7 @@
 		DataCentre:   s.DataCentre,
 		MaxFlows:     s.Connections,
 		MaxHandOvers: s.Connections * handOversPerFlow,
-		Placement:    core.HandOverWhenFull{},
+		Placement:    placement(s.Placement),
 		Carried:      true,
 		PlacesNear:   options.PlacesNear,
 		MaxPayload:   options.MaxPayload,
@@ -155,11 +155,25 @@
 		Labels:       s.Labels,
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
 	c.core.Start(clock.Now())
+	counters.Gauge("work_left_us", c.workLeft)
 	n.OnPublish(c.applyView)
 	n.OnExplain(c.explainPlacement)
+	counters.Gauge("waiting", func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.core.Waiting())
+	})
 	return c, nil
 }
 
+// placement returns the policy of a placement setting, which must have been checked.
+func placement(name string) core.Placement {
+	if name == settings.PlacementWork {
+		return core.LeastWork{}
+	}
+	return core.HandOverWhenFull{}
+}
+
 // start starts the goroutines of the agent in group. They end when ctx is done.
 func (c *Carrier) start(ctx context.Context, group *errgroup.Group) error {
 	if err := c.node.Start(ctx, group); err != nil {
@@ -190,7 +204,7 @@
 	})
 	group.Go(func() error {
 		return c.node.RunReadLoop(ctx, c.node.Socket(), func() error {
-			defer inboundHandler.Flush()
+			defer inboundHandler.finishInbound()
 			return receiver.ReceiveBatch(inboundHandler.Handle)
 		})
 	})
@@ -251,6 +265,7 @@
 		handler.Resolve(&retries[i])
 	}
 	handler.releaseWaiting(now)
+	handler.sendUrgentReport(now)
 	handler.Flush()
 	if trialOnly != c.wasTrialOnly {
 		c.wasTrialOnly = trialOnly
@@ -297,6 +312,13 @@
 	return nil
 }
 
+// workLeft returns the expected remaining work at the backend server in microseconds of slot-time.
+func (c *Carrier) workLeft() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.core.WorkLeft(clock.Now()).Microseconds())
+}
+
 // leave stops taking new flows, fails the readiness check and publishes that the agent is
 // leaving. It returns after leavingDuration, in which packets are still forwarded.
 func (c *Carrier) leave() {
