--- a/internal/core/agent/expectedwork.go
+++ b/internal/core/agent/expectedwork.go
@@ -34,6 +34,15 @@
 	return a.work.estimates.Add(service, a.unlearnedServiceTime(now, service))
 }
 
+// expectedMean returns the expected service time of the requests of a service. Unlike
+// estimateOf it changes nothing: it adds no estimate and does not count as a use.
+func (a *Agent) expectedMean(now time.Time, service fleet.ServiceID) time.Duration {
+	if estimate := a.work.estimates.Peek(service); estimate != nil {
+		return estimate.Mean()
+	}
+	return a.unlearnedServiceTime(now, service)
+}
+
 // unlearnedServiceTime returns the service time to assume while the backend server has answered
 // too few requests of a service: that of the siblings or, if it is not known either, a share of
 // the latency objective.
@@ -105,8 +114,7 @@
 
 // reportedWork returns the work that a new request waits for on average, in microseconds of
 // slot-time, as in a Report.
-func (a *Agent) reportedWork(now time.Time) uint32 {
-	a.sampleWait(now)
+func (a *Agent) reportedWork() uint32 {
 	left := time.Duration(float64(a.work.wait.Value()) * a.load.slots)
 	return uint32(min(left.Microseconds(), math.MaxUint32))
 }
@@ -163,5 +171,5 @@
 	if report.ServiceTime > 0 {
 		return time.Duration(report.ServiceTime) * time.Microsecond
 	}
-	return a.estimateOf(now, service).Mean()
+	return a.expectedMean(now, service)
 }
--- a/internal/core/agent/expectedwork_test.go
+++ b/internal/core/agent/expectedwork_test.go
@@ -125,7 +125,7 @@
 	service := a.view.Service(orders)
 	for port := range uint16(20) {
 		var drawn choices
-		a.drawChoices(settledAt, service, receivedPacket(4000+port, flow.Opening, 0), a.isNearChoice, &drawn)
+		a.drawChoices(settledAt, service, receivedPacket(4000+port, flow.Opening, 0), drawNear, &drawn)
 		require.Equal(t, []*fleet.Target{service.Target(ids[3])}, drawn.targets[:drawn.count])
 	}
 }
--- a/internal/core/agent/leastwork.go
+++ b/internal/core/agent/leastwork.go
@@ -57,8 +57,11 @@
 	if !a.placesByWork() {
 		return a.placeWhenFull(now, service, received)
 	}
-	var near choices
-	a.drawChoices(now, service, received, a.isNearChoice, &near)
+	return drawNear
+}
+
+// placeNearByWork decides about a flow among this server and the servers near that were drawn.
+func (a *Agent) placeNearByWork(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, near *choices) placementDecision {
 	if near.count == 0 {
 		return a.placeWhenFull(now, service, received)
 	}
@@ -67,47 +70,32 @@
 		return handOver{near.targets[best], HandOverWork}
 	}
 	if !a.admission.HasFreeSlot() {
-		return a.placeFarByWork(now, service, received, here)
+		if a.config.PlacesNear {
+			return drawFar
+		}
+		return a.placeWithinObjective(service, received)
 	}
 	if a.config.PlacesNear && a.utilisation > nearUtilisation {
 		return a.placeEvenly(now, a.candidates(service, received.Origin), received.Packet.Flow(), a.visitedWithSelf(received.Visited))
 	}
-	return acceptance{}
+	return acceptance{AcceptShortestDelay}
 }
 
 // placeFarByWork decides about a flow for which no slot is free here, and no server near is
-// expected to answer sooner.
-func (a *Agent) placeFarByWork(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, here work.Candidate) placementDecision {
-	var far choices
-	if a.config.PlacesNear {
-		a.drawChoices(now, service, received, a.isFarChoice, &far)
-	}
-	if best := work.Choose(here, far.all()); best >= 0 {
+// expected to answer sooner. far holds the servers in other data centres that were drawn.
+func (a *Agent) placeFarByWork(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, far *choices) placementDecision {
+	if best := work.Choose(a.ownCandidate(now, service), far.all()); best >= 0 {
 		return handOver{far.targets[best], HandOverWork}
 	}
 	return a.placeWithinObjective(service, received)
 }
 
-// shortestDelaySibling returns the sibling that takes a flow while this server is full: of two near
-// with a free slot the one that is expected to answer first. It returns nil if none was found.
-func (a *Agent) shortestDelaySibling(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
-	var c choices
-	a.drawChoices(now, service, received, a.isNearChoiceWithSlot, &c)
-	best := work.Shortest(c.all())
-	if best < 0 {
-		return nil
-	}
-	return c.targets[best]
-}
-
-// siblingWithRoom returns the sibling that takes a flow while this server is full: by LeastWork
-// the one that is expected to answer first, else the least loaded one. It returns nil if none is
-// known to have a free slot.
-func (a *Agent) siblingWithRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) *fleet.Target {
-	if a.placesByWork() {
-		if sibling := a.shortestDelaySibling(now, service, received); sibling != nil {
-			return sibling
-		}
+// siblingWithRoom returns the sibling that takes a flow while this server is full: of those drawn
+// the one that is expected to answer first, or the least loaded one if none was drawn. It returns
+// nil if none is known to have a free slot.
+func (a *Agent) siblingWithRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, drawn *choices) *fleet.Target {
+	if best := work.Shortest(drawn.all()); best >= 0 {
+		return drawn.targets[best]
 	}
 	visited := a.visitedWithSelf(received.Visited)
 	return a.leastLoadedSibling(now, a.candidates(service, received.Origin), received.Packet.Flow(), visited)
@@ -140,7 +128,7 @@
 func (a *Agent) ownCandidate(now time.Time, service *fleet.RoutedService) work.Candidate {
 	return work.Candidate{
 		Wait:        a.work.backlog.Wait(now),
-		ServiceTime: a.estimateOf(now, service.ID()).Mean(),
+		ServiceTime: a.expectedMean(now, service.ID()),
 	}
 }
 
@@ -157,9 +145,9 @@
 	}
 }
 
-// drawChoices draws siblings at random among those with a valid report that may get a flow and that
-// accepts allows. The number of attempts is bounded, so that its cost does not grow with the fleet.
-func (a *Agent) drawChoices(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, accepts func(*fleet.Target, Report, *ReceivedPacket) bool, c *choices) {
+// drawChoices draws siblings at random among those with a valid report that a flow may be handed
+// over to. The number of attempts is bounded, so that its cost does not grow with the fleet.
+func (a *Agent) drawChoices(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, d serverDraw, c *choices) {
 	for range maxDraws {
 		if len(a.work.reporters) == 0 || c.count == drawnChoices {
 			return
@@ -171,7 +159,7 @@
 			continue
 		}
 		target := service.Target(a.work.reporters[index])
-		if target == nil || c.has(target) || !a.mayChoose(target, received) || !accepts(target, stored.report, received) {
+		if target == nil || c.has(target) || !a.mayChoose(target, received) || !a.mayDraw(d, target, stored.report, received) {
 			continue
 		}
 		c.add(target, a.siblingCandidate(now, service, target, &stored))
--- a/internal/core/agent/leastwork_test.go
+++ b/internal/core/agent/leastwork_test.go
@@ -160,7 +160,7 @@
 				at = test.at
 			}
 			a.HandleReport(at, siblings[0], report)
-			decision := a.place(settledAt, a.view.Service(orders), receivedPacket(4000, flow.Opening, 0))
+			decision := a.placeOpening(settledAt, a.view.Service(orders), receivedPacket(4000, flow.Opening, 0))
 			if test.want {
 				require.Equal(t, handOver{a.view.Service(orders).Target(siblings[0]), HandOverWork}, decision)
 				return
@@ -182,9 +182,9 @@
 				}
 			}
 			service, packet := a.view.Service(orders), receivedPacket(4000, flow.Opening, 0)
-			byWork, released := a.place(settledAt, service, packet), a.placeReleased(settledAt, service, packet)
+			byWork, released := a.placeOpening(settledAt, service, packet), a.placeReleased(settledAt, service, packet)
 			a.config.Placement = HandOverWhenFull{}
-			require.Equal(t, a.place(settledAt, service, packet), byWork)
+			require.Equal(t, a.placeOpening(settledAt, service, packet), byWork)
 			require.Equal(t, a.placeReleased(settledAt, service, packet), released)
 		}
 	}
@@ -250,7 +250,7 @@
 					}
 					return report
 				})
-				decision := a.place(settledAt, a.view.Service(orders), openingFrom(northBalancer, 4000+port))
+				decision := a.placeOpening(settledAt, a.view.Service(orders), openingFrom(northBalancer, 4000+port))
 				if test.want == "" {
 					require.IsType(t, acceptance{}, decision)
 					continue
@@ -273,7 +273,7 @@
 			service, packet := a.view.Service(orders), receivedPacket(4000, flow.Opening, 0)
 			b.ReportAllocs()
 			for b.Loop() {
-				a.placeByWork(settledAt, service, packet)
+				a.placeOpening(settledAt, service, packet)
 			}
 		})
 	}
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -11,14 +11,18 @@
 // receiveOpening decides which agent serves a new flow, and records the decision for
 // retransmissions of the opening packet.
 func (a *Agent) receiveOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	decision := a.place(now, service, received)
+	decision := a.placeOpening(now, service, received)
 	a.recordPlacement(now, a.isLate(now, service, objectiveDeadline(now, service, received.Packet)), decision)
 	return a.applyPlacement(now, service, received, decision)
 }
 
-// applyPlacement turns a placement decision about an opening packet into an action.
+// applyPlacement turns a placement decision about an opening packet, which must not be a draw,
+// into an action.
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
-	switch v := decision.(type) {
+	if _, accepted := decision.(acceptance); accepted && a.config.Carried {
+		a.slowStart.setRate(now, service.ColdStartRate(a.config.Labels))
+	}
+	switch v := a.settle(now, service, received, decision).(type) {
 	case handOver:
 		a.countHandOver(v.target)
 		a.countWorkHandedOver(now, service.ID(), v.target.ID())
@@ -31,19 +35,57 @@
 	case refusal:
 		a.reset.Reason = v.reason
 		return &a.reset
+	case discard:
+		return a.dropPacket(v.reason)
 	}
 	return a.acceptFlow(now, service, received)
 }
 
-// acceptFlow adds a new flow to the flow table and delivers its first packet. The packet is
-// dropped if the table is full. A new flow that exceeds the slow start rate is handed over
-// or refused.
-func (a *Agent) acceptFlow(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
-		return a.dropPacket(DropTableFull)
+// resolveDraw returns the decision that is drawn at random if a decision is a draw or a
+// serverDraw, and any other decision as it is.
+func (a *Agent) resolveDraw(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) placementDecision {
+	switch v := decision.(type) {
+	case draw:
+		if a.random.Float64() < v.share {
+			return v.handOver
+		}
+		return v.otherwise
+	case serverDraw:
+		var drawn choices
+		a.drawChoices(now, service, received, v, &drawn)
+		if v == drawNear && drawn.count > 0 {
+			a.estimateOf(now, service.ID()) // The comparison with this server uses its estimate.
+		}
+		return a.resolveDraw(now, service, received, a.decideDrawn(now, service, received, v, &drawn))
+	}
+	return decision
+}
+
+// settle returns the final decision where the placement policy accepts or postpones a new
+// flow, and changes nothing. The opening packet is dropped if the flow table is full. A flow
+// that exceeds the slow start rate is handed over or refused, and one whose wait would be
+// over at once is refused.
+func (a *Agent) settle(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) placementDecision {
+	switch decision.(type) {
+	case acceptance:
+		if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
+			return discard{DropTableFull}
+		}
+		if a.config.Carried && !a.slowStart.allows(now, service.ColdStartRate(a.config.Labels)) {
+			return a.placeDuringSlowStart(now, service, received)
+		}
+	case postponement:
+		if opening := a.newWaitingOpening(now, service, received); opening.isExpired(now) {
+			return refusal{RefuseWait}
+		}
 	}
-	if a.config.Carried && !a.slowStart.allow(now, service.ColdStartRate(a.config.Labels)) {
-		return a.placeDuringSlowStart(now, service, received)
+	return decision
+}
+
+// acceptFlow adds a new flow to the flow table and delivers its first packet.
+func (a *Agent) acceptFlow(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	if a.config.Carried {
+		a.slowStart.take(now, service.ColdStartRate(a.config.Labels))
 	}
 	a.ownedCount++
 	a.lastAttempt++
--- a/internal/core/agent/queuelimit.go
+++ b/internal/core/agent/queuelimit.go
@@ -13,7 +13,7 @@
 // queueLimits holds the longest expected response time with which a new flow may still queue at
 // the backend server, by the priority of its service. The server answers in the order of arrival,
 // so that services with a long objective could fill the queue until all requests of a service with
-// a short one are late. The limits are computed when they are needed first.
+// a short one are late. The limits are computed when they are needed first, see cacheQueueLimit.
 type queueLimits map[int]time.Duration
 
 // queueLimit returns the limit for a service that publishes an objective: the shortest objective
@@ -22,6 +22,18 @@
 	if limit, known := a.queueLimits[service.Priority()]; known {
 		return limit
 	}
+	return a.computeQueueLimit(service)
+}
+
+// cacheQueueLimit keeps the limit for a service if decisions need it now.
+func (a *Agent) cacheQueueLimit(service *fleet.RoutedService) {
+	if a.config.Carried && serverObjective(service) != 0 && a.load.isFull() {
+		a.queueLimits[service.Priority()] = a.queueLimit(service)
+	}
+}
+
+// computeQueueLimit returns the limit for a service, and changes nothing.
+func (a *Agent) computeQueueLimit(service *fleet.RoutedService) time.Duration {
 	limit := serverObjective(service)
 	for other := range a.view.Services() {
 		objective := serverObjective(other)
@@ -33,6 +45,5 @@
 		}
 		limit = min(limit, objective)
 	}
-	a.queueLimits[service.Priority()] = limit
 	return limit
 }
--- a/internal/core/agent/reservation_test.go
+++ b/internal/core/agent/reservation_test.go
@@ -63,9 +63,9 @@
 	_, a := newReservation(t)
 	room.openings[0].service, room.openings[1].service = orders, orders
 	a.waiting = *room
-	a.reassessWaiting(settledAt)
+	a.reassessAll(settledAt, a.waiting.openings)
 	require.Equal(t, 0, a.waiting.next())
-	a.reassessWaiting(settledAt.Add(201 * time.Millisecond))
+	a.reassessAll(settledAt.Add(201*time.Millisecond), a.waiting.openings)
 	require.Equal(t, 1, a.waiting.next())
 	require.Equal(t, 0, a.waiting.last())
 }
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -267,6 +267,13 @@
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
 	a.updateUnlearned(now)
+	a.sampleWait(now)
+	return a.currentReport()
+}
+
+// currentReport returns the agent's load as of now, with the utilisation and the ejection as
+// of the last report, and the work as of the last sample. It changes nothing.
+func (a *Agent) currentReport() Report {
 	report := Report{
 		Running:     uint32(math.Round(a.load.occupied()) + float64(a.Waiting())),
 		Limit:       uint32(a.load.Limit()),
@@ -277,7 +284,7 @@
 		ServiceTime: uint32(a.load.knownServiceTime().Microseconds()),
 		Ejected:     a.outliers.ejected,
 		Services:    a.serviceReports(),
-		Work:        a.reportedWork(now),
+		Work:        a.reportedWork(),
 	}
 	if a.draining {
 		report.Limit = 0
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -42,6 +42,9 @@
 // WaitReason is why an opening packet waits.
 type WaitReason string
 
+// Counter returns the name of the counter of opening packets that wait for this reason.
+func (r WaitReason) Counter() Reason { return "wait_" + Reason(r) }
+
 const (
 	// WaitLate means that the opening packet is late and the free slots are reserved for others.
 	WaitLate WaitReason = "late"
@@ -231,13 +234,24 @@
 
 // waitForRoom makes an opening packet wait.
 func (a *Agent) waitForRoom(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, reason WaitReason) Action {
+	opening := a.newWaitingOpening(now, service, received)
+	opening.packet, opening.visited = received.Packet.Clone(), slices.Clone(received.Visited)
+	a.reassessAll(now, a.waiting.openings)
+	a.waiting.add(opening, a.waitingLimit(service))
+	return &Wait{Reason: reason, SlotsTaken: int(math.Round(a.load.occupied())), Waiting: a.waiting.Len()}
+}
+
+// newWaitingOpening returns an opening packet that begins to wait now. It refers to the memory of
+// the packet received.
+func (a *Agent) newWaitingOpening(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) waitingOpening {
 	packet := received.Packet
 	copies := min(int(packet.AcknowledgedToken()), len(copyIntervals)-1)
 	opening := waitingOpening{
 		flow:        packet.Flow(),
 		service:     service.ID(),
 		priority:    service.Priority(),
-		visited:     slices.Clone(received.Visited),
+		packet:      packet,
+		visited:     received.Visited,
 		origin:      received.Origin,
 		placed:      received.Placed,
 		waited:      received.Waited,
@@ -247,13 +261,7 @@
 		isLastCopy:  copies == len(copyIntervals)-1,
 	}
 	a.reassess(now, service, &opening)
-	if opening.isExpired(now) {
-		return &Reset{Reason: RefuseWait}
-	}
-	opening.packet = packet.Clone()
-	a.reassessWaiting(now)
-	a.waiting.add(opening, a.waitingLimit(service))
-	return &Wait{Reason: reason, SlotsTaken: int(math.Round(a.load.occupied())), Waiting: a.waiting.Len()}
+	return opening
 }
 
 // timeSinceFirstCopy returns how long ago, at least, the caller sent the first copy of an
@@ -293,11 +301,11 @@
 	opening.lastStartAt = a.lastUsefulStart(service, opening.timeoutAt)
 }
 
-// reassessWaiting reassesses all waiting opening packets.
-func (a *Agent) reassessWaiting(now time.Time) {
-	for i := range a.waiting.openings {
-		if service := a.view.Service(a.waiting.openings[i].service); service != nil {
-			a.reassess(now, service, &a.waiting.openings[i])
+// reassessAll reassesses opening packets.
+func (a *Agent) reassessAll(now time.Time, openings []waitingOpening) {
+	for i := range openings {
+		if service := a.view.Service(openings[i].service); service != nil {
+			a.reassess(now, service, &openings[i])
 		}
 	}
 }
@@ -314,7 +322,7 @@
 // be called after answers of the backend server, after load reports and now and then.
 func (a *Agent) ReleaseWaiting(now time.Time) []Resolution {
 	var released []Resolution
-	a.reassessWaiting(now)
+	a.reassessAll(now, a.waiting.openings)
 	for _, opening := range a.waiting.takeRefused(now) {
 		released = append(released, opening.resolve(&Reset{Reason: RefuseWait}))
 	}
@@ -412,11 +420,15 @@
 // slot if there is none here.
 func (a *Agent) placeReleased(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	if a.load.isFull() {
-		if sibling := a.siblingWithRoom(now, service, received); sibling != nil {
+		var drawn choices
+		if a.placesByWork() {
+			a.drawChoices(now, service, received, drawNearWithSlot, &drawn)
+		}
+		if sibling := a.siblingWithRoom(now, service, received, &drawn); sibling != nil {
 			return handOver{sibling, HandOverFull}
 		}
 	}
-	return a.place(now, service, received)
+	return a.placeOpening(now, service, received)
 }
 
 // resolve returns what to do with the opening packet.
--- a/internal/core/work/backlog.go
+++ b/internal/core/work/backlog.go
@@ -21,8 +21,6 @@
 	// received holds the requests that the server has received, in order. The first ones, one
 	// for each slot, run.
 	received []receivedRequest
-	// freeIn is when each slot becomes free, as Wait computes it. It is kept to be reused.
-	freeIn []time.Duration
 }
 
 // transitRequest is a request of which bytes are still to come.
@@ -102,41 +100,45 @@
 	}
 }
 
+// stackSlots is the number of slots up to which Wait allocates no memory.
+const stackSlots = 32
+
 // Wait returns how long a request that arrives now is expected to wait for a slot. It is zero while
 // a slot is free, whatever the requests that run still need. Requests in transit go first.
 func (b *Backlog) Wait(now time.Time) time.Duration {
 	if float64(len(b.received))+b.transitSlots < float64(b.slots) {
 		return 0
 	}
-	b.freeIn = b.freeIn[:0]
+	var buffer [stackSlots]time.Duration
+	freeIn := buffer[:0]
 	for i := range b.received {
 		if r := &b.received[i]; !r.startedAt.IsZero() {
-			b.freeIn = append(b.freeIn, r.estimate.Rest(now.Sub(r.startedAt)))
+			freeIn = append(freeIn, r.estimate.Rest(now.Sub(r.startedAt)))
 		}
 	}
-	for len(b.freeIn) < b.slots {
-		b.freeIn = append(b.freeIn, 0)
+	for len(freeIn) < b.slots {
+		freeIn = append(freeIn, 0)
 	}
 	for i := range b.received {
 		if r := &b.received[i]; r.startedAt.IsZero() {
-			b.occupyNext(r.estimate.Mean())
+			occupyNext(freeIn, r.estimate.Mean())
 		}
 	}
 	for range b.inTransit {
-		b.occupyNext(b.transitWork / time.Duration(len(b.inTransit)))
+		occupyNext(freeIn, b.transitWork/time.Duration(len(b.inTransit)))
 	}
-	return slices.Min(b.freeIn)
+	return slices.Min(freeIn)
 }
 
 // occupyNext lets a request occupy the slot that is free first.
-func (b *Backlog) occupyNext(serviceTime time.Duration) {
+func occupyNext(freeIn []time.Duration, serviceTime time.Duration) {
 	next := 0
-	for i := range b.freeIn {
-		if b.freeIn[i] < b.freeIn[next] {
+	for i := range freeIn {
+		if freeIn[i] < freeIn[next] {
 			next = i
 		}
 	}
-	b.freeIn[next] += serviceTime
+	freeIn[next] += serviceTime
 }
 
 // Left returns the expected remaining work, in slot-time.
--- a/internal/core/work/estimates.go
+++ b/internal/core/work/estimates.go
@@ -78,6 +78,9 @@
 	return estimate
 }
 
+// Peek returns the estimate of a service, or nil if there is none. It does not count as a use.
+func (e *Estimates) Peek(service fleet.ServiceID) *Estimate { return e.byService[service] }
+
 // Add adds an estimate without samples for a service that has none, and returns it.
 func (e *Estimates) Add(service fleet.ServiceID, assumed time.Duration) *Estimate {
 	if len(e.byService) >= maxServices {
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -276,7 +276,7 @@
 	decision := d.decision("wait", "", core.Reason(wait.Reason))
 	decision.SlotsTaken, decision.Waiting = wait.SlotsTaken, wait.Waiting
 	d.Decisions.Record(decision)
-	d.Counters.Add("wait_"+string(wait.Reason), 1)
+	d.Counters.Add(string(wait.Reason.Counter()), 1)
 }
 
 // reset replies to the current packet with a reset, and logs and counts the reason, a refusal
