--- a/internal/core/agent/expectedwork_test.go
+++ b/internal/core/agent/expectedwork_test.go
@@ -35,7 +35,7 @@
 // Guards against the times of the server that ran before a restart.
 func TestRestartedServerIsLearnedAnew(t *testing.T) {
 	c := newTestCluster(t, 1)
-	c.setObjective(t, poolObjective, 0)
+	c.setObjective(t, 0)
 	a := c.agents[c.ids()[0]]
 	for number, boot := range []string{"1", "1", "2"} {
 		_, backends, _ := c.state.Documents()
--- a/internal/core/agent/explanation_test.go
+++ b/internal/core/agent/explanation_test.go
@@ -142,7 +142,7 @@
 
 // fillAll publishes an objective that no server can meet, since all slots are taken.
 func fillAll(t *testing.T, c *testCluster, a *Agent) {
-	c.setObjective(t, 200*time.Millisecond, time.Second)
+	c.setObjective(t, time.Second)
 	for range 8 * slots {
 		a.load.start(settledAt)
 	}
--- a/internal/core/agent/leastwork_test.go
+++ b/internal/core/agent/leastwork_test.go
@@ -101,7 +101,7 @@
 // Its backend server takes 20 ms for a request of orders, and has all slots taken if busy.
 func newWorkAgent(t require.TestingT, targets int, busy bool) (*Agent, []fleet.InstanceID) {
 	c := &testCluster{state: newState(t, targets), agents: make(map[fleet.InstanceID]*Agent)}
-	c.setObjective(t, poolObjective, 0)
+	c.setObjective(t, 0)
 	c.restart(fleet.InstanceIDOf("b0"))
 	a := c.agents[fleet.InstanceIDOf("b0")]
 	a.config.Placement, a.config.MaxFlows, a.config.MaxHandOvers = LeastWork{}, 100000, 100
--- a/internal/core/agent/offer_test.go
+++ b/internal/core/agent/offer_test.go
@@ -15,7 +15,7 @@
 // newOfferCluster returns an agent at which five opening packets wait, and a sibling that is idle.
 func newOfferCluster(t *testing.T) (*testCluster, *Agent, *Agent) {
 	c := newTestCluster(t, 3)
-	c.setObjective(t, returnObjective, returnTimeout)
+	c.setObjective(t, returnTimeout)
 	for _, a := range c.agents {
 		a.config.Placement = HandOverWhenFull{}
 	}
--- a/internal/core/agent/poolreplay_test.go
+++ b/internal/core/agent/poolreplay_test.go
@@ -37,7 +37,7 @@
 )
 
 const (
-	poolObjective = 200 * time.Millisecond
+	poolObjective = returnObjective
 	// poolDelay is the one-way delay between callers and agents, and between agents.
 	poolDelay = time.Millisecond
 	// longShare is the share of requests that take longFactor times as long as others.
--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -54,11 +54,11 @@
 	random   *rand.Rand
 }
 
-// setObjective publishes the latency objective and the timeout of the service orders.
-func (c *testCluster) setObjective(t require.TestingT, objective, timeout time.Duration) {
+// setObjective publishes returnObjective and a timeout of the service orders.
+func (c *testCluster) setObjective(t require.TestingT, timeout time.Duration) {
 	services, _, _ := c.state.Documents()
 	next := &fleet.ServicesDocument{Revision: fleet.Revision{Number: 2}, Services: slices.Clone(services.Services)}
-	next.Services[0].LatencyObjective, next.Services[0].Timeout = objective, timeout
+	next.Services[0].LatencyObjective, next.Services[0].Timeout = returnObjective, timeout
 	_, err := c.state.Apply(epoch, next)
 	require.NoError(t, err)
 	c.applyView()
@@ -66,7 +66,7 @@
 
 func newReturnScenario(t *testing.T) *returnScenario {
 	c := newTestCluster(t, 1)
-	c.setObjective(t, returnObjective, returnTimeout)
+	c.setObjective(t, returnTimeout)
 	a := c.agents[c.ids()[0]]
 	a.config.Placement, a.config.MaxFlows = HandOverWhenFull{}, 10000
 	a.load.SetSlots(returnSlots)
@@ -316,7 +316,7 @@
 // leaves goes to another one.
 func TestWaitingOpeningsAreHandedOverWhenTheAgentLeaves(t *testing.T) {
 	c := newTestCluster(t, 2)
-	c.setObjective(t, returnObjective, 0)
+	c.setObjective(t, 0)
 	a := c.agents[c.ids()[0]]
 	a.config.Placement = HandOverWhenFull{}
 	port := uint16(1024)
@@ -353,7 +353,7 @@
 // Guards against a full server that gets all waiting flows as soon as one sibling has a free slot.
 func TestSiblingWithOneFreeSlotGetsOneWaitingOpening(t *testing.T) {
 	c := newTestCluster(t, 2)
-	c.setObjective(t, returnObjective, 0)
+	c.setObjective(t, 0)
 	a, sibling := c.agents[c.ids()[0]], c.ids()[1]
 	a.config.Placement = HandOverWhenFull{}
 	port := uint16(1024)
