Explain the order of admission and placement by expected work

An explanation said nothing about a flow for which LeastWork draws servers, and showed no work.

- ExplainPlacement lists what may follow from a draw of servers, with the probability that the servers drawn lead to it.
- A candidate has its remaining work, which falls with the age of its load report as decisions assume, and with LeastWork the delay by which servers are compared.
With LeastWork a full server near is not excluded, and an ejected one is.
- The command prints the column REMAINING WORK and the sentences of wait_late, refuse_timeout, handover_work, accept_shortest_delay and ejected.
A probability that rounds to 0 or 100 % is printed as below 1 % or above 99 %.

TestExplanationIsTrueAndChangesNothing also compares the target of a hand-over and the reason to wait, and covers late flows, the timeout and draws of servers.

--- a/internal/cmd/commands/placement_test.go
+++ b/internal/cmd/commands/placement_test.go
@@ -17,8 +17,8 @@
 	placement := operator.Placement{
 		Process: "braid-1", Role: "agent", DataCentre: "north", Service: query.Service, Caller: query.Caller.String(), Size: query.Size,
 		Candidates: []operator.PlacementCandidate{
-			{Name: "braid-1", DataCentre: "north", IsSelf: true, SlotsTaken: new(uint32(2)), Slots: new(uint32(2)), Utilisation: new(0.914), ExpectedDelayMs: new(28.5), Excluded: "full"},
-			{Name: "braid-2", DataCentre: "north", SlotsTaken: new(uint32(1)), Slots: new(uint32(2)), Utilisation: new(0.4), ExpectedDelayMs: new(19.25), ReportAgeMs: new(312.04)},
+			{Name: "braid-1", DataCentre: "north", IsSelf: true, SlotsTaken: new(uint32(2)), Slots: new(uint32(2)), Utilisation: new(0.914), RemainingWorkMs: new(37.1), ExpectedDelayMs: new(28.5), Excluded: "full"},
+			{Name: "braid-2", DataCentre: "north", SlotsTaken: new(uint32(1)), Slots: new(uint32(2)), Utilisation: new(0.4), RemainingWorkMs: new(0.0), ExpectedDelayMs: new(19.25), ReportAgeMs: new(312.04)},
 			{Name: "braid-3", DataCentre: "south", SlotsTaken: new(uint32(0)), Slots: new(uint32(2)), ReportAgeMs: new(2400.0), Excluded: "old_report"},
 			{Name: "braid-4", DataCentre: "south", Excluded: "unheard_of"},
 		},
@@ -31,6 +31,12 @@
 			{Outcome: "hand_over", To: "braid-2", Reason: "handover_even", Probability: 0.2},
 			{Outcome: "accept", Reason: "accept_free_slot", Probability: 0.8},
 		}
+	case "rare":
+		placement.Candidates = placement.Candidates[1:2]
+		placement.Decisions = []operator.PlacementDecision{
+			{Outcome: "hand_over", To: "braid-2", Reason: "handover_work", Probability: 0.998},
+			{Outcome: "accept", Reason: "accept_shortest_delay", Probability: 0.002},
+		}
 	case "entry":
 		placement.Process, placement.Role = "entry-1", "balancer"
 		placement.Decisions = []operator.PlacementDecision{{Outcome: "forward", To: "braid-1", Reason: "primary", Probability: 1}}
@@ -67,6 +73,7 @@
 		{"plain", []string{"--node", node, "--caller", caller, "orders"}, false, 0},
 		{"json", []string{"--node", node, "--caller", caller, "--size", "900", "--json", "orders"}, true, 0},
 		{"drawn", []string{"--node", node, "--caller", caller, "drawn"}, true, 0},
+		{"rare", []string{"--node", node, "--caller", caller, "rare"}, true, 0},
 		{"balancer", []string{"--node", node, "--caller", caller, "entry"}, true, 0},
 		{"unknown-service", []string{"--node", node, "--caller", caller, "reports"}, true, 2},
 		{"malformed-caller", []string{"--node", node, "--caller", "me", "orders"}, true, 2},
--- a/internal/cmd/explain/placement.go
+++ b/internal/cmd/explain/placement.go
@@ -36,7 +36,7 @@
 	for _, decision := range placement.Decisions {
 		line := fmt.Sprintf("%s %s: %s", placement.Role, placement.Process, describeOutcome(&decision))
 		if decision.Probability < 1 {
-			line += fmt.Sprintf(", with probability %.0f%%", 100*decision.Probability)
+			line += ", with probability " + formatProbability(decision.Probability)
 		}
 		if _, err := fmt.Fprintf(streams.Out, "%s: %s\n", line, describeReason(decision.Reason)); err != nil {
 			return fmt.Errorf("print decision: %w", err)
@@ -45,6 +45,18 @@
 	return nil
 }
 
+// formatProbability returns a probability below 1 in per cent, which is neither 0 nor 100.
+func formatProbability(probability float64) string {
+	switch perCent := math.Round(100 * probability); perCent {
+	case 0:
+		return "below 1%"
+	case 100:
+		return "above 99%"
+	default:
+		return fmt.Sprintf("%.0f%%", perCent)
+	}
+}
+
 // describeOutcome returns what becomes of the packet.
 func describeOutcome(decision *operator.PlacementDecision) string {
 	switch decision.Outcome {
@@ -67,7 +79,7 @@
 // newPlacementTable returns a table of the candidates. A balancer knows their weights only, and
 // an agent their load only.
 func newPlacementTable(placement *operator.Placement) cmdutil.Table {
-	table := cmdutil.Table{Header: []string{"BACKEND SERVER", "DATA CENTRE", "SLOTS TAKEN", "BUSY", "EXPECTED DELAY", "REPORT AGE", "EXCLUDED"}}
+	table := cmdutil.Table{Header: []string{"BACKEND SERVER", "DATA CENTRE", "SLOTS TAKEN", "BUSY", "REMAINING WORK", "EXPECTED DELAY", "REPORT AGE", "EXCLUDED"}}
 	if placement.Role == "balancer" {
 		table.Header = []string{"BACKEND SERVER", "DATA CENTRE", "WEIGHT", "EXCLUDED"}
 	}
@@ -95,7 +107,8 @@
 	return strconv.Itoa(int(*weight))
 }
 
-// loadCells returns the slots taken, the utilisation, the expected delay and the age of the load report.
+// loadCells returns the slots taken, the utilisation, the remaining work, the expected delay and the
+// age of the load report.
 func loadCells(candidate *operator.PlacementCandidate) []string {
 	slots, utilisation, age := unknown, unknown, formatMilliseconds(candidate.ReportAgeMs)
 	if candidate.Slots != nil && candidate.SlotsTaken != nil {
@@ -107,7 +120,7 @@
 	if candidate.IsSelf {
 		age = "this agent"
 	}
-	return []string{slots, utilisation, formatMilliseconds(candidate.ExpectedDelayMs), age}
+	return []string{slots, utilisation, formatMilliseconds(candidate.RemainingWorkMs), formatMilliseconds(candidate.ExpectedDelayMs), age}
 }
 
 // formatMilliseconds returns a time in milliseconds.
--- a/internal/cmd/explain/reasons.go
+++ b/internal/cmd/explain/reasons.go
@@ -10,11 +10,15 @@
 	"accept_less_busy": "the second candidate is at least as busy",
 	"accept_known":     "the flow is open here already",
 
+	"accept_shortest_delay": "no server that was drawn is expected to answer sooner by enough",
+
+	"wait_late":   "the answer is expected after the objective, and the free slots are reserved for others",
 	"wait_urgent": "an opening packet of higher priority waits",
 	"wait_full":   "no slot is free anywhere and an answer within the objective is not expected",
 	"wait_slot":   "the flow is accepted here and waits for a free slot",
 
 	"handover_full":          "no slot is free here, or the other server is less busy",
+	"handover_work":          "the other server is expected to answer sooner",
 	"handover_cold":          "the server here is cold and takes no more new flows now",
 	"handover_even":          "the server here is busier than the mean",
 	"handover_remembered":    "this flow was handed over there before",
@@ -29,6 +33,7 @@
 	"refuse_connections":   "the agent owns as many flows as it can and no other accepts it",
 	"refuse_cold":          "the server here is cold and no other accepts the flow",
 	"refuse_wait":          "too many opening packets wait, or an answer before the timeout is not expected",
+	"refuse_timeout":       "an answer before the timeout is not expected",
 
 	"drop_table_full":      "the flow table is full",
 	"drop_opening_pending": "an earlier copy is still being handled",
@@ -44,6 +49,7 @@
 	"no_report":       "no load report",
 	"old_report":      "load report too old",
 	"full":            "no free slot",
+	"ejected":         "gets trials only because of its failure rate",
 }
 
 // describeReason returns the sentence for a reason, followed by its name, which is also that of
--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -38,6 +38,8 @@
 	ExcludedNoReport  Reason = "no_report"
 	ExcludedOldReport Reason = "old_report"
 	ExcludedFull      Reason = "full"
+	// ExcludedEjected means that the backend server gets trials only because of its failure rate.
+	ExcludedEjected Reason = "ejected"
 )
 
 // Outcome is what becomes of an opening packet.
@@ -75,9 +77,15 @@
 	// ReportAge is the age of the load report, or zero for the agent's own server.
 	ReportAge time.Duration
 	// ExpectedDelay is how long a request is expected to take, with the time that it queues, or
-	// zero if the service time is unknown.
+	// zero if the service time is unknown. LeastWork compares servers by it.
 	ExpectedDelay time.Duration
-	// Excluded is why the server is no choice, or empty if it is one. A server without a load
+	// RemainingWork is the work that a new request has to wait for at the server, in slot-time.
+	// That of another server is reduced by the age of its load report. It is known if HasWork
+	// is true.
+	RemainingWork time.Duration
+	HasWork       bool
+	// Excluded is why the server is no choice, or empty if it is one. LeastWork may choose a full
+	// server near. A server without a load
 	// report or with a full one gets a flow all the same if this agent must not accept it and
 	// there is no other choice.
 	Excluded Reason
@@ -159,16 +167,30 @@
 	return acceptance{AcceptKnown}
 }
 
-// explainDecision returns what may follow from a decision.
+// explainDecision returns what may follow from a decision. Decisions with the same outcome are one.
 func (a *Agent) explainDecision(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) []ExplainedDecision {
-	if drawn, isDraw := decision.(draw); isDraw {
-		handedOver := a.explainOutcome(now, service, received, drawn.handOver)
-		handedOver.Probability = drawn.share
-		otherwise := a.explainOutcome(now, service, received, drawn.otherwise)
-		otherwise.Probability = 1 - drawn.share
-		return []ExplainedDecision{handedOver, otherwise}
+	var explained []ExplainedDecision
+	for _, possible := range a.possibleDecisions(now, service, received, decision) {
+		outcome := a.explainOutcome(now, service, received, possible.decision)
+		outcome.Probability = possible.probability
+		explained = addExplained(explained, outcome)
 	}
-	return []ExplainedDecision{a.explainOutcome(now, service, received, decision)}
+	if len(explained) == 1 {
+		explained[0].Probability = 1 // The sum of fractions may differ from 1 a little.
+	}
+	return explained
+}
+
+// addExplained adds a decision, which may be listed already.
+func addExplained(explained []ExplainedDecision, decision ExplainedDecision) []ExplainedDecision {
+	for i := range explained {
+		e := &explained[i]
+		if e.Outcome == decision.Outcome && e.Target == decision.Target && e.Reason == decision.Reason {
+			e.Probability += decision.Probability
+			return explained
+		}
+	}
+	return append(explained, decision)
 }
 
 // explainOutcome returns the outcome of a decision that is not a draw.
@@ -220,7 +242,7 @@
 		for _, target := range targets {
 			if !seen[target.ID()] {
 				seen[target.ID()] = true
-				described = append(described, a.describeTarget(now, target))
+				described = append(described, a.describeTarget(now, service, received, target))
 			}
 		}
 	}
@@ -238,14 +260,21 @@
 	if node := a.view.Node(a.config.Self); node != nil {
 		candidate.Name = node.Name()
 	}
-	if candidate.Excluded == "" && !a.admission.HasFreeSlot() {
+	if a.config.Carried {
+		candidate.RemainingWork, candidate.HasWork = time.Duration(float64(a.work.backlog.Wait(now))*a.load.slots), true
+	}
+	if a.placesByWork() {
+		own := a.ownCandidate(now, service)
+		candidate.ExpectedDelay = own.Delay()
+	}
+	if candidate.Excluded == "" && !a.placesByWork() && !a.admission.HasFreeSlot() {
 		candidate.Excluded = ExcludedFull
 	}
 	return candidate
 }
 
 // describeTarget describes another server by its latest load report, even if that is too old.
-func (a *Agent) describeTarget(now time.Time, target *fleet.Target) Candidate {
+func (a *Agent) describeTarget(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, target *fleet.Target) Candidate {
 	candidate := Candidate{ID: target.ID(), Name: target.Name(), DataCentre: target.DataCentre()}
 	// Without a report, an entry only counts hand-overs and never expires.
 	if stored, known := a.reports[target.ID()]; known && !stored.expiresAt.IsZero() {
@@ -253,14 +282,21 @@
 		candidate.Report = stored.report
 		candidate.ReportAge = reportLifetime - stored.expiresAt.Sub(now)
 		candidate.ExpectedDelay = stored.report.expectedResponseTime()
+		if a.config.Carried {
+			candidate.RemainingWork, candidate.HasWork = stored.work.Left(now), true
+		}
+		if a.placesByWork() {
+			sibling := a.siblingCandidate(now, service, target, &stored)
+			candidate.ExpectedDelay = sibling.Delay()
+		}
 	}
-	candidate.Excluded = a.exclusion(now, target, candidate.HasReport)
+	candidate.Excluded = a.exclusion(now, received, target, candidate.HasReport)
 	return candidate
 }
 
-// exclusion returns why eachWithCapacity passes a target over, or an empty reason if it does
-// not.
-func (a *Agent) exclusion(now time.Time, target *fleet.Target, hasReport bool) Reason {
+// exclusion returns why eachWithCapacity passes a target over or, if flows are placed by work, why
+// no draw returns it. It returns an empty reason if the target is a choice.
+func (a *Agent) exclusion(now time.Time, received *ReceivedPacket, target *fleet.Target, hasReport bool) Reason {
 	if exclusion := target.Exclusion(); exclusion != fleet.ExcludedNot {
 		return Reason(exclusion)
 	}
@@ -270,6 +306,10 @@
 		return ExcludedNoReport
 	case !isValid:
 		return ExcludedOldReport
+	case a.placesByWork() && report.Ejected:
+		return ExcludedEjected
+	case a.placesByWork() && a.mayDraw(drawNear, target, report, received):
+		return ""
 	case report.limitUsage() >= 1:
 		return ExcludedFull
 	}
--- a/internal/core/agent/explanation_test.go
+++ b/internal/core/agent/explanation_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -19,20 +20,34 @@
 	prepare func(t *testing.T, c *testCluster, a *Agent)
 	// want lists the possible outcomes, with their reasons.
 	want []ExplainedDecision
+	// newCluster returns the cluster. The default is newTestCluster.
+	newCluster func(t require.TestingT, targets int) *testCluster
 }
 
-var explainScenarios = map[string]explainScenario{
-	"free slot": {func(*testing.T, *testCluster, *Agent) {}, []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}}},
+var explainScenarios = merged(policyScenarios, lateScenarios, workScenarios)
+
+// merged returns the scenarios of all sets.
+func merged(sets ...map[string]explainScenario) map[string]explainScenario {
+	all := make(map[string]explainScenario)
+	for _, set := range sets {
+		maps.Copy(all, set)
+	}
+	return all
+}
+
+// policyScenarios are states in which the policy decides, or the flow must not be accepted.
+var policyScenarios = map[string]explainScenario{
+	"free slot": {prepare: func(*testing.T, *testCluster, *Agent) {}, want: []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}}},
 	"primary": {
-		func(_ *testing.T, _ *testCluster, a *Agent) { a.config.Placement = HashOnly{} },
-		[]ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptPrimary}},
+		prepare: func(_ *testing.T, _ *testCluster, a *Agent) { a.config.Placement = HashOnly{} },
+		want:    []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptPrimary}},
 	},
 	"full, room elsewhere": {
-		func(_ *testing.T, c *testCluster, a *Agent) { takeSlots(a); c.report(a, freeReport) },
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverFull}},
+		prepare: func(_ *testing.T, c *testCluster, a *Agent) { takeSlots(a); c.report(a, freeReport) },
+		want:    []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverFull}},
 	},
 	"full, old reports": {
-		func(_ *testing.T, c *testCluster, a *Agent) {
+		prepare: func(_ *testing.T, c *testCluster, a *Agent) {
 			takeSlots(a)
 			c.report(a, freeReport)
 			for id, stored := range a.reports {
@@ -40,103 +55,103 @@
 				a.reports[id] = stored
 			}
 		},
-		[]ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptNoOther}},
+		want: []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptNoOther}},
 	},
 	"busier than the mean": {
-		func(_ *testing.T, c *testCluster, a *Agent) { a.utilisation = 0.9; c.report(a, freeReport) },
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverEven}, {Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
+		prepare: func(_ *testing.T, c *testCluster, a *Agent) { a.utilisation = 0.9; c.report(a, freeReport) },
+		want:    []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverEven}, {Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
 	},
 	"second candidate less busy": {
-		func(_ *testing.T, c *testCluster, a *Agent) {
+		prepare: func(_ *testing.T, c *testCluster, a *Agent) {
 			a.config.Placement = TwoChoices{}
 			a.load.start(settledAt)
 			c.report(a, freeReport)
 		},
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverFull}},
+		want: []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverFull}},
 	},
 	"late everywhere": {
-		func(t *testing.T, c *testCluster, a *Agent) { fillAll(t, c, a) },
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverFull}},
+		prepare: func(t *testing.T, c *testCluster, a *Agent) { fillAll(t, c, a) },
+		want:    []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverFull}},
 	},
 	"late, nobody else accepts": {
-		func(t *testing.T, c *testCluster, a *Agent) { fillAll(t, c, a); silenceOthers(c, a) },
-		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull.Counter()}},
+		prepare: func(t *testing.T, c *testCluster, a *Agent) { fillAll(t, c, a); silenceOthers(c, a) },
+		want:    []ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull.Counter()}},
 	},
 	"a more urgent one waits": {
-		func(t *testing.T, c *testCluster, a *Agent) {
+		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			fillAll(t, c, a)
 			silenceOthers(c, a)
 			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: -1, nextCopyAt: settledAt.Add(time.Second), lastStartAt: settledAt.Add(time.Second)})
 		},
-		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitUrgent.Counter()}},
+		want: []ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitUrgent.Counter()}},
 	},
 	"draining": {
-		func(_ *testing.T, _ *testCluster, a *Agent) { a.Drain() },
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverDraining}},
+		prepare: func(_ *testing.T, _ *testCluster, a *Agent) { a.Drain() },
+		want:    []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverDraining}},
 	},
 	"draining, nobody else accepts": {
-		func(_ *testing.T, c *testCluster, a *Agent) { a.Drain(); silenceOthers(c, a) },
-		[]ExplainedDecision{{Outcome: OutcomeRefuse, Reason: RefuseNotAccepting}},
+		prepare: func(_ *testing.T, c *testCluster, a *Agent) { a.Drain(); silenceOthers(c, a) },
+		want:    []ExplainedDecision{{Outcome: OutcomeRefuse, Reason: RefuseNotAccepting}},
 	},
 	"trial due": {
-		func(_ *testing.T, _ *testCluster, a *Agent) { a.responses.unresponsiveSince = settledAt },
-		[]ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
+		prepare: func(_ *testing.T, _ *testCluster, a *Agent) { a.responses.unresponsiveSince = settledAt },
+		want:    []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
 	},
 	"trial not due": {
-		func(_ *testing.T, _ *testCluster, a *Agent) {
+		prepare: func(_ *testing.T, _ *testCluster, a *Agent) {
 			a.responses.unresponsiveSince = settledAt
 			a.responses.recordTrial(settledAt)
 		},
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverServerSilent}},
+		want: []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverServerSilent}},
 	},
 	"cold, token left": {
-		func(t *testing.T, c *testCluster, a *Agent) {
+		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			c.setSlowStart(t, 10, "boot", time.Second)
 			a.Start(settledAt.Add(-time.Second))
 			a.slowStart.setRate(settledAt.Add(-time.Second), 10)
 		},
-		[]ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
+		want: []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
 	},
 	"cold, no token left": {
-		func(t *testing.T, c *testCluster, a *Agent) {
+		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			c.setSlowStart(t, 10, "boot", time.Second)
 			a.Start(settledAt)
 		},
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverCold}},
+		want: []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverCold}},
 	},
 	"listed as cold": {
-		func(t *testing.T, c *testCluster, a *Agent) {
+		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			a.Start(settledAt.Add(-time.Minute))
 			c.setSlowStart(t, 10, "boot", time.Second)
 		},
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverCold}},
+		want: []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverCold}},
 	},
 	"waits already": {
-		func(t *testing.T, c *testCluster, a *Agent) {
+		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			fillAll(t, c, a)
 			silenceOthers(c, a)
 			a.Receive(settledAt, a.receivedFor(a.view.Service(orders), ordersQuery))
 			a.waiting.openings = append(a.waiting.openings, waitingOpening{priority: 9, nextCopyAt: settledAt.Add(time.Second), lastStartAt: settledAt.Add(time.Second)})
 		},
-		[]ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull.Counter()}},
+		want: []ExplainedDecision{{Outcome: OutcomeWait, Reason: WaitFull.Counter()}},
 	},
 	"too many closing flows": {
-		func(_ *testing.T, _ *testCluster, a *Agent) { a.closingCount = maxClosingPerFlow * a.config.MaxFlows },
-		[]ExplainedDecision{{Outcome: OutcomeDrop, Reason: DropTableFull}},
+		prepare: func(_ *testing.T, _ *testCluster, a *Agent) { a.closingCount = maxClosingPerFlow * a.config.MaxFlows },
+		want:    []ExplainedDecision{{Outcome: OutcomeDrop, Reason: DropTableFull}},
 	},
 	"handed over before": {
-		func(_ *testing.T, c *testCluster, a *Agent) {
+		prepare: func(_ *testing.T, c *testCluster, a *Agent) {
 			takeSlots(a)
 			c.report(a, freeReport)
 			a.Receive(settledAt, a.receivedFor(a.view.Service(orders), ordersQuery))
 		},
-		[]ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverRemembered}},
+		want: []ExplainedDecision{{Outcome: OutcomeHandOver, Reason: HandOverRemembered}},
 	},
 	"open": {
-		func(_ *testing.T, _ *testCluster, a *Agent) {
+		prepare: func(_ *testing.T, _ *testCluster, a *Agent) {
 			a.Receive(settledAt, a.receivedFor(a.view.Service(orders), ordersQuery))
 		},
-		[]ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptKnown}},
+		want: []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptKnown}},
 	},
 }
 
@@ -161,7 +176,11 @@
 
 // build returns the first agent of a new cluster, in the state of the scenario.
 func (s *explainScenario) build(t *testing.T) *Agent {
-	c := newTestCluster(t, 4)
+	newCluster := newTestCluster
+	if s.newCluster != nil {
+		newCluster = s.newCluster
+	}
+	c := newCluster(t, 4)
 	a := c.agents[c.ids()[0]]
 	a.config.Placement = HandOverWhenFull{}
 	s.prepare(t, c, a)
@@ -174,9 +193,9 @@
 	case *Deliver:
 		return ExplainedDecision{Outcome: OutcomeAccept}
 	case *Forward:
-		return ExplainedDecision{Outcome: OutcomeHandOver, Reason: v.Reason}
+		return ExplainedDecision{Outcome: OutcomeHandOver, Target: v.Target, Reason: v.Reason}
 	case *Wait:
-		return ExplainedDecision{Outcome: OutcomeWait}
+		return ExplainedDecision{Outcome: OutcomeWait, Reason: v.Reason.Counter()}
 	case *Reset:
 		return ExplainedDecision{Outcome: OutcomeRefuse, Reason: v.Reason}
 	case *Drop:
@@ -207,8 +226,8 @@
 			action := outcomeOf(t, twin.Receive(settledAt, twin.receivedFor(twin.view.Service(orders), ordersQuery)))
 			matches := false
 			for _, decision := range explanation.Decisions {
-				isReasonCounted := action.Outcome != OutcomeAccept && action.Outcome != OutcomeWait
-				matches = matches || decision.Outcome == action.Outcome && (!isReasonCounted || decision.Reason == action.Reason)
+				isReasonKnown := action.Outcome != OutcomeAccept
+				matches = matches || decision.Outcome == action.Outcome && decision.Target == action.Target && (!isReasonKnown || decision.Reason == action.Reason)
 			}
 			require.True(t, matches, "explained %v, done %v", explanation.Decisions, action)
 		})
--- a/internal/core/work/choice.go
+++ b/internal/core/work/choice.go
@@ -59,19 +59,19 @@
 	return Reported{left: usual, usual: usual, at: at, slots: slots}
 }
 
-// leftAt returns the work at an instant.
-func (r *Reported) leftAt(now time.Time) time.Duration {
+// Left returns the work at an instant.
+func (r *Reported) Left(now time.Time) time.Duration {
 	done := time.Duration(r.slots * float64(max(now.Sub(r.at), 0)))
 	return max(r.left-done, r.usual)
 }
 
 // Wait returns the time that a new request is expected to wait for a slot.
 func (r *Reported) Wait(now time.Time) time.Duration {
-	return time.Duration(float64(r.leftAt(now)) / max(r.slots, 1))
+	return time.Duration(float64(r.Left(now)) / max(r.slots, 1))
 }
 
 // Add adds the work of a request that was handed over to the server.
 func (r *Reported) Add(now time.Time, serviceTime time.Duration) {
-	r.left = r.leftAt(now) + serviceTime
+	r.left = r.Left(now) + serviceTime
 	r.at = now
 }
--- a/internal/link/operator/placement.go
+++ b/internal/link/operator/placement.go
@@ -54,6 +54,8 @@
 	Utilisation *float64 `json:"utilisation,omitempty"`
 	// ExpectedDelayMs is how long a request is expected to take, with the time that it queues.
 	ExpectedDelayMs *float64 `json:"expectedDelayMs,omitempty"`
+	// RemainingWorkMs is the work that a new request has to wait for, in slot-time.
+	RemainingWorkMs *float64 `json:"remainingWorkMs,omitempty"`
 	ReportAgeMs     *float64 `json:"reportAgeMs,omitempty"`
 	// Excluded is why the server is no choice, or empty if it is one.
 	Excluded string `json:"excluded,omitempty"`
@@ -87,6 +89,9 @@
 	if candidate.HasReport && !candidate.IsSelf {
 		described.ReportAgeMs = new(milliseconds(candidate.ReportAge))
 	}
+	if candidate.HasWork {
+		described.RemainingWorkMs = new(milliseconds(candidate.RemainingWork))
+	}
 	if candidate.ExpectedDelay > 0 {
 		described.ExpectedDelayMs = new(milliseconds(candidate.ExpectedDelay))
 	}
--- a/internal/link/operator/placement_test.go
+++ b/internal/link/operator/placement_test.go
@@ -55,10 +55,14 @@
 		{Name: "braid-1", IsSelf: true, HasReport: true, Report: agent.Report{Running: 0, Limit: 2, Utilisation: 250}},
 		{Name: "braid-2", HasReport: true, ReportAge: 1500 * time.Microsecond, ExpectedDelay: 20 * time.Millisecond},
 		{Name: "braid-3", Excluded: agent.ExcludedNoReport},
+		{Name: "braid-4", HasReport: true, HasWork: true},
+		{Name: "braid-5", HasReport: true, HasWork: true, RemainingWork: 2500 * time.Microsecond},
 	}})
 	require.Equal(t, []PlacementCandidate{
 		{Name: "braid-1", IsSelf: true, SlotsTaken: new(uint32(0)), Slots: new(uint32(2)), Utilisation: new(0.25)},
 		{Name: "braid-2", SlotsTaken: new(uint32(0)), Slots: new(uint32(0)), Utilisation: new(0.0), ReportAgeMs: new(1.5), ExpectedDelayMs: new(20.0)},
 		{Name: "braid-3", Excluded: "no_report"},
+		{Name: "braid-4", SlotsTaken: new(uint32(0)), Slots: new(uint32(0)), Utilisation: new(0.0), ReportAgeMs: new(0.0), RemainingWorkMs: new(0.0)},
+		{Name: "braid-5", SlotsTaken: new(uint32(0)), Slots: new(uint32(0)), Utilisation: new(0.0), ReportAgeMs: new(0.0), RemainingWorkMs: new(2.5)},
 	}, placement.Candidates)
 }
