--- a/internal/core/agent/explanation_late_test.go
+++ b/internal/core/agent/explanation_late_test.go
@@ -41,7 +41,7 @@
 	},
 	"in time, slots reserved": {
 		prepare: func(t *testing.T, c *testCluster, a *Agent) {
-			c.setObjective(t, 200*time.Millisecond, time.Second)
+			c.setObjective(t, time.Second)
 			a.load.start(settledAt)
 			a.recordShortage(settledAt)
 		},
@@ -49,7 +49,7 @@
 	},
 	"no answer before the timeout": {
 		prepare: func(t *testing.T, c *testCluster, a *Agent) {
-			c.setObjective(t, 200*time.Millisecond, 500*time.Millisecond)
+			c.setObjective(t, 500*time.Millisecond)
 			a.load.recordServiceTime(600 * time.Millisecond)
 		},
 		want: []ExplainedDecision{{Outcome: OutcomeRefuse, Reason: RefuseTimeout}},
@@ -59,7 +59,7 @@
 // makeLate lets the backend server take longer for a request than the objective, but not than the
 // timeout, and take one slot.
 func makeLate(t *testing.T, c *testCluster, a *Agent) {
-	c.setObjective(t, 200*time.Millisecond, time.Second)
+	c.setObjective(t, time.Second)
 	a.load.recordServiceTime(300 * time.Millisecond)
 	a.load.start(settledAt)
 }
--- a/internal/core/agent/explanation_work_test.go
+++ b/internal/core/agent/explanation_work_test.go
@@ -24,7 +24,7 @@
 	"work, service times unknown": {
 		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			a.config.Placement = LeastWork{}
-			c.setObjective(t, poolObjective, 0)
+			c.setObjective(t, 0)
 			c.reportTimes(a, 1)
 			unknown := idleReport()
 			unknown.Services, unknown.ServiceTime = nil, 0
