Correct comments on waiting, expected work and uploads

The comment on waiting put priority before lateness, and RemainingWork was said to fall with the age of a load report, which only the work handed over does. Others were out of date or unclear. They now say what the code does. The field Reported.usual is called average, as in the report.

--- a/internal/cmd/explain/reasons.go
+++ b/internal/cmd/explain/reasons.go
@@ -1,7 +1,7 @@
 package explain
 
-// sentences describes the reasons of decisions and of exclusions by their names. A name that is
-// not listed, as from a newer process, is printed as it is.
+// sentences holds the descriptions of the reasons of decisions and exclusions, by their names. A
+// name that is not listed, as from a newer process, is printed as it is.
 var sentences = map[string]string{
 	"accept_primary":   "the placement policy leaves the flow here",
 	"accept_free_slot": "a slot is free here",
--- a/internal/core/agent/expectedwork.go
+++ b/internal/core/agent/expectedwork.go
@@ -26,7 +26,8 @@
 // requestID returns the identifier of the current request of a flow.
 func requestID(entry *flowEntry) work.RequestID { return work.RequestID(entry.attempt) }
 
-// estimateOf returns the estimate of the service times of a service.
+// estimateOf returns the estimate of the service times of a service, and adds one if there is
+// none. It counts as a use.
 func (a *Agent) estimateOf(now time.Time, service fleet.ServiceID) *work.Estimate {
 	if estimate := a.work.estimates.Get(service); estimate != nil {
 		return estimate
@@ -84,7 +85,8 @@
 	a.work.backlog.Receive(now, requestID(entry), estimate)
 }
 
-// endRequest removes the work of a request that ended without an answer.
+// endRequest removes the work of a request whose service time is not recorded, as of one
+// without an answer.
 func (a *Agent) endRequest(now time.Time, entry *flowEntry) {
 	a.work.backlog.End(now, requestID(entry))
 }
--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -80,14 +80,13 @@
 	// zero if the service time is unknown. LeastWork compares servers by it.
 	ExpectedDelay time.Duration
 	// RemainingWork is the work that a new request has to wait for at the server, in slot-time.
-	// That of another server is reduced by the age of its load report. It is known if HasWork
-	// is true.
+	// That of another server is the average of its load report and what is left of the work
+	// handed over to it since. It is known if HasWork is true.
 	RemainingWork time.Duration
 	HasWork       bool
 	// Excluded is why the server is no choice, or empty if it is one. LeastWork may choose a full
-	// server near. A server without a load
-	// report or with a full one gets a flow all the same if this agent must not accept it and
-	// there is no other choice.
+	// server near. A server that is full or without a load report gets a flow all the same if
+	// this agent must not accept it and there is no other choice.
 	Excluded Reason
 }
 
--- a/internal/core/agent/leastwork.go
+++ b/internal/core/agent/leastwork.go
@@ -146,7 +146,7 @@
 }
 
 // drawChoices draws siblings at random among those with a valid report that a flow may be handed
-// over to. The number of attempts is bounded, so that its cost does not grow with the fleet.
+// over to. The number of attempts is bounded, so that the cost does not grow with the fleet.
 func (a *Agent) drawChoices(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, d serverDraw, c *choices) {
 	for range maxDraws {
 		if len(a.work.reporters) == 0 || c.count == drawnChoices {
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -90,7 +90,7 @@
 	Service fleet.ServiceID
 	// Opening is the opening packet.
 	Opening []byte
-	// Visited lists the agents that the packet has visited, this one included.
+	// Visited lists the agents that the packet has visited. This one need not be included.
 	Visited []fleet.InstanceID
 }
 
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -54,7 +54,8 @@
 		var drawn choices
 		a.drawChoices(now, service, received, v, &drawn)
 		if v == drawNear && drawn.count > 0 {
-			a.estimateOf(now, service.ID()) // The comparison with this server uses its estimate.
+			// Counts the comparison with this server as a use of the estimate, so that it is kept.
+			a.estimateOf(now, service.ID())
 		}
 		return a.resolveDraw(now, service, received, a.decideDrawn(now, service, received, v, &drawn))
 	}
--- a/internal/core/agent/placement.go
+++ b/internal/core/agent/placement.go
@@ -213,13 +213,11 @@
 	return time.Duration(assumedServiceTimeShare * float64(service.LatencyObjective()))
 }
 
-// placeWithinObjective accepts a new flow, unless the backend server queues requests itself
-// and is not expected to answer the flow's first request within the service's latency
-// objective, counted from the first copy of the opening packet, and within queueLimit, or a more
-// urgent flow waits. Such a flow is postponed. This guards against a long queue
-// at the server, which forms when more requests than slots arrive for seconds, as when all
-// servers come back cold: queued requests are served at the same rate whatever the length of
-// the queue, but behind a long queue all of them are late.
+// placeWithinObjective accepts a new flow or postpones it. It postpones a carried flow while the
+// backend server is full, if a more urgent flow waits, or if the answer is expected after the
+// service's latency objective, counted from the first copy of the opening packet, or beyond
+// queueLimit. Behind a long queue at the server all requests would be late, and the server
+// answers no more of them than with a short queue.
 func (a *Agent) placeWithinObjective(service *fleet.RoutedService, received *ReceivedPacket) placementDecision {
 	objective := serverObjective(service)
 	if objective == 0 || !a.config.Carried || !a.load.isFull() {
--- a/internal/core/agent/queuelimit.go
+++ b/internal/core/agent/queuelimit.go
@@ -13,7 +13,7 @@
 // queueLimits holds the longest expected response time with which a new flow may still queue at
 // the backend server, by the priority of its service. The server answers in the order of arrival,
 // so that services with a long objective could fill the queue until all requests of a service with
-// a short one are late. The limits are computed when they are needed first, see cacheQueueLimit.
+// a short one are late. A limit is computed when it is first needed, see cacheQueueLimit.
 type queueLimits map[int]time.Duration
 
 // queueLimit returns the limit for a service that publishes an objective: the shortest objective
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -78,8 +78,9 @@
 }
 
 // HandleReport stores a sibling's report. It returns the tickets of waiting requests that
-// the caller must hand over to the sibling, at most one for each of its free slots. For carried
-// flows ReleaseWaiting must be called instead, which hands waiting opening packets over.
+// the caller must hand over to the sibling, at most one for each of its free slots. Carried
+// flows have no tickets: ReleaseWaiting must be called afterwards, which hands their waiting
+// opening packets over.
 func (a *Agent) HandleReport(now time.Time, id fleet.InstanceID, report Report) []Ticket {
 	a.reports[id] = siblingReport{
 		report:    report,
@@ -261,8 +262,8 @@
 	a.siblings, a.nearSiblings = append(near, others...), len(near)
 }
 
-// Report returns the agent's own report. It also updates the average utilisation and
-// decides whether the backend server is ejected.
+// Report returns the agent's own report. It also updates the averages that the report holds
+// and the assumed service times, and decides whether the backend server is ejected.
 func (a *Agent) Report(now time.Time) Report {
 	a.utilisation = a.load.Utilisation(now)
 	a.updateEjection(now)
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -7,10 +7,10 @@
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
 
-// Requests of upload services take many packets. Answers this pattern: many callers send for
-// several round trips, over thin links, what the backend server then serves in a few
-// milliseconds. While a request is being transferred the server does no work for it, so it
-// takes only a share of a slot, and the service time counts from its last packet.
+// Requests of upload services take many packets, which callers send in several round trips
+// over slow links. The backend server does no work for a request until it has all of them, and
+// then a few milliseconds. So a request in transfer takes only a share of a slot, and its
+// service time counts from its last packet.
 const (
 	// maxTransfersPerSlot is the number of transfers that take a whole slot together, at most.
 	// It bounds the requests that are complete at the same moment, since a server queues only
@@ -40,7 +40,7 @@
 	isEndKnown bool
 }
 
-// segment is a range of sequence numbers, of which end is the first one behind it.
+// segment is the range of sequence numbers from start up to, but not including, end.
 type segment struct{ start, end uint32 }
 
 // isBefore reports whether one sequence number comes before another. Sequence numbers wrap
@@ -93,8 +93,8 @@
 	}
 }
 
-// isComplete reports whether all bytes of the request were delivered. It is not noticed for a
-// request whose last packet is full.
+// isComplete reports whether all bytes of the request are known to be delivered. It stays false
+// for a request whose last packet is full, see completeUnnoticed.
 func (t *transfer) isComplete() bool { return t.isEndKnown && !isBefore(t.next, t.end) }
 
 // highest returns the sequence number that follows the last byte delivered.
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -10,17 +10,15 @@
 )
 
 // Opening packets of carried flows wait at the agent while no backend server can serve them
-// in time. Answers this pattern: everything returns at once, and for a second several times
-// as many requests arrive as the servers can take, most of them late already, before the
-// load is as usual again. A caller that is refused tries again at once, so that within
-// milliseconds all its tries meet the same full servers; and if the servers queued all
-// requests, the new ones would be late too. So the most urgent opening packets go first, and
-// among these the newest, which can still be answered in time; the others take the slots
-// that are left over.
+// in time. When all processes return at once, several times as many requests arrive for a
+// second as the servers can take, most of them late already. A caller that is refused tries
+// again at once and meets the same full servers; and if the servers queued all requests, the
+// new ones would be late too. So opening packets that can still be answered within the
+// objective go first, among these the most urgent, and among equals the newest.
 //
 // No opening packet waits here longer than until its caller sends the next copy, which goes
-// to another agent and waits there. After the last copy, and as soon as the answer would come
-// after the timeout, the caller gets a reset.
+// to another agent. The caller gets a reset when the wait after the last copy ends, or as soon
+// as the answer would come after the timeout, unless it may have sent the next copy by then.
 const (
 	// copyMargin is how long before the next copy is sent the wait for it ends, at least.
 	copyMargin = 10 * time.Millisecond
--- a/internal/core/work/average.go
+++ b/internal/core/work/average.go
@@ -15,7 +15,7 @@
 	addedAt time.Time
 }
 
-// Add adds the wait at an instant. It counts by the time since the one before.
+// Add adds the wait at an instant, weighted by the time since the previous one.
 func (a *Average) Add(now time.Time, wait time.Duration) {
 	elapsed := max(now.Sub(a.addedAt), 0)
 	keep := math.Exp(-float64(elapsed) / float64(averagingTime))
--- a/internal/core/work/choice.go
+++ b/internal/core/work/choice.go
@@ -45,24 +45,25 @@
 	return best
 }
 
-// Reported is the work that a new request must wait for at another server: the usual work by the
-// server's latest load report, and the work that was handed over to it since.
+// Reported is the work that a new request must wait for at another server: the average work by
+// the server's latest load report, and the work that was handed over to it since.
 type Reported struct {
-	// left is the work at the instant at. It falls to the usual work as the server proceeds.
-	left, usual time.Duration
-	at          time.Time
-	slots       float64
+	// left is the work at the instant at. It falls to the average as the server proceeds.
+	left, average time.Duration
+	at            time.Time
+	slots         float64
 }
 
-// NewReported returns the work of a server with a number of slots that a load report shows.
-func NewReported(at time.Time, usual time.Duration, slots float64) Reported {
-	return Reported{left: usual, usual: usual, at: at, slots: slots}
+// NewReported returns the work of a server with a number of slots whose load report shows an
+// average.
+func NewReported(at time.Time, average time.Duration, slots float64) Reported {
+	return Reported{left: average, average: average, at: at, slots: slots}
 }
 
 // Left returns the work at an instant.
 func (r *Reported) Left(now time.Time) time.Duration {
 	done := time.Duration(r.slots * float64(max(now.Sub(r.at), 0)))
-	return max(r.left-done, r.usual)
+	return max(r.left-done, r.average)
 }
 
 // Wait returns the time that a new request is expected to wait for a slot.
--- a/internal/core/work/distribution.go
+++ b/internal/core/work/distribution.go
@@ -93,7 +93,7 @@
 }
 
 // Rest returns the expected remaining service time of a request that has run for elapsed: the
-// mean of E[X - elapsed | X > elapsed]. A request that runs longer than all samples is expected
+// mean E[X - elapsed | X > elapsed]. A request that runs longer than all samples is expected
 // to need as much time again: the longer it runs, the less the samples say about it.
 func (d *Distribution) Rest(elapsed time.Duration) time.Duration {
 	if elapsed <= 0 {
--- a/internal/link/operator/placement.go
+++ b/internal/link/operator/placement.go
@@ -29,8 +29,9 @@
 	Probability float64 `json:"probability"`
 }
 
-// Outcomes of a balancer, beside those of an agent.
+// Names in the explanations of balancers, beside those of agents.
 const (
+	// outcomeForward is the outcome of a packet that is forwarded to an agent.
 	outcomeForward = "forward"
 	// reasonPrimary is the reason for forwarding a packet to the primary of its flow.
 	reasonPrimary = "primary"
