Name the queue of waiting openings and two parts of the prober by plain terms

waitingRoom, hurryReturn and recordPatience were figurative. They are openingQueue, makeProbesUrgent and recordTimeout now, and the tests that name the queue follow. Nothing else changes.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -263,7 +263,7 @@
 	// outsiders limits the search outside the services of flows.
 	outsiders *rate.Limiter
 	// waiting holds the opening packets that wait for room.
-	waiting     waitingRoom
+	waiting     openingQueue
 	queueLimits queueLimits
 	// startedAt is when this process started, or zero before Start.
 	startedAt time.Time
--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -221,11 +221,11 @@
 // wouldBeEvicted reports whether an opening packet that begins to wait is refused at once,
 // because too many wait that go before it.
 func (a *Agent) wouldBeEvicted(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) bool {
-	room := waitingRoom{openings: slices.Clone(a.waiting.openings)}
-	room.forget(received.Packet.Flow())
-	a.reassessAll(now, room.openings)
-	room.add(a.newWaitingOpening(now, service, received), a.waitingLimit(service))
-	return slices.ContainsFunc(room.evicted, func(w waitingOpening) bool { return w.flow == received.Packet.Flow() })
+	queue := openingQueue{openings: slices.Clone(a.waiting.openings)}
+	queue.forget(received.Packet.Flow())
+	a.reassessAll(now, queue.openings)
+	queue.add(a.newWaitingOpening(now, service, received), a.waitingLimit(service))
+	return slices.ContainsFunc(queue.evicted, func(w waitingOpening) bool { return w.flow == received.Packet.Flow() })
 }
 
 // describeCandidates describes the agent's own server and the targets of a service.
--- a/internal/core/agent/explanation_test.go
+++ b/internal/core/agent/explanation_test.go
@@ -236,7 +236,7 @@
 
 // Guards against the answer that a packet waits although so many wait before it that it is
 // refused at once.
-func TestExplanationOfFullWaitingRoomIsRefusal(t *testing.T) {
+func TestExplanationOfFullOpeningQueueIsRefusal(t *testing.T) {
 	scenario := explainScenario{prepare: func(t *testing.T, c *testCluster, a *Agent) {
 		fillAll(t, c, a)
 		silenceOthers(c, a)
--- a/internal/core/agent/reservation_test.go
+++ b/internal/core/agent/reservation_test.go
@@ -58,11 +58,11 @@
 // Guards against an order that was decided when the opening packets came: one that has become
 // late while it waited must not go before one that can still be in time.
 func TestLatenessIsDecidedAgainAtEachRelease(t *testing.T) {
-	room := newWaitingOpenings(1, 2)
-	room.openings[0].objectiveAt = settledAt.Add(200 * time.Millisecond)
+	queue := newWaitingOpenings(1, 2)
+	queue.openings[0].objectiveAt = settledAt.Add(200 * time.Millisecond)
 	_, a := newReservation(t)
-	room.openings[0].service, room.openings[1].service = orders, orders
-	a.waiting = *room
+	queue.openings[0].service, queue.openings[1].service = orders, orders
+	a.waiting = *queue
 	a.reassessAll(settledAt, a.waiting.openings)
 	require.Equal(t, 0, a.waiting.next())
 	a.reassessAll(settledAt.Add(201*time.Millisecond), a.waiting.openings)
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -120,8 +120,8 @@
 	return &ReceivedPacket{Packet: w.packet, Service: w.service, Origin: w.origin, Visited: w.visited, Placed: w.placed}
 }
 
-// waitingRoom holds the waiting opening packets, oldest first.
-type waitingRoom struct {
+// openingQueue holds the waiting opening packets, oldest first.
+type openingQueue struct {
 	openings []waitingOpening
 	// evicted holds those that must be refused because there is no room for them.
 	evicted []waitingOpening
@@ -133,26 +133,26 @@
 }
 
 // Len returns the number of opening packets that wait.
-func (r *waitingRoom) Len() int { return len(r.openings) }
+func (q *openingQueue) Len() int { return len(q.openings) }
 
 // recordOffer records that a sibling has a free slot, if an opening packet waits for one.
-func (r *waitingRoom) recordOffer(sibling fleet.InstanceID) {
-	if r.Len() > 0 && !slices.Contains(r.offers, sibling) {
-		r.offers = append(r.offers, sibling)
+func (q *openingQueue) recordOffer(sibling fleet.InstanceID) {
+	if q.Len() > 0 && !slices.Contains(q.offers, sibling) {
+		q.offers = append(q.offers, sibling)
 	}
 }
 
 // next returns the index of the opening packet that goes next, or -1 if none waits.
-func (r *waitingRoom) next() int {
-	return r.nextOf(func(*waitingOpening) bool { return true })
+func (q *openingQueue) next() int {
+	return q.nextOf(func(*waitingOpening) bool { return true })
 }
 
 // nextOf returns the index of the opening packet that goes next of those for which isEligible
 // returns true, or -1 if there is none.
-func (r *waitingRoom) nextOf(isEligible func(*waitingOpening) bool) int {
+func (q *openingQueue) nextOf(isEligible func(*waitingOpening) bool) int {
 	best := -1
-	for i := range r.openings {
-		if isEligible(&r.openings[i]) && (best < 0 || r.openings[i].isBefore(&r.openings[best])) {
+	for i := range q.openings {
+		if isEligible(&q.openings[i]) && (best < 0 || q.openings[i].isBefore(&q.openings[best])) {
 			best = i
 		}
 	}
@@ -160,10 +160,10 @@
 }
 
 // last returns the index of the opening packet that would go last. One must wait.
-func (r *waitingRoom) last() int {
+func (q *openingQueue) last() int {
 	last := 0
-	for i := range r.openings {
-		if !r.openings[i].isBefore(&r.openings[last]) {
+	for i := range q.openings {
+		if !q.openings[i].isBefore(&q.openings[last]) {
 			last = i
 		}
 	}
@@ -172,33 +172,33 @@
 
 // add adds an opening packet and evicts the one that would go last if there are more than
 // limit.
-func (r *waitingRoom) add(opening waitingOpening, limit int) {
-	r.openings = append(r.openings, opening)
-	if len(r.openings) > max(limit, 1) {
-		r.evicted = append(r.evicted, r.take(r.last()))
+func (q *openingQueue) add(opening waitingOpening, limit int) {
+	q.openings = append(q.openings, opening)
+	if len(q.openings) > max(limit, 1) {
+		q.evicted = append(q.evicted, q.take(q.last()))
 	}
 }
 
 // take removes an opening packet and returns it.
-func (r *waitingRoom) take(index int) waitingOpening {
-	opening := r.openings[index]
-	r.openings = slices.Delete(r.openings, index, index+1)
+func (q *openingQueue) take(index int) waitingOpening {
+	opening := q.openings[index]
+	q.openings = slices.Delete(q.openings, index, index+1)
 	return opening
 }
 
 // forget removes the opening packets of a flow, also those to be refused.
-func (r *waitingRoom) forget(id flow.ID) {
+func (q *openingQueue) forget(id flow.ID) {
 	isOfFlow := func(w waitingOpening) bool { return w.flow == id }
-	r.openings = slices.DeleteFunc(r.openings, isOfFlow)
-	r.evicted = slices.DeleteFunc(r.evicted, isOfFlow)
+	q.openings = slices.DeleteFunc(q.openings, isOfFlow)
+	q.evicted = slices.DeleteFunc(q.evicted, isOfFlow)
 }
 
 // takeRefused removes the opening packets whose wait is over, and returns them and the evicted
 // ones as far as their callers may get a reset.
-func (r *waitingRoom) takeRefused(now time.Time) []waitingOpening {
-	refused := r.evicted
-	r.evicted = nil
-	r.openings = slices.DeleteFunc(r.openings, func(w waitingOpening) bool {
+func (q *openingQueue) takeRefused(now time.Time) []waitingOpening {
+	refused := q.evicted
+	q.evicted = nil
+	q.openings = slices.DeleteFunc(q.openings, func(w waitingOpening) bool {
 		if !w.isExpired(now) {
 			return false
 		}
@@ -210,8 +210,8 @@
 
 // hasMoreUrgent reports whether an opening packet of higher priority waits that can still be
 // answered within the objective.
-func (r *waitingRoom) hasMoreUrgent(priority int) bool {
-	return slices.ContainsFunc(r.openings, func(w waitingOpening) bool { return !w.isLate && w.priority < priority })
+func (q *openingQueue) hasMoreUrgent(priority int) bool {
+	return slices.ContainsFunc(q.openings, func(w waitingOpening) bool { return !w.isLate && w.priority < priority })
 }
 
 // maxFullVisits is the number of agents without room that an opening packet visits before it
--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -240,32 +240,32 @@
 }
 
 // newWaitingOpenings returns a room with an opening packet of each priority, oldest first.
-func newWaitingOpenings(priorities ...int) *waitingRoom {
-	room := &waitingRoom{}
+func newWaitingOpenings(priorities ...int) *openingQueue {
+	queue := &openingQueue{}
 	for i, priority := range priorities {
-		room.add(waitingOpening{flow: flowOf(uint16(i)), priority: priority}, maxWaiting)
+		queue.add(waitingOpening{flow: flowOf(uint16(i)), priority: priority}, maxWaiting)
 	}
-	return room
+	return queue
 }
 
 func TestMostUrgentThenNewestOpeningGoesFirst(t *testing.T) {
-	room := newWaitingOpenings(2, 1, 2, 1, 3)
+	queue := newWaitingOpenings(2, 1, 2, 1, 3)
 	var order []uint16
 	for range 5 {
-		opening := room.take(room.next())
+		opening := queue.take(queue.next())
 		order = append(order, opening.flow.Caller().Port())
 	}
 	require.Equal(t, []uint16{3, 1, 2, 0, 4}, order)
-	require.Equal(t, -1, room.next())
+	require.Equal(t, -1, queue.next())
 }
 
-func TestFullWaitingRoomEvictsTheOldestOfTheLeastUrgent(t *testing.T) {
-	room := newWaitingOpenings(2, 1, 2)
-	room.add(waitingOpening{flow: flowOf(9), priority: 1}, 3)
-	require.Len(t, room.evicted, 1)
-	require.Equal(t, flowOf(0), room.evicted[0].flow)
-	require.True(t, room.hasMoreUrgent(2))
-	require.False(t, room.hasMoreUrgent(1))
+func TestFullOpeningQueueEvictsTheOldestOfTheLeastUrgent(t *testing.T) {
+	queue := newWaitingOpenings(2, 1, 2)
+	queue.add(waitingOpening{flow: flowOf(9), priority: 1}, 3)
+	require.Len(t, queue.evicted, 1)
+	require.Equal(t, flowOf(0), queue.evicted[0].flow)
+	require.True(t, queue.hasMoreUrgent(2))
+	require.False(t, queue.hasMoreUrgent(1))
 }
 
 // Guards against a caller whose opening packets wait at two agents at once, and against one
@@ -297,7 +297,7 @@
 			for range 100 {
 				s.arrive(&s.late)
 			}
-			s.agent.waiting = waitingRoom{}
+			s.agent.waiting = openingQueue{}
 			require.IsType(t, &Wait{}, s.agent.Receive(s.now, receivedPacket(500, flow.Opening, test.copies)))
 			require.Empty(t, s.agent.ReleaseWaiting(s.now.Add(test.until-time.Millisecond)))
 			released := s.agent.ReleaseWaiting(s.now.Add(test.until))
--- a/internal/core/control/prober.go
+++ b/internal/core/control/prober.go
@@ -23,10 +23,10 @@
 	probeInterval = 250 * time.Millisecond
 	// probeTimeout is the time after which a probe without a reply is missed.
 	probeTimeout = 100 * time.Millisecond
-	// recordPatience is how long after it was first listed a peer may have no record, since it
+	// recordTimeout is how long after it was first listed a peer may have no record, since it
 	// may start later than this process. After that it is overdue, and is probed outside its
 	// turn until it answers or is unreachable.
-	recordPatience = time.Second
+	recordTimeout = time.Second
 	// overduePerTick is the maximum number of probes of overdue peers per tick.
 	overduePerTick = 16
 	// maxMisses is the number of consecutive unanswered probes after which a peer counts as
@@ -78,8 +78,8 @@
 type prober struct {
 	states    map[fleet.InstanceID]*probeState
 	near, far probeRound
-	// nextHurryAt is when the probes of a data centre may be made urgent again.
-	nextHurryAt map[string]time.Time
+	// nextUrgentAt is when the probes of a data centre may be made urgent again.
+	nextUrgentAt map[string]time.Time
 }
 
 // probeRound is a round-robin order of peers.
@@ -93,10 +93,10 @@
 // processes, so that those that start together do not probe the same peer at the same time.
 func newProber(firstIndex int) *prober {
 	return &prober{
-		states:      make(map[fleet.InstanceID]*probeState),
-		near:        probeRound{nextIndex: firstIndex},
-		far:         probeRound{nextIndex: firstIndex},
-		nextHurryAt: make(map[string]time.Time),
+		states:       make(map[fleet.InstanceID]*probeState),
+		near:         probeRound{nextIndex: firstIndex},
+		far:          probeRound{nextIndex: firstIndex},
+		nextUrgentAt: make(map[string]time.Time),
 	}
 }
 
--- a/internal/core/control/probing.go
+++ b/internal/core/control/probing.go
@@ -49,7 +49,7 @@
 
 // recordMiss records that a peer has missed a probe. The next probes are urgent until the peer is
 // unreachable if packets go to the peer, or if it has a record: one without has not started yet, as
-// far as this process knows, and is probed in its turn for recordPatience.
+// far as this process knows, and is probed in its turn for recordTimeout.
 func (c *Controller) recordMiss(now time.Time, id fleet.InstanceID, state *probeState) {
 	state.awaitsReply = false
 	state.misses++
@@ -62,7 +62,7 @@
 
 // isOverdue reports whether a peer that is not unreachable should have a record by now.
 func (c *Controller) isOverdue(now time.Time, id fleet.InstanceID, state *probeState) bool {
-	if state.misses >= maxMisses || now.Before(state.knownSince.Add(recordPatience)) {
+	if state.misses >= maxMisses || now.Before(state.knownSince.Add(recordTimeout)) {
 		return false
 	}
 	return !c.hasStarted(id, state)
@@ -131,14 +131,14 @@
 	c.probeAtOnce(now, id)
 }
 
-// hurryReturn makes the next probes of all unreachable peers in a data centre urgent, since one of
+// makeProbesUrgent makes the next probes of all unreachable peers in a data centre urgent, since one of
 // them replies again: what has cut them off may be over for all of them. It does so once in a
 // probeInterval, whatever the number of peers that reply.
-func (c *Controller) hurryReturn(now time.Time, dataCentre string) {
-	if now.Before(c.prober.nextHurryAt[dataCentre]) {
+func (c *Controller) makeProbesUrgent(now time.Time, dataCentre string) {
+	if now.Before(c.prober.nextUrgentAt[dataCentre]) {
 		return
 	}
-	c.prober.nextHurryAt[dataCentre] = now.Add(probeInterval)
+	c.prober.nextUrgentAt[dataCentre] = now.Add(probeInterval)
 	for id, state := range c.prober.states {
 		node := c.view.Node(id)
 		if state.misses >= maxMisses && node != nil && node.DataCentre() == dataCentre {
@@ -162,7 +162,7 @@
 		c.scheduleRoutingChange(now)
 	}
 	if node := c.view.Node(id); wasUnreachable && node != nil {
-		c.hurryReturn(now, node.DataCentre())
+		c.makeProbesUrgent(now, node.DataCentre())
 	}
 	if record, _ := c.state.Peers().Record(id); incarnation > record.Incarnation {
 		c.mergeRecord(now, fleet.PeerRecord{ID: id, Incarnation: incarnation})
