--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -80,14 +80,13 @@
 	// zero if the service time is unknown. LeastWork compares servers by it.
 	ExpectedDelay time.Duration
 	// RemainingWork is the work that a new request has to wait for at the server, in slot-time.
-	// That of another server is reduced by the age of its load report. It is known if HasWork
-	// is true.
+	// That of another server is the average of its load report and what is left of the work
+	// handed over to it since. It is known if HasWork is true.
 	RemainingWork time.Duration
 	HasWork       bool
 	// Excluded is why the server is no choice, or empty if it is one. LeastWork may choose a full
-	// server near. A server without a load
-	// report or with a full one gets a flow all the same if this agent must not accept it and
-	// there is no other choice.
+	// server near. A server that is full or without a load report gets a flow all the same if
+	// this agent must not accept it and there is no other choice.
 	Excluded Reason
 }
 
@@ -222,11 +221,11 @@
 // wouldBeEvicted reports whether an opening packet that begins to wait is refused at once,
 // because too many wait that go before it.
 func (a *Agent) wouldBeEvicted(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) bool {
-	room := waitingRoom{openings: slices.Clone(a.waiting.openings)}
-	room.forget(received.Packet.Flow())
-	a.reassessAll(now, room.openings)
-	room.add(a.newWaitingOpening(now, service, received), a.waitingLimit(service))
-	return slices.ContainsFunc(room.evicted, func(w waitingOpening) bool { return w.flow == received.Packet.Flow() })
+	queue := openingQueue{openings: slices.Clone(a.waiting.openings)}
+	queue.forget(received.Packet.Flow())
+	a.reassessAll(now, queue.openings)
+	queue.add(a.newWaitingOpening(now, service, received), a.waitingLimit(service))
+	return slices.ContainsFunc(queue.evicted, func(w waitingOpening) bool { return w.flow == received.Packet.Flow() })
 }
 
 // describeCandidates describes the agent's own server and the targets of a service.
