--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -88,8 +88,11 @@
 	DropPollUnanswered Reason = "drop_poll_unanswered"
 	// DropResetUnowned means that the backend server has reset a flow that it is not known to
 	// hold. The flow may be open at another server.
-	DropResetUnowned   Reason = "drop_reset_unowned"
-	DropViewStale      Reason = "drop_view_stale"
+	DropResetUnowned Reason = "drop_reset_unowned"
+	DropViewStale    Reason = "drop_view_stale"
+	// DropCopyDue means that an opening packet cannot be served and its caller may have sent the
+	// next copy already.
+	DropCopyDue        Reason = "drop_copy_due"
 	DropClosingUnowned Reason = "drop_closing_unowned"
 	DropOpeningPending Reason = "drop_opening_pending"
 	DropTableFull      Reason = "drop_table_full"
--- a/internal/core/agent/explanation.go
+++ b/internal/core/agent/explanation.go
@@ -252,7 +252,7 @@
 func (a *Agent) describeSelf(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Candidate {
 	candidate := Candidate{
 		ID: a.config.Self, DataCentre: a.config.DataCentre, IsSelf: true,
-		Report: a.currentReport(), HasReport: true,
+		Report: a.CurrentReport(), HasReport: true,
 		ExpectedDelay: a.load.expectedResponseTime(assumedServiceTime(service)),
 		Excluded:      a.ineligibleReason(now, service, received),
 	}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -124,12 +124,13 @@
 }
 
 // reassign hands a flow over to a sibling. The hand-over is recorded because retransmissions
-// of the opening packet must go to the same agent.
+// of the opening packet must go to the same agent. A carried flow is reassigned when its server has
+// not answered, or has bounced the packet, so that its caller may send the next copy soon.
 func (a *Agent) reassign(now time.Time, id flow.ID, resolution *Resolution, sibling *fleet.Target, reason Reason) {
 	a.countHandOver(sibling)
 	a.countWorkHandedOver(now, resolution.Service, sibling.ID())
 	a.recordHandOver(now, resolution.Service, id, sibling.ID())
-	resolution.Action = &Forward{Target: sibling, Placed: true, Reason: reason}
+	resolution.Action = &Forward{Target: sibling, Placed: true, Waited: a.config.Carried, Reason: reason}
 }
 
 // HandOverPending hands a waiting flow over to the sibling that has offered a free slot. The
@@ -167,6 +168,7 @@
 		}
 		a.slowStart.updateListing(backend)
 	}
+	a.removeStaleReports()
 	for id := range a.requestStats {
 		if view.Service(id) == nil {
 			delete(a.requestStats, id)
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -62,11 +62,21 @@
 	return decision
 }
 
-// settle returns the final decision where the placement policy accepts or postpones a new
-// flow, and changes nothing. The opening packet is dropped if the flow table is full. A flow
-// that exceeds the slow start rate is handed over or refused, and one whose wait would be
-// over at once is refused.
+// settle returns the final decision about a new flow, and changes nothing. An opening packet whose
+// caller may have sent the next copy since is dropped instead of refused: another agent may have
+// opened the flow for that copy, and a reset would end it.
 func (a *Agent) settle(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) placementDecision {
+	settled := a.settleLimits(now, service, received, decision)
+	if _, refused := settled.(refusal); refused && received.Waited && !isLastCopy(received.Packet) {
+		return discard{DropCopyDue}
+	}
+	return settled
+}
+
+// settleLimits returns the decision where the placement policy accepts or postpones a new flow. The
+// opening packet is dropped if the flow table is full. A flow that exceeds the slow start rate is
+// handed over or refused, and one whose wait would be over at once is refused.
+func (a *Agent) settleLimits(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) placementDecision {
 	switch decision.(type) {
 	case acceptance:
 		if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
--- a/internal/core/agent/queuelimit.go
+++ b/internal/core/agent/queuelimit.go
@@ -11,15 +11,15 @@
 const lessUrgentQueueShare = 0.5
 
 // queueLimits holds the longest expected response time with which a new flow may still queue at
-// the backend server, by the priority of its service. The server answers in the order of arrival,
+// the backend server, by its service. The server answers in the order of arrival,
 // so that services with a long objective could fill the queue until all requests of a service with
 // a short one are late. A limit is computed when it is first needed, see cacheQueueLimit.
-type queueLimits map[int]time.Duration
+type queueLimits map[fleet.ServiceID]time.Duration
 
 // queueLimit returns the limit for a service that publishes an objective: the shortest objective
 // of the services of its priority at this server and, in part, of those more urgent.
 func (a *Agent) queueLimit(service *fleet.RoutedService) time.Duration {
-	if limit, known := a.queueLimits[service.Priority()]; known {
+	if limit, known := a.queueLimits[service.ID()]; known {
 		return limit
 	}
 	return a.computeQueueLimit(service)
@@ -28,7 +28,7 @@
 // cacheQueueLimit keeps the limit for a service if decisions need it now.
 func (a *Agent) cacheQueueLimit(service *fleet.RoutedService) {
 	if a.config.Carried && serverObjective(service) != 0 && a.load.isFull() {
-		a.queueLimits[service.Priority()] = a.queueLimit(service)
+		a.queueLimits[service.ID()] = a.queueLimit(service)
 	}
 }
 
--- a/internal/core/agent/siblings.go
+++ b/internal/core/agent/siblings.go
@@ -127,13 +127,22 @@
 
 // recordWaiting records whether requests wait at a sibling by its latest report.
 func (a *Agent) recordWaiting(id fleet.InstanceID, report Report) {
-	if report.Running > report.Limit {
+	if a.waitingAt(report) > 0 {
 		a.waitingSiblings[id] = struct{}{}
 	} else {
 		delete(a.waitingSiblings, id)
 	}
 }
 
+// waitingAt returns the number of requests that wait at a sibling by its report. A sibling that drains
+// reports no limit, and where flows are carried it hands over what waits.
+func (a *Agent) waitingAt(report Report) int {
+	if a.config.Carried && report.Limit == 0 {
+		return 0
+	}
+	return int(report.Running) - int(report.Limit)
+}
+
 // OfferRecipient returns the sibling that should be sent a report at once because this
 // agent has a free slot and nothing waits for it: the one with the most requests waiting by its
 // latest report. It counts the offer. It returns nil if none waits, or if no offer may be made
@@ -158,7 +167,7 @@
 	most := 0
 	for id := range a.waitingSiblings {
 		report, known := a.latestReport(now, id)
-		waiting := int(report.Running) - int(report.Limit)
+		waiting := a.waitingAt(report)
 		if !known || waiting <= 0 {
 			delete(a.waitingSiblings, id)
 			continue
@@ -240,6 +249,15 @@
 	return append(near, a.randomSiblings(a.siblings[a.nearSiblings:], reportFanout-len(near))...)
 }
 
+// removeStaleReports removes the reports of agents that are not in view any more.
+func (a *Agent) removeStaleReports() {
+	for id, stored := range a.reports {
+		if !stored.isListed && a.view.Node(id) == nil {
+			delete(a.reports, id)
+		}
+	}
+}
+
 // randomSiblings returns a random choice of siblings, at most count.
 func (a *Agent) randomSiblings(siblings []*fleet.Target, count int) []*fleet.Target {
 	var chosen []*fleet.Target
@@ -269,12 +287,12 @@
 	a.updateEjection(now)
 	a.updateUnlearned(now)
 	a.sampleWait(now)
-	return a.currentReport()
+	return a.CurrentReport()
 }
 
-// currentReport returns the agent's load as of now, with the utilisation and the ejection as
+// CurrentReport returns the agent's load as of now, with the utilisation and the ejection as
 // of the last report, and the work as of the last sample. It changes nothing.
-func (a *Agent) currentReport() Report {
+func (a *Agent) CurrentReport() Report {
 	report := Report{
 		Running:     uint32(math.Round(a.load.occupied()) + float64(a.Waiting())),
 		Limit:       uint32(a.load.Limit()),
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -19,7 +19,8 @@
 	// transferIdleTimeout is how long a transfer without new bytes keeps its share of a slot.
 	// It is longer than the first retransmission timeout of callers.
 	transferIdleTimeout = 500 * time.Millisecond
-	// maxSegmentsBeyondGap limits the state of a transfer. Callers have fewer packets in flight.
+	// maxSegmentsBeyondGap limits the state of a transfer. Callers have fewer packets in flight. The
+	// segment that closes a gap is added beyond the limit.
 	maxSegmentsBeyondGap = 64
 )
 
@@ -71,7 +72,7 @@
 	if packet.PayloadSize() < maxPayload && !t.isEndKnown {
 		t.end, t.isEndKnown = delivered.end, true
 	}
-	if len(t.beyondGap) < maxSegmentsBeyondGap {
+	if len(t.beyondGap) < maxSegmentsBeyondGap || !isBefore(t.next, delivered.start) {
 		t.beyondGap = append(t.beyondGap, delivered)
 	}
 	t.closeGaps()
--- a/internal/core/agent/upload_test.go
+++ b/internal/core/agent/upload_test.go
@@ -387,3 +387,19 @@
 		}
 	}
 }
+
+// More segments than the agent remembers lie beyond a gap. The segment that closes the gap must still
+// count, or the upload is never complete.
+func TestGapIsClosedHoweverManySegmentsLieBeyondIt(t *testing.T) {
+	const size = 100
+	var current transfer
+	current.next, current.isNextKnown = 0, true
+	for i := uint32(1); i <= maxSegmentsBeyondGap; i++ {
+		packet := flow.NewPacket(flowOf(4000), flow.Established, i*size, 0, nil).WithPayloadSize(size)
+		current.add(settledAt, packet, size)
+	}
+	require.Len(t, current.beyondGap, maxSegmentsBeyondGap)
+	current.add(settledAt, flow.NewPacket(flowOf(4000), flow.Established, 0, 0, nil).WithPayloadSize(size), size)
+	require.Empty(t, current.beyondGap)
+	require.EqualValues(t, (maxSegmentsBeyondGap+1)*size, current.next)
+}
--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -117,7 +117,7 @@
 
 // received returns the opening packet as it was received.
 func (w *waitingOpening) received() *ReceivedPacket {
-	return &ReceivedPacket{Packet: w.packet, Service: w.service, Origin: w.origin, Visited: w.visited, Placed: w.placed}
+	return &ReceivedPacket{Packet: w.packet, Service: w.service, Origin: w.origin, Visited: w.visited, Placed: w.placed, Waited: w.waited}
 }
 
 // openingQueue holds the waiting opening packets, oldest first.
@@ -256,12 +256,17 @@
 		objectiveAt: objectiveDeadline(now, service, packet),
 		timeoutAt:   timeoutDeadline(now, service, packet),
 		nextCopyAt:  now.Add(copyIntervals[copies] - copyMargin),
-		isLastCopy:  copies == len(copyIntervals)-1,
+		isLastCopy:  isLastCopy(packet),
 	}
 	a.reassess(now, service, &opening)
 	return opening
 }
 
+// isLastCopy reports whether a caller sends no more copies after this opening packet.
+func isLastCopy(opening flow.Packet) bool {
+	return int(opening.AcknowledgedToken()) >= len(copyIntervals)-1
+}
+
 // timeSinceFirstCopy returns how long ago, at least, the caller sent the first copy of an
 // opening packet.
 func timeSinceFirstCopy(opening flow.Packet) time.Duration {
--- a/internal/daemon/carrier/packethandler.go
+++ b/internal/daemon/carrier/packethandler.go
@@ -91,7 +91,7 @@
 		h.carrier.mu.Unlock()
 		return
 	}
-	report := h.carrier.core.Report(now)
+	report := h.carrier.core.CurrentReport()
 	h.carrier.mu.Unlock()
 	if isOffer {
 		h.carrier.counters.Add("offers_sent", 1)
