Explain placements by one function for both kinds of agent, and count transfers only

Cause: the function behind the placement endpoint stood twice, in daemon/agent and daemon/carrier, alike but for the receiver. The begin and the end of a transfer brought busy time up to date, which depends on running requests only.

Change: exchange.NewPlacementExplainer serves both. Load.beginTransfer and endTransfer only count. No decision has changed.

--- a/internal/core/agent/carriedrequests.go
+++ b/internal/core/agent/carriedrequests.go
@@ -19,7 +19,7 @@
 	}
 	entry.slotReservedAt = now
 	if entry.isTransferring() || a.isUpload(entry) {
-		a.beginTransfer(now, entry)
+		a.beginTransfer(entry)
 		a.expectRequest(now, entry)
 		return
 	}
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -130,16 +130,10 @@
 }
 
 // beginTransfer counts an upload request whose bytes are still to come.
-func (l *Load) beginTransfer(now time.Time) {
-	l.integrateBusyTime(now)
-	l.transfers++
-}
+func (l *Load) beginTransfer() { l.transfers++ }
 
 // endTransfer counts the end of a transfer, whether all bytes have come or not.
-func (l *Load) endTransfer(now time.Time) {
-	l.integrateBusyTime(now)
-	l.transfers = max(l.transfers-1, 0)
-}
+func (l *Load) endTransfer() { l.transfers = max(l.transfers-1, 0) }
 
 // recordTransferTime adds a sample to the average time that a transfer takes.
 func (l *Load) recordTransferTime(sample time.Duration) {
--- a/internal/core/agent/upload.go
+++ b/internal/core/agent/upload.go
@@ -151,18 +151,18 @@
 
 // beginTransfer makes an upload request take a share of a slot: when its flow opens, with its
 // first bytes, or with further bytes after the share was released.
-func (a *Agent) beginTransfer(now time.Time, entry *flowEntry) {
+func (a *Agent) beginTransfer(entry *flowEntry) {
 	if entry.transfer == nil {
 		entry.transfer = newTransfer(entry)
 	}
-	a.load.beginTransfer(now)
+	a.load.beginTransfer()
 }
 
 // completeTransfer ends the transfer of a request, which takes a slot from now on.
 func (a *Agent) completeTransfer(now time.Time, entry *flowEntry) {
 	current := entry.transfer
 	a.load.recordTransferTime(current.lastBytesAt.Sub(current.startedAt))
-	a.load.endTransfer(now)
+	a.load.endTransfer()
 	a.load.start(now)
 	entry.slotReservedAt = current.lastBytesAt
 	entry.forgetTransfer()
@@ -189,7 +189,7 @@
 	if entry.slotReservedAt.IsZero() {
 		return
 	}
-	a.load.endTransfer(now)
+	a.load.endTransfer()
 	a.endRequest(now, entry)
 	entry.slotReservedAt = time.Time{}
 }
--- a/internal/daemon/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	n.OnPublish(a.applyView)
-	n.OnExplain(a.explainPlacement)
+	n.OnExplain(exchange.NewPlacementExplainer(&a.mu, a.core))
 	counters.Gauge("flows_owned", func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -157,7 +157,7 @@
 	c.core.Start(clock.Now())
 	counters.Gauge("work_left_us", c.workLeft)
 	n.OnPublish(c.applyView)
-	n.OnExplain(c.explainPlacement)
+	n.OnExplain(exchange.NewPlacementExplainer(&c.mu, c.core))
 	counters.Gauge("waiting", func() float64 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
