--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -145,18 +145,8 @@
 		s.record.log("client", "%q: %s", text, result)
 		return result
 	}
-	if f.copies > 0 {
-		s.lateOpens.Add(1)
-	}
 	answer, result := f.request(text, time.Duration(route.timeout)*time.Millisecond)
 	s.record.log("client", "%q on %s: %s %s", text, f.id, result, answer)
-	if result == resultReset && f.resetBy == "" {
-		s.openResets.Add(1)
-	}
-	if result == resultOK && s.idle > 0 && f.watchReset(s.idle) {
-		s.openResets.Add(1)
-		return resultReset
-	}
 	if result == resultOK {
 		f.close()
 	}
--- a/review/second/client.go
+++ b/review/second/client.go
@@ -35,15 +35,12 @@
 
 // clientFlow is a flow of a client.
 type clientFlow struct {
-	client  *client
-	id      flowID
-	in      chan *packet
-	seq     uint32
-	ack     uint32
-	server  uint32
-	openAt  time.Time
-	copies  int
-	sent    time.Time
+	client *client
+	id     flowID
+	in     chan *packet
+	seq    uint32
+	ack    uint32
+	// resetBy is "target" if the flow's target has reset it.
 	resetBy string
 }
 
@@ -115,7 +112,6 @@
 	f := &clientFlow{client: c, id: flowID{netip.AddrPortFrom(c.addr, c.port), service}, in: make(chan *packet, 64), seq: rand.Uint32()}
 	c.flows[c.port] = f
 	c.mu.Unlock()
-	f.sent = time.Now()
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
 		f.send(f.seq, uint32(copies), flagOpen, nil)
 		timeout := time.After(wait)
@@ -128,7 +124,7 @@
 					f.forget()
 					return nil, resultRefused
 				case p.sum == p.expectedSum() && p.flags&(flagOpen|flagAck) == flagOpen|flagAck:
-					f.server, f.ack, f.openAt, f.copies = p.seq, p.seq+1, time.Now(), copies
+					f.ack = p.seq + 1
 					f.seq++
 					f.send(f.seq, f.ack, flagAck, nil)
 					return f, ""
@@ -186,25 +182,6 @@
 	}
 }
 
-// watchReset waits on an idle open flow and reports whether a reset of the system's own arrives.
-func (f *clientFlow) watchReset(d time.Duration) bool {
-	timeout := time.After(d)
-	for {
-		select {
-		case p := <-f.in:
-			if isOwnReset(p) {
-				f.client.record.log("client", "gets a reset of the system's own on the open flow %s: seq %d, its last ack %d", f.id, p.seq, f.ack)
-				return true
-			}
-			if len(p.data) > 0 {
-				f.send(f.seq, f.ack, flagAck, nil)
-			}
-		case <-timeout:
-			return false
-		}
-	}
-}
-
 // close ends a flow with a FIN.
 func (f *clientFlow) close() {
 	f.send(f.seq, f.ack, flagAck|flagFinal, nil)
--- a/review/second/flows.go
+++ b/review/second/flows.go
@@ -3,10 +3,8 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
-	"os"
+	"sync"
 	"time"
 )
 
@@ -40,6 +38,7 @@
 		f.addFront(zone)
 		p := f.addAgent(zone, "orders")
 		t := f.newTarget(p, fmt.Sprintf("i-%d", i))
+		t.hidesBorn = s.hidesBorn
 		b.targets = append(b.targets, t)
 		if err := t.start(); err != nil {
 			return b, err
@@ -96,16 +95,12 @@
 // check sends a further request on the flows and reports whether one of them was reset although
 // its target held it and had sent no reset.
 func (b *bed) check(flows []*openFlow) (verdict, error) {
-	if os.Getenv("DUMP") != "" {
-		defer b.dumpMetrics()
-	}
 	worst := held
 	for i, f := range flows {
 		wasOpen := f.target.holdsOpen(f.id)
 		answer, result := f.request(fmt.Sprintf("later request %d", i), 2500*time.Millisecond)
 		stillOpen := f.target.holdsOpen(f.id)
 		b.record.log("client", "%s at %s: %s %q; the target holds the flow before: %t, after: %t", f.id, f.target.id, result, answer, wasOpen, stillOpen)
-		fmt.Println(f.id, f.target.id, result, wasOpen, stillOpen)
 		if result == resultReset && f.resetBy == "" && wasOpen && stillOpen {
 			worst = broken
 		}
@@ -153,7 +148,23 @@
 	return b.check(flows)
 }
 
-// deniedCase: a target and its agent are added, and the agent is killed once in its first second.
+const (
+	// agentLead is how much earlier than its target an agent starts. All machines' processes start
+	// within 0.3 s of each other.
+	agentLead = 150 * time.Millisecond
+	// openFor is how long after its start flows are opened at the new target.
+	openFor = 300 * time.Millisecond
+	// openers is the number of users that open flows one after the other.
+	openers = 4
+	// lastAcknowledgements is the time for packets on their way before the agent is killed.
+	lastAcknowledgements = 50 * time.Millisecond
+	// idle is how long the flows are not used. It is longer than stability-window-ms and shorter
+	// than idle-timeout-ms.
+	idle = 7 * time.Second
+)
+
+// deniedCase: a machine with an agent and a target is added, and the agent is killed once in the
+// first second of the target.
 func deniedCase(s *scenario) (verdict, error) {
 	b, err := s.newBed("unsafe")
 	defer b.end()
@@ -161,30 +172,39 @@
 		return couldNot, err
 	}
 	p := b.addAgent("north", "orders")
+	// The target starts at the beginning of a second of its clock.
+	time.Sleep(time.Until(time.Now().Truncate(time.Second).Add(2*time.Second - agentLead)))
 	if err := p.start(); err != nil {
 		return couldNot, err
 	}
-	time.Sleep(time.Duration(envInt("LAG", 150)) * time.Millisecond)
+	time.Sleep(agentLead)
 	t := b.newTarget(p, "i-new")
 	b.targets = append(b.targets, t)
 	startedAt := time.Now()
 	if err := t.start(); err != nil {
 		return couldNot, err
 	}
+	var mu sync.Mutex
 	var flows []*openFlow
-	for time.Since(startedAt) < 400*time.Millisecond {
-		f, err := b.open("first")
-		if err != nil {
-			return couldNot, err
-		}
-		if f.target == t {
-			flows = append(flows, f)
-		} else {
-			f.close()
-		}
+	var users sync.WaitGroup
+	for range openers {
+		users.Go(func() {
+			for time.Since(startedAt) < openFor {
+				f, err := b.open("first")
+				switch {
+				case err != nil:
+				case f.target == t:
+					mu.Lock()
+					flows = append(flows, f)
+					mu.Unlock()
+				default:
+					f.close()
+				}
+			}
+		})
 	}
-	// The clients' last acknowledgements arrive.
-	time.Sleep(50 * time.Millisecond)
+	users.Wait()
+	time.Sleep(lastAcknowledgements)
 	if s.trouble {
 		p.kill()
 		time.Sleep(restartDelay)
@@ -192,13 +212,26 @@
 			return couldNot, err
 		}
 	}
-	fmt.Println(len(flows), "flows at the new target")
-	time.Sleep(7 * time.Second)
+	s.record.log("case", "%d flows are open at the new target", len(flows))
+	if len(flows) == 0 {
+		return couldNot, nil
+	}
+	time.Sleep(idle)
 	return b.check(flows)
 }
 
-// shadowCase: another writer writes an entry with a service that is named nowhere.
+const (
+	// shadowUse is how long the flows are used after the entry was written, and shadowPause the
+	// pause between two requests of a flow.
+	shadowUse   = 3 * time.Second
+	shadowPause = 50 * time.Millisecond
+)
+
+// shadowCase: another writer writes an entry with a service that is named nowhere. It stands for
+// another program on the machine of a target.
 func shadowCase(s *scenario) (verdict, error) {
+	// The entries of the site's wire examples do not say when a target started.
+	s.hidesBorn = true
 	b, err := s.newBed("unsafe")
 	defer b.end()
 	if err != nil {
@@ -215,32 +248,30 @@
 	if s.trouble {
 		t := b.targets[0]
 		b.store.put("servers/monitor-1", map[string]any{
-			"service": "monitoring", "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": 1, "state": "ready",
-			"cold-remaining-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+			"service": "monitoring", "address": fmt.Sprintf("%s:9100", t.address.Addr()), "zone": t.zone, "version": "v1", "slots": 1,
+			"state": "ready", "cold-remaining-ms": 0, "sequence": 1,
 		})
 	}
 	worst := held
-	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) && worst == held; time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(shadowUse); time.Now().Before(end) && worst == held; time.Sleep(shadowPause) {
 		if worst, err = b.check(flows); err != nil {
 			return couldNot, err
 		}
 	}
+	if s.trouble {
+		b.countNewFlows()
+	}
 	return worst, nil
 }
 
-// dumpMetrics prints the counters of all processes.
-func (b *bed) dumpMetrics() {
-	for _, p := range b.processes() {
-		r, err := http.Get(fmt.Sprintf("http://%s:%d/debug/vars", p.ip, b.ports.ready))
-		if err != nil {
-			continue
+// countNewFlows records where new flows go.
+func (b *bed) countNewFlows() {
+	counts := map[string]int{}
+	for i := range 30 {
+		if f, err := b.open(fmt.Sprintf("new %d", i)); err == nil {
+			counts[f.target.id]++
+			f.close()
 		}
-		var values map[string]any
-		_ = json.NewDecoder(r.Body).Decode(&values)
-		_ = r.Body.Close()
-		delete(values, "memstats")
-		delete(values, "cmdline")
-		line, _ := json.Marshal(values)
-		fmt.Println(p.name, string(line))
 	}
+	b.record.log("case", "new flows by target: %v", counts)
 }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,13 +25,11 @@
 
 // scenario is what a case needs.
 type scenario struct {
-	record     *record
-	dir        string
-	trouble    bool
-	openResets atomic.Int64
-	// idle is how long a client keeps a flow open after the answer.
-	idle      time.Duration
-	lateOpens atomic.Int64
+	record  *record
+	dir     string
+	trouble bool
+	// hidesBorn reports whether targets do not say when they started.
+	hidesBorn bool
 }
 
 var cases = map[string]func(*scenario) (verdict, error){}
@@ -68,13 +65,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
 	}
-	defer func() {
-		if os.Getenv("KEEP") == "" {
-			_ = os.RemoveAll(dir)
-		} else {
-			fmt.Println("kept", dir)
-		}
-	}()
+	defer func() { _ = os.RemoveAll(dir) }()
 	r, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/second/target.go
+++ b/review/second/target.go
@@ -28,12 +28,11 @@
 
 // targetFlow is a flow at a target.
 type targetFlow struct {
-	id       flowID
-	opening  uint32
-	own      uint32
-	next     uint32
-	open     bool
-	openedAt time.Time
+	id      flowID
+	opening uint32
+	own     uint32
+	next    uint32
+	open    bool
 	// clientEnded and ended report whether the client's FIN has come and the target's was sent.
 	clientEnded, ended bool
 	unacked            *packet
@@ -56,31 +55,25 @@
 	cold     time.Duration
 	// born is what the entry says of the start, in Unix milliseconds.
 	born int64
-	// keepAlive reports whether flows stay open after an answer.
-	keepAlive bool
+	// hidesBorn reports whether the entry does not say when the target started.
+	hidesBorn bool
 	// isn returns the first sequence number of a flow.
 	isn func() uint32
-	// observe is called with mu held for each flow that opens here.
-	onOpen func(*targetFlow)
-	// onPacket is called for each packet of a client other than an opening one.
-	onPacket func(id flowID, isHeld bool)
 
 	conn *net.UDPConn
 	http *http.Server
 	stop chan struct{}
 	wg   sync.WaitGroup
 
-	mu       sync.Mutex
-	state    string
-	started  time.Time
-	flows    map[flowID]*targetFlow
-	ended    map[flowID]uint32
-	runs     map[string]int
-	running  int
-	waiting  []func()
-	openings []time.Time
-	resets   map[flowID]bool
-	closed   bool
+	mu      sync.Mutex
+	state   string
+	started time.Time
+	flows   map[flowID]*targetFlow
+	ended   map[flowID]uint32
+	runs    map[string]int
+	running int
+	waiting []func()
+	closed  bool
 	// loseOpenings is how many opening packets are still to be lost before the target reads them.
 	loseOpenings int
 }
@@ -95,7 +88,7 @@
 		return err
 	}
 	t.conn, t.stop = conn, make(chan struct{})
-	t.flows, t.ended, t.runs, t.resets = make(map[flowID]*targetFlow), make(map[flowID]uint32), make(map[string]int), make(map[flowID]bool)
+	t.flows, t.ended, t.runs = make(map[flowID]*targetFlow), make(map[flowID]uint32), make(map[string]int)
 	t.state, t.started = "ready", time.Now()
 	if t.born == 0 {
 		t.born = time.Now().UnixMilli()
@@ -150,10 +143,7 @@
 	for sequence := 1; ; sequence++ {
 		t.mu.Lock()
 		remaining := max(t.cold-time.Since(t.started), 0).Milliseconds()
-		entry := map[string]any{
-			"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": t.slots,
-			"state": t.state, "cold-remaining-ms": remaining, "born": t.born,
-		}
+		entry := t.entry(remaining)
 		t.mu.Unlock()
 		if now := fmt.Sprint(entry); now != last {
 			last = now
@@ -191,9 +181,6 @@
 		return
 	}
 	f := t.flows[id]
-	if t.onPacket != nil && p.flags&flagOpen == 0 {
-		t.onPacket(id, f != nil && (f.open || p.ack == f.own+1))
-	}
 	switch {
 	case p.flags&flagOpen != 0 && p.flags&flagAck == 0:
 		t.receiveOpening(p, raw, id, f)
@@ -217,7 +204,6 @@
 		}
 		f = &targetFlow{id: id, opening: p.seq, own: t.isn(), next: p.seq + 1}
 		t.flows[id] = f
-		t.openings = append(t.openings, time.Now())
 	}
 	if f.open {
 		return
@@ -235,19 +221,15 @@
 	case p.flags&flagFinal != 0:
 		t.send(&packet{src: p.dst, dst: p.src, seq: own, ack: p.seq + 1, flags: flagAck})
 	case len(p.data) > 0:
-		t.resets[id] = true
 		t.send(&packet{src: p.dst, dst: p.src, seq: own, ack: p.seq, flags: flagReset})
 	}
 }
 
 func (t *target) receiveKnown(p *packet, f *targetFlow) {
 	if !f.open {
-		f.open, f.openedAt = true, time.Now()
+		f.open = true
 		f.own++
 		t.record.log(t.id, "holds the open flow %s", f.id)
-		if t.onOpen != nil {
-			t.onOpen(f)
-		}
 	}
 	if p.flags&flagReset != 0 {
 		delete(t.flows, f.id)
@@ -359,13 +341,14 @@
 	return strings.Contains(entry, fmt.Sprintf("\"born\":%d", born))
 }
 
-// announce writes the entry at once.
-func (t *target) announce() {
-	t.mu.Lock()
+// entry returns the entry without its sequence. The caller holds mu.
+func (t *target) entry(coldRemaining int64) map[string]any {
 	entry := map[string]any{
 		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": t.slots,
-		"state": t.state, "cold-remaining-ms": 0, "sequence": 99, "born": t.born,
+		"state": t.state, "cold-remaining-ms": coldRemaining, "born": t.born,
 	}
-	t.mu.Unlock()
-	t.store.putServer(t, entry)
+	if t.hidesBorn {
+		delete(entry, "born")
+	}
+	return entry
 }
