--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -17,11 +17,11 @@
 
 func init() { cases["recover"] = recoverCase }
 
-// Times of the case recover. The site's final faults keep the power off for up to 1.4 s, and the
-// targets are back within 1.5 s, as after a zone_loss.
+// Times of the case recover. The site's final faults keep the power off for up to 1.4 s, and machines
+// start within 0.3 s of each other.
 const (
 	powerOff    = 1400 * time.Millisecond
-	targetsLate = 800 * time.Millisecond
+	targetsLate = 300 * time.Millisecond
 	// recovery is the bound recovery-s of the site.
 	recovery = 12 * time.Second
 	judged   = 6 * time.Second
