--- a/review/second/main.go
+++ b/review/second/main.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -20,7 +19,7 @@
 	held      verdict = 0
 	broken    verdict = 1
 	couldNot  verdict = 2
-	usageText         = "usage: review2 CASE FOLDER; TROUBLE=0 leaves the disruption out"
+	usageText         = "usage: review2 CASE RECORD; TROUBLE=0 leaves the disruption out"
 )
 
 // scenario is what a case needs.
@@ -59,14 +58,14 @@
 	os.Exit(int(couldNot))
 }
 
-func play(run func(*scenario) (verdict, error), folder string) verdict {
+func play(run func(*scenario) (verdict, error), recordPath string) verdict {
 	dir, err := os.MkdirTemp("", "review2-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r, err := newRecord(filepath.Join(folder, "record.txt"))
+	r, err := newRecord(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
