Let an agent deny flows only if its server started after it

Cause: an agent took itself to know all flows of a server that had started up to a second before it, and denied the others in lookups. The process that was killed had opened flows in that second.

A server that starts after the process has got every opening packet from it, so that the denial needs no guess about how long a restart takes. The process counts from when it was run. Starts are passed on with their fraction of a second, and one that lay in the future when it was first seen never counts. A gauge, knows_all_flows, tells which agents can deny. Other agents are polled, as before.

Tests on the code before:

--- FAIL: TestAgentRestartedSoonAfterItsServerDeniesNoFlow/350ms Error: Object expected to be of type *agent.Deliver, but was *agent.Reset --- FAIL: TestDecodeRestoresTimesExactly Error: Should be true

The case "a little before the agent" of TestAgentKnowsAllFlowsOfAServerThatStartedWithIt expected the guess; it now expects that the agent does not know, for one millisecond too.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -267,6 +267,8 @@
 	queueLimits queueLimits
 	// startedAt is when this process started, or zero before Start.
 	startedAt time.Time
+	// serverStart is the latest start of the backend server that the view has listed.
+	serverStart serverStart
 	// allFlowsKnown reports whether all flows of the backend server were opened through
 	// this process. Once true it stays true.
 	allFlowsKnown bool
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -188,9 +188,9 @@
 
 // Start records when the process of an agent for carried flows started, and assumes that its
 // backend server is cold.
-func (a *Agent) Start(now time.Time) {
-	a.slowStart = newSlowStart(now)
-	a.startedAt = now
+func (a *Agent) Start(startedAt time.Time) {
+	a.slowStart = newSlowStart(startedAt)
+	a.startedAt = startedAt
 }
 
 // HandleBouncedPacket decides about a packet that the backend server has bounced: an
@@ -308,6 +308,7 @@
 // answer is overdue as failed, and releases the slots of those that have had no answer for
 // longer than answerTimeout.
 func (a *Agent) SweepCarried(now time.Time) {
+	a.learnServerStart(now)
 	a.forwardHistory.sweep(now)
 	a.denials.sweep(now)
 	a.sweepReporters(now)
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -77,7 +77,8 @@
 		knows   bool
 	}{
 		{"long before the agent", -time.Minute, false},
-		{"a little before the agent", -startTolerance / 2, true},
+		{"a moment before the agent", -time.Millisecond, false},
+		{"with the agent", 0, true},
 		{"after the agent", time.Second, true},
 		{"in the future, since the clock has stepped", time.Hour, false},
 	} {
@@ -88,6 +89,28 @@
 			require.False(t, a.knowsAllFlows(settledAt), "an agent cannot know all flows while the view has no start time")
 			c.setBackendStarts(t, settledAt.Add(test.started))
 			require.Equal(t, test.knows, a.knowsAllFlows(settledAt.Add(2*time.Second)))
+			require.Equal(t, test.knows, a.knowsAllFlows(settledAt.Add(2*time.Hour)), "a start that was in the future must not count once the clock has passed it")
+		})
+	}
+}
+
+// A server starts, takes a flow, and its agent is killed and back within a second of the server's
+// start. Guards against a denial of the flow by the agent's new process, which other agents would
+// take for a proof that no agent owns it.
+func TestAgentRestartedSoonAfterItsServerDeniesNoFlow(t *testing.T) {
+	for _, age := range []time.Duration{time.Millisecond, 350 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(age.String(), func(t *testing.T) {
+			c := newTestCluster(t, 4)
+			c.startAgents(epoch)
+			c.setBackendStarts(t, epoch.Add(time.Second))
+			owner := c.open(t, c.ids()[0], 4000)
+			c.restart(owner)
+			c.agents[owner].Start(epoch.Add(time.Second + age))
+			for _, id := range c.ids() {
+				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
+				require.IsType(t, &Deliver{}, action)
+				require.Equal(t, owner, found)
+			}
 		})
 	}
 }
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -154,8 +154,9 @@
 		Observer:     exchange.NewObserver(counters),
 		Labels:       s.Labels,
 	}, n.View(), load, rand.New(rand.NewPCG(uint64(n.ID()), n.Incarnation())))
-	c.core.Start(clock.Now())
+	c.core.Start(clock.ProcessStart())
 	counters.Gauge("work_left_us", c.workLeft)
+	counters.Gauge("knows_all_flows", c.knowsAllFlows)
 	n.OnPublish(c.applyView)
 	n.OnExplain(exchange.NewPlacementExplainer(&c.mu, c.core))
 	counters.Gauge("waiting", func() float64 {
@@ -319,6 +320,17 @@
 	return float64(c.core.WorkLeft(clock.Now()).Microseconds())
 }
 
+// knowsAllFlows returns 1 if the core knows every flow of the backend server, and 0 if an earlier
+// process may have opened flows there.
+func (c *Carrier) knowsAllFlows() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.core.KnowsAllFlows(clock.Now()) {
+		return 1
+	}
+	return 0
+}
+
 // leave stops taking new flows, fails the readiness check and publishes that the agent is
 // leaving. It returns after leavingDuration, in which packets are still forwarded.
 func (c *Carrier) leave() {
--- a/internal/link/clock/clock.go
+++ b/internal/link/clock/clock.go
@@ -16,6 +16,10 @@
 // Now returns the current time of this clock.
 func Now() time.Time { return start.Add(timeSinceBoot() - startSinceBoot) }
 
+// ProcessStart returns when this process started, in the time of this clock. As it is the wall-clock
+// time at that moment, it can be compared with other wall-clock times of the machine.
+func ProcessStart() time.Time { return start }
+
 // timeSinceBoot returns the time since the machine booted, including suspended time.
 func timeSinceBoot() time.Duration {
 	var t unix.Timespec
--- a/internal/link/control/codec.go
+++ b/internal/link/control/codec.go
@@ -28,12 +28,25 @@
 // errMessageTooLarge reports a message that has more than maxMessageSize bytes after decompression.
 var errMessageTooLarge = fmt.Errorf("message has more than %d bytes", maxMessageSize)
 
+// encoder encodes times to the nanosecond: an agent compares the start of its backend server with
+// its own.
+var encoder = mustEncoder()
+
+func mustEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.UserBufferEncMode()
+	if err != nil {
+		// The options are constants that the library supports.
+		panic(err)
+	}
+	return mode
+}
+
 // Encode returns the encoded message: one byte for the encoding, then the CBOR of the message,
 // compressed by DEFLATE from minDeflateSize on.
 func Encode(message *control.Message) ([]byte, error) {
 	var buffer bytes.Buffer
 	buffer.WriteByte(encodingPlain)
-	if err := cbor.MarshalToBuffer(message, &buffer); err != nil {
+	if err := encoder.MarshalToBuffer(message, &buffer); err != nil {
 		return nil, fmt.Errorf("encode control message: %w", err)
 	}
 	if buffer.Len() < minDeflateSize {
--- a/internal/link/control/codec_test.go
+++ b/internal/link/control/codec_test.go
@@ -40,6 +40,18 @@
 	}
 }
 
+// An agent compares the start of its backend server with its own. Guards against starts that are
+// rounded on their way to the agent.
+func TestDecodeRestoresTimesExactly(t *testing.T) {
+	startedAt := time.Date(2026, 12, 7, 4, 10, 49, 350_000_000, time.UTC)
+	backends := &control.Delta[fleet.Backend]{Upserts: []fleet.Backend{{Name: "b0", StartedAt: startedAt}}}
+	data, err := Encode(&control.Message{Changes: []control.Change{{Backends: backends}}})
+	require.NoError(t, err)
+	decoded, err := Decode(data)
+	require.NoError(t, err)
+	require.True(t, startedAt.Equal(decoded.Changes[0].Backends.Upserts[0].StartedAt))
+}
+
 // Guards against control traffic that displaces packets: an instance with a link of 10 Mbit/s
 // receives a whole document while it forwards packets.
 func TestEncodeCompressesWholeDocuments(t *testing.T) {
