Give an unresponsive server a trial though its peers send it no flows

Cause: an agent that has left an opening packet unanswered for 100 ms publishes that its server does not respond, and only a packet of the server ends that. Peers then send no opening packet there any more, so that the trials that should bring the server to answer never come. With all servers of a service in that state, balancers find no target.

After 500 ms without a trial the agent publishes that it is alive. It lets one opening packet through and hands the others over, so that a server that is really gone costs one caller 100 ms a trial.

--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -165,6 +165,7 @@
 	if backend := view.Backend(a.config.Self); backend != nil {
 		if a.slowStart.isOtherStart(backend) {
 			a.forgetServiceTimes()
+			a.responses.recordServerStart()
 		}
 		a.slowStart.updateListing(backend)
 	}
@@ -259,15 +260,7 @@
 
 // OwnState updates the weight and returns what the agent publishes about itself now.
 func (a *Agent) OwnState(now time.Time) OwnState {
-	own := OwnState{State: fleet.PeerAlive, Weight: a.UpdateWeight(now), Residual: a.ResidualServices()}
-	switch {
-	case a.draining:
-		own.State = fleet.PeerLeaving
-	case a.config.Carried && a.IsTrialOnly():
-		// Peers treat all causes of trials alike: they send no new flows here.
-		own.State = fleet.PeerServerUnresponsive
-	}
-	return own
+	return OwnState{State: a.PeerState(now), Weight: a.UpdateWeight(now), Residual: a.ResidualServices()}
 }
 
 // isSelected reports whether a service selects this backend server in the view in force.
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -12,10 +12,20 @@
 
 // setBackendStarts publishes when the backend servers started.
 func (c *testCluster) setBackendStarts(t require.TestingT, at time.Time) {
+	c.changeBackends(t, func(backend *fleet.Backend) { backend.StartedAt = at })
+}
+
+// setBoots publishes the boot ID of the backend servers.
+func (c *testCluster) setBoots(t require.TestingT, id string) {
+	c.changeBackends(t, func(backend *fleet.Backend) { backend.BootID = id })
+}
+
+// changeBackends publishes the backend servers with a change, and applies the view.
+func (c *testCluster) changeBackends(t require.TestingT, change func(*fleet.Backend)) {
 	_, backends, _ := c.state.Documents()
 	next := &fleet.BackendsDocument{Revision: fleet.Revision{Number: backends.Number + 1}}
 	for _, backend := range backends.Backends {
-		backend.StartedAt = at
+		change(&backend)
 		next.Backends = append(next.Backends, backend)
 	}
 	_, err := c.state.Apply(epoch, next)
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -16,6 +16,9 @@
 	// trialInterval is the time between two trials: opening packets that are delivered to
 	// a server although it gets no other new flows, to find out whether it is back.
 	trialInterval = 250 * time.Millisecond
+	// trialPatience is how long an unresponsive server may get no trial, as peers send it no new
+	// flows, until its agent asks them for some.
+	trialPatience = 500 * time.Millisecond
 	// resetTimeout is how long a server must be unresponsive before the callers of its
 	// flows get a reset, if their service is idempotent.
 	resetTimeout = 400 * time.Millisecond
@@ -66,6 +69,17 @@
 	return m.isUnresponsive() && now.Sub(m.unresponsiveSince) >= resetTimeout
 }
 
+// recordServerStart records that the backend server has started again. What an earlier start has
+// left unanswered does not count against this one.
+func (m *responseMonitor) recordServerStart() { m.unresponsiveSince = time.Time{} }
+
+// isTrialMissing reports whether the backend server is unresponsive and has got no trial for
+// trialPatience since one was due. Only a packet of the server ends its being unresponsive, and if
+// it has no other flows, only a new flow makes it send one.
+func (m *responseMonitor) isTrialMissing(now time.Time) bool {
+	return m.isUnresponsive() && !now.Before(latest(m.unresponsiveSince, m.nextTrialAt).Add(trialPatience))
+}
+
 // isTrialDue reports whether a trial may be delivered now.
 func (m *responseMonitor) isTrialDue(now time.Time) bool { return !now.Before(m.nextTrialAt) }
 
@@ -89,6 +103,21 @@
 	return a.outliers.ejected && !a.responses.isUnresponsive() && !a.isPresumedRemoved()
 }
 
+// PeerState returns what the agent publishes about itself. Peers treat all causes of trials alike:
+// they send no new flows here. An agent whose server lacks a trial therefore publishes that it is
+// alive. It still hands over all new flows but the trial.
+func (a *Agent) PeerState(now time.Time) fleet.PeerState {
+	switch {
+	case a.draining:
+		return fleet.PeerLeaving
+	case !a.config.Carried || !a.IsTrialOnly():
+		return fleet.PeerAlive
+	case a.responses.isTrialMissing(now) && !a.outliers.ejected && !a.isPresumedRemoved():
+		return fleet.PeerAlive
+	}
+	return fleet.PeerServerUnresponsive
+}
+
 // isPresumedRemoved reports whether the backend server is presumed removed: it is not
 // listed, so that only its agent reports that it exists, and it has bounced
 // maxBouncedOpenings opening packets in a row.
--- a/internal/core/agent/response_test.go
+++ b/internal/core/agent/response_test.go
@@ -33,6 +33,58 @@
 	require.IsType(t, &Deliver{}, a.Receive(late, receivedPacket(4003, flow.Opening, 0)))
 }
 
+// All servers of a service miss an opening packet, as after a loss of power from which they return
+// later than their agents. Guards against a service that is refused for good because peers send its
+// servers no new flows and nothing else makes them send a packet.
+func TestServiceIsServedAgainAfterAllItsServersWereUnresponsive(t *testing.T) {
+	c := newTestCluster(t, 3)
+	publish := func(now time.Time, sequence uint64) *fleet.Target {
+		for id, a := range c.agents {
+			c.state.Peers().Merge(now, fleet.PeerRecord{ID: id, Incarnation: 1, Sequence: sequence, State: a.OwnState(now).State})
+		}
+		c.applyViewAt(now)
+		return c.state.View(now).Service(orders).Primary(flowOf(5000).Hash())
+	}
+	receive := func(now time.Time, id fleet.InstanceID, port uint16) Action {
+		packet := receivedPacket(port, flow.Opening, 0)
+		packet.Placed = true
+		return c.agents[id].Receive(now, packet)
+	}
+	for _, id := range c.ids() {
+		require.IsType(t, &Deliver{}, receive(settledAt, id, 4000))
+	}
+	unanswered := settledAt.Add(responseTimeout)
+	for _, a := range c.agents {
+		a.RetryOverdue(unanswered)
+	}
+	require.Nil(t, publish(unanswered, 1), "no server may get new flows while one has just been left unanswered")
+
+	later := settledAt.Add(trialPatience)
+	primary := publish(later, 2)
+	require.NotNil(t, primary, "a server must get new flows again")
+	require.IsType(t, &Deliver{}, receive(later, primary.ID(), 5000), "one opening packet must be delivered as a trial")
+	require.Equal(t, fleet.PeerServerUnresponsive, c.agents[primary.ID()].OwnState(later).State, "a second one must wait for the outcome of the trial")
+	require.IsType(t, &Forward{}, receive(later, primary.ID(), 5001))
+	c.agents[primary.ID()].HandleBackendPacket(later, flow.Reply{Flow: flowOf(5000), HandshakeToken: 9, IsHandshakeReply: true})
+	require.Equal(t, fleet.PeerAlive, c.agents[primary.ID()].OwnState(later).State)
+}
+
+// A server crashes and the platform lists its next start. Guards against a server that is kept
+// without new flows for what its earlier start has left unanswered.
+func TestServerThatHasStartedAgainIsNotUnresponsive(t *testing.T) {
+	c := newTestCluster(t, 2)
+	id := c.ids()[0]
+	c.setBoots(t, "first")
+	packet := receivedPacket(4000, flow.Opening, 0)
+	packet.Placed = true
+	c.agents[id].Receive(settledAt, packet)
+	late := settledAt.Add(responseTimeout)
+	c.agents[id].RetryOverdue(late)
+	require.Equal(t, fleet.PeerServerUnresponsive, c.agents[id].OwnState(late).State)
+	c.setBoots(t, "second")
+	require.Equal(t, fleet.PeerAlive, c.agents[id].OwnState(late).State)
+}
+
 // A backend server does not answer beyond the reset timeout. Callers may be made to repeat their
 // requests elsewhere only if requests are idempotent.
 func TestFlowsOfAnUnresponsiveServerAreResetOnlyIfIdempotent(t *testing.T) {
--- a/internal/daemon/carrier/carrier.go
+++ b/internal/daemon/carrier/carrier.go
@@ -86,12 +86,14 @@
 	// deliveredHeaders holds the headers of the packets delivered last, for those that the
 	// backend server bounces.
 	deliveredHeaders *headerRing
-	// wasTrialOnly is the value of core.IsTrialOnly that was published last. While it is
-	// true, the backend server gets no new flows except trials, since it is unresponsive,
-	// ejected or gone. Only the goroutine that runs maintain uses it.
-	wasTrialOnly bool
-	decisions    *operator.Decisions
-	heldPackets  *exchange.HeldPackets
+	// wasTrialOnly is the value of core.IsTrialOnly that was logged last. While it is true, the
+	// backend server gets no new flows except trials, since it is unresponsive, ejected or gone.
+	// publishedState is the state that was published last. Only the goroutine that runs
+	// maintain uses them.
+	wasTrialOnly   bool
+	publishedState fleet.PeerState
+	decisions      *operator.Decisions
+	heldPackets    *exchange.HeldPackets
 }
 
 // Run serves flows until ctx is done, then leaves: it takes no new flows and returns after
@@ -256,11 +258,12 @@
 
 // retryOverdue retries the new flows that the backend server has not answered in time on
 // other agents, as far as there is one and the retry budget allows it. It publishes the
-// agent's state when the backend server starts or stops being limited to trials.
+// agent's state when that changes, as when the backend server starts or stops being limited to
+// trials.
 func (c *Carrier) retryOverdue(now time.Time, handler *packetHandler) {
 	c.mu.Lock()
 	retries := c.core.RetryOverdue(now)
-	trialOnly, ejected := c.core.IsTrialOnly(), c.core.IsEjected()
+	trialOnly, ejected, state := c.core.IsTrialOnly(), c.core.IsEjected(), c.core.PeerState(now)
 	c.mu.Unlock()
 	for i := range retries {
 		handler.Resolve(&retries[i])
@@ -271,6 +274,9 @@
 	if trialOnly != c.wasTrialOnly {
 		c.wasTrialOnly = trialOnly
 		c.logger.WithField("silent", trialOnly).WithField("failing", ejected).Warn("backend server")
+	}
+	if state != c.publishedState {
+		c.publishedState = state
 		c.publishOwnState()
 	}
 }
