Search agents of servers that no service selects any more

Cause: a process without history searches all agents, as it does not know which servers a service selected before. It took them from the targets of the services in force, so that agents whose servers no service selects were neither searched nor probed, and the search counted as conclusive without them.

A view without history now holds all agents that are listed or answer after they departed.

Tests on the code before:

--- FAIL: TestFlowsAtServersThatNoServiceSelectsAreFoundAfterAllAgentsRestart Error: Object expected to be of type *agent.Deliver, but was *agent.Reset --- FAIL: TestNewcomerProbesAgentsThatNoServiceSelects Error: []fleet.InstanceID{...} does not contain 0xe80e3c0dc97301d6

--- a/internal/core/agent/owners.go
+++ b/internal/core/agent/owners.go
@@ -89,7 +89,7 @@
 	if !searchesAll {
 		return owners
 	}
-	for other := range a.view.Targets() {
+	for other := range a.view.Agents() {
 		if service.Target(other.ID()) == nil {
 			owners = append(owners, other)
 		}
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -139,6 +139,26 @@
 	}
 }
 
+// A route moves to another service, no other route names its earlier one, and then all agents are
+// killed at once. Guards against a search that leaves out the agents of servers that no service
+// selects any more, and against newcomers that do not probe them.
+func TestFlowsAtServersThatNoServiceSelectsAreFoundAfterAllAgentsRestart(t *testing.T) {
+	c := newSharedCluster(t)
+	services, _, _ := c.state.Documents()
+	_, err := c.state.Apply(settledAt, &fleet.ServicesDocument{Revision: fleet.Revision{Number: 4}, Services: services.Services[:1]})
+	require.NoError(t, err)
+	c.applyViewAt(settledAt)
+	owner := c.openAtArchive(t, 4000)
+	c.selectApps(t, c.state, 5, "orders")
+	c.applyViewAt(settledAt)
+	c.restartWithoutHistory(t, c.ids())
+	for _, id := range c.ids() {
+		found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
+		require.IsType(t, &Deliver{}, action)
+		require.Equal(t, owner, found)
+	}
+}
+
 // The same must hold in a fleet of any size: the flow is found or, where the search of all agents
 // would cost too much, at least not denied. After a restart of everything hundreds of flows are
 // searched at once, and the datagrams that leave the service must stay within their limit.
--- a/internal/core/control/history_test.go
+++ b/internal/core/control/history_test.go
@@ -57,6 +57,20 @@
 	require.Len(t, newcomer.prober.near.peers, 67+68, "the former servers of orders are siblings whose reachability matters")
 }
 
+// An agent starts while no service selects some servers any more, on which flows may be open. Guards
+// against a search that waits for agents whose reachability the newcomer does not know.
+func TestNewcomerProbesAgentsThatNoServiceSelects(t *testing.T) {
+	const link = LinkID(1)
+	veteran := newProbedFleet(3)
+	joinsAt := epoch.Add(time.Second)
+	veteran.ApplyDocuments(joinsAt, selecting(2, "orders"))
+	newcomer := New(joinsAt, Config{Self: fleet.InstanceIDOf("orders-1"), Incarnation: 2, Role: fleet.RoleAgent, DataCentre: "north"}, rand.New(rand.NewPCG(2, 2)))
+	newcomer.HandleLinkUp(joinsAt, link, true)
+	exchange(joinsAt, veteran, newcomer, veteran.HandleLinkUp(joinsAt, link, false))
+	require.True(t, newcomer.View().LacksHistory(joinsAt))
+	require.Contains(t, newcomer.prober.near.peers, fleet.InstanceIDOf("patterns-1"))
+}
+
 // Versions follow each other quickly, and one process gets two of them as one change. Guards against
 // resets of the flows that others have placed by the version that it has not seen, once the agent
 // that owns them has restarted.
--- a/internal/core/control/probing.go
+++ b/internal/core/control/probing.go
@@ -7,11 +7,15 @@
 )
 
 // peersToProbe returns the peers whose reachability matters to this process, near and far: all
-// targets for a balancer, the siblings for an agent, and all targets for an agent that may not
-// know the former selectors of all services and so searches all agents for the owners of flows.
+// targets for a balancer, the siblings for an agent, and all agents for an agent that may not
+// know the former selectors of all services and so searches all of them for the owners of flows.
 func (c *Controller) peersToProbe(now time.Time) (near, far []fleet.InstanceID) {
 	targets := c.view.Targets()
-	if c.config.Role == fleet.RoleAgent && !c.view.LacksHistory(now) {
+	switch {
+	case c.config.Role != fleet.RoleAgent:
+	case c.view.LacksHistory(now):
+		targets = c.view.Agents()
+	default:
 		targets = c.view.Siblings(c.config.Self)
 	}
 	for target := range targets {
--- a/internal/core/fleet/newcomer.go
+++ b/internal/core/fleet/newcomer.go
@@ -52,6 +52,23 @@
 // not know the former selectors of all services.
 func lacksHistory(span time.Duration) bool { return span < formerLifetime }
 
+// agents returns a target for each agent among the nodes, ordered by ID: those that services select
+// and those that none selects any more, since either may own flows. It leaves out departed agents
+// that do not answer.
+func (s *State) agents(now time.Time, nodes map[InstanceID]*Node) []Target {
+	var agents []Target
+	for id, node := range nodes {
+		if node.role != RoleAgent || s.isDepartedAndUnreachable(id) {
+			continue
+		}
+		target := s.newTarget(node, now)
+		target.residual, target.accepting = true, false
+		agents = append(agents, target)
+	}
+	slices.SortFunc(agents, compareTargets)
+	return agents
+}
+
 // History returns the former selectors that this process knows.
 func (s *State) History(now time.Time) *SelectorHistory {
 	history := &SelectorHistory{Services: s.services.Revision, Span: s.HistorySpan(now)}
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -180,6 +180,9 @@
 		view.draining[dataCentre] = s.isDraining(now, dataCentre)
 	}
 	s.fillPools(now, view)
+	if view.LacksHistory(now) {
+		view.agents = s.agents(now, view.nodes)
+	}
 	view.membershipHash = hashMembership(view.onePerPool)
 	return view
 }
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -231,6 +231,9 @@
 	services []atomic.Pointer[RoutedService]
 	// onePerPool holds one service of each pool of targets.
 	onePerPool []*RoutedService
+	// agents holds all agents, ordered by ID, if this process may not know the former selectors
+	// of all services.
+	agents []Target
 	// nodes holds the listed and the departed nodes.
 	nodes map[InstanceID]*Node
 	// listedNodes holds the nodes that the platform lists.
@@ -314,6 +317,18 @@
 	return distinctTargets(v.onePerPool)
 }
 
+// Agents yields all agents that may own flows, of whatever service, if the view lacks history. It
+// yields none otherwise.
+func (v *View) Agents() iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		for i := range v.agents {
+			if !yield(&v.agents[i]) {
+				return
+			}
+		}
+	}
+}
+
 // Siblings yields the other targets of the services that an instance is a target of, each once.
 func (v *View) Siblings(id InstanceID) iter.Seq[*Target] {
 	var shared []*RoutedService
