Reset a flow only with the proof that no agent owns it

Cause: the list of agents that a packet had visited was taken for a list of agents that had denied its flow. A process that has just started neither knows the former selectors nor searched others for a relayed packet; it found everybody it knew of in that list and reset the flow, 15 ms after its start.

Visited only steers the search. Evidence isn't sent: the relay of a packet asks by itself.

--- a/docs/model/ownership.pml
+++ b/docs/model/ownership.pml
@@ -18,10 +18,15 @@
  *                settled or is older than the sender's)
  *   no revert:   the revision that an agent has applied never decreases
  *                (MUTATE_REVERT: an agent applies documents with an older revision)
+ *
+ * With MOVED_ROUTE another specification is compiled, that of carried flows beside a moved
+ * route. See there.
  */
 
 #define AGENTS 3
 #define NONE 255                /* no agent, or no token */
+
+#ifndef MOVED_ROUTE
 #define MAX_RETRANSMISSIONS 1   /* of the opening packet, after the first copy */
 #define ESTABLISHED_PACKETS 2   /* number that the caller sends */
 
@@ -294,3 +299,188 @@
 		run DocumentReceiver(0); run DocumentReceiver(1); run DocumentReceiver(2)
 	}
 }
+
+#else /* MOVED_ROUTE */
+
+/*
+ * Specification of the search for the owner of a carried flow, which a backend server holds
+ * from before its agent restarts. The flow is open at the server beside agent HOLDER, and its
+ * route has since moved to the servers beside agents 0 and 1. Agent 1 and HOLDER restart once
+ * each, at any time and in any order, also at the same moment. An agent that has restarted
+ * does not know that the route had another service before, until a peer that knows it says so.
+ * Agents learn late, or not at all, which of the others can be reached.
+ *
+ * Property: no agent resets the flow, which its server holds all the while. It is violated
+ * under each mutation, which script/model checks:
+ *   MUTATE_VISIT_PROVES:  an agent takes the agents that a packet has visited for ones that
+ *                         have denied the flow, and asks nobody but the selected agents about a
+ *                         relayed packet
+ *   MUTATE_SELECTED_ONLY: an agent that has restarted asks only agents whose servers are selected
+ *   MUTATE_EARLY_DENIAL:  an agent that has restarted denies the flows that it has not seen
+ */
+
+#define HOLDER 2
+#define PACKETS 2               /* number that the caller sends */
+#define BIT(agent) (1 << (agent))
+#define SELECTED (BIT(0) | BIT(1))
+#define ALL (SELECTED | BIT(HOLDER))
+
+/* Each agent's inbox has room for one packet: the bit set of the agents that it has visited, and
+ * whether it was relayed. */
+chan inbox[AGENTS] = [1] of { byte, bool };
+
+bool isUp[AGENTS];
+bool knowsFormer[AGENTS];       /* knows that the route had the service of HOLDER before */
+byte reachable[AGENTS];         /* bit set of the agents that this one takes for reachable */
+byte incarnation[AGENTS];
+
+/* send sends a packet to an agent. It is lost if the agent is away or its inbox is full, and the
+ * network may lose any packet. */
+inline send(to, packetVisited, packetRelayed) {
+	if
+	:: isUp[to] && nfull(inbox[to]) -> inbox[to]!packetVisited, packetRelayed
+	:: true -> skip
+	fi
+}
+
+/* possibleOwners sets result to the agents that may own the flow as far as an agent knows. One that
+ * does not know the former selectors of the route takes all agents for possible owners. */
+inline possibleOwners(agent, isRelayed, result) {
+	result = ALL;
+	if
+#ifdef MUTATE_SELECTED_ONLY
+	:: !knowsFormer[agent] -> result = SELECTED
+#endif
+#ifdef MUTATE_VISIT_PROVES
+	:: !knowsFormer[agent] && isRelayed -> result = SELECTED
+#endif
+	:: else
+	fi
+}
+
+/* ask asks another agent whether it owns the flow, and adds it to denied if it denies that. An agent
+ * denies a flow that its server has bounced. ask sets isOver if the flow is found, or if the agent
+ * gives no answer, so that the packet is dropped. */
+inline ask(other) {
+	if
+	:: !isUp[other] -> isOver = true
+	:: isUp[other] && other != HOLDER -> denied = denied | BIT(other)
+	:: isUp[other] && other == HOLDER ->
+#ifdef MUTATE_EARLY_DENIAL
+		if
+		:: incarnation[HOLDER] > 0 -> denied = denied | BIT(HOLDER)
+		:: else -> isOver = true
+		fi
+#else
+		isOver = true
+#endif
+	fi
+}
+
+/* conclude decides about a packet once all reachable agents that may own its flow have been asked.
+ * If one cannot be reached, the packet is relayed once through the third agent, or else dropped. If
+ * none is left, the agent resets the flow. */
+inline conclude() {
+	if
+	:: (owners & ~denied) != 0 && !relayed ->
+		if
+		:: (owners & ~denied & BIT(HOLDER)) != 0 -> other = 1 - id
+		:: else -> other = HOLDER
+		fi;
+		send(other, (visited | BIT(id)), true)
+	:: (owners & ~denied) != 0 && relayed -> skip
+	:: (owners & ~denied) == 0 -> assert(false) /* no reset */
+	fi;
+	isOver = true
+}
+
+/* Agent offers each packet to its server first. The server beside HOLDER takes it; another one bounces
+ * it, and the agent searches for the owner. The search ends if the agent restarts. */
+proctype Agent(byte id) {
+	byte visited, owners, denied, start, other;
+	bool relayed, isOver;
+end:
+	do
+	:: atomic {
+		inbox[id]?visited, relayed ->
+		start = incarnation[id];
+		isOver = (id == HOLDER);
+		denied = BIT(id);
+#ifdef MUTATE_VISIT_PROVES
+		denied = denied | visited
+#endif
+	};
+	do
+	:: atomic { isOver || incarnation[id] != start -> break }
+	:: atomic {
+		!isOver && incarnation[id] == start ->
+		possibleOwners(id, relayed, owners);
+		if
+		:: (owners & reachable[id] & ~denied & BIT(0)) != 0 -> ask(0)
+		:: (owners & reachable[id] & ~denied & BIT(1)) != 0 -> ask(1)
+		:: (owners & reachable[id] & ~denied & BIT(HOLDER)) != 0 -> ask(HOLDER)
+		:: (owners & reachable[id] & ~denied) == 0 -> conclude()
+		fi
+	}
+	od;
+	atomic { visited = 0; owners = 0; denied = 0; start = 0; other = 0; relayed = false; isOver = false }
+	od
+}
+
+/* Caller sends packets through a balancer that forwards each to a selected agent. */
+active proctype Caller() {
+	byte sent = 0;
+	do
+	:: sent < PACKETS -> atomic { send(0, 0, false); sent++ }
+	:: sent < PACKETS -> atomic { send(1, 0, false); sent++ }
+	:: sent == PACKETS -> break
+	od
+}
+
+/* Restart stops an agent, which loses the packet in its inbox, and starts it again. It then takes all
+ * others for reachable and knows no former selectors. */
+proctype Restart(byte id) {
+	byte visited;
+	bool relayed;
+	atomic {
+		isUp[id] = false;
+		incarnation[id]++;
+		if
+		:: nempty(inbox[id]) -> inbox[id]?visited, relayed
+		:: empty(inbox[id])
+		fi;
+		visited = 0; relayed = false
+	};
+	atomic { isUp[id] = true; knowsFormer[id] = false; reachable[id] = ALL }
+}
+
+/* Probe updates at any time what an agent believes of another one. */
+proctype Probe(byte id; byte other) {
+end:
+	do
+	:: atomic { isUp[id] && isUp[other] && (reachable[id] & BIT(other)) == 0 -> reachable[id] = reachable[id] | BIT(other) }
+	:: atomic { isUp[id] && !isUp[other] && (reachable[id] & BIT(other)) != 0 -> reachable[id] = reachable[id] & ~BIT(other) }
+	od
+}
+
+/* History tells an agent the former selectors of the route if another one knows them. */
+proctype History(byte id; byte other) {
+end:
+	do
+	:: atomic { isUp[id] && isUp[other] && knowsFormer[other] && !knowsFormer[id] -> knowsFormer[id] = true }
+	od
+}
+
+init {
+	atomic {
+		isUp[0] = true; isUp[1] = true; isUp[HOLDER] = true;
+		knowsFormer[0] = true; knowsFormer[1] = true; knowsFormer[HOLDER] = true;
+		reachable[0] = ALL; reachable[1] = ALL; reachable[HOLDER] = ALL;
+		run Agent(0); run Agent(1); run Agent(HOLDER);
+		run Restart(1); run Restart(HOLDER);
+		run Probe(0, 1); run Probe(0, HOLDER); run Probe(1, HOLDER);
+		run History(1, 0); run History(HOLDER, 0); run History(1, HOLDER)
+	}
+}
+
+#endif
--- a/internal/core/agent/action.go
+++ b/internal/core/agent/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is what the caller of the Agent must do with a packet: one of *Deliver, *Forward,
-// *Hold, *AwaitView, *Wait, *Deny, *Reset and *Drop.
+// *Hold, *AwaitView, *Wait, *Deny, *ReportSilence, *Reset and *Drop.
 type Action interface{ isAction() }
 
 // Deliver hands the packet to the backend server or, where flows are not carried, to the
@@ -83,6 +83,9 @@
 	DropViewUnsettled        Reason = "drop_view_unsettled"
 	// DropSearchLimit means that too many agents outside the service have been searched.
 	DropSearchLimit Reason = "drop_search_limit"
+	// DropSearchIncomplete means that an agent that may own the flow has given no answer although
+	// it can be reached.
+	DropSearchIncomplete Reason = "drop_search_incomplete"
 	// DropPollUnanswered means that some polled agents, one of which may own the flow, gave no
 	// answer.
 	DropPollUnanswered Reason = "drop_poll_unanswered"
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/core/ownership"
 )
 
 // Lifetimes of entries in the flow table.
@@ -133,6 +134,8 @@
 	// replied that they know all flows of their backend server and do not own this one
 	// are then in Visited.
 	LookedUp bool
+	// Evidence is what this process has learned about the owner of the flow. It is not sent.
+	Evidence ownership.Evidence
 	// Origin is the balancer that received the packet from the fabric, or zero if that is not
 	// known any more.
 	Origin fleet.InstanceID
@@ -146,7 +149,8 @@
 	Sender fleet.InstanceID
 	// FromAgent reports whether the sender is another agent, not a balancer.
 	FromAgent bool
-	// Visited lists the agents that the packet has visited. They do not own its flow.
+	// Visited lists the agents that the packet has visited, so that the search does not go there
+	// again. Unless agents terminate flows, it proves nothing about who owns the flow.
 	Visited []fleet.InstanceID
 }
 
@@ -284,6 +288,7 @@
 	// The actions are reused, so that deciding about a packet allocates nothing.
 	deliver Deliver
 	deny    Deny
+	silent  ReportSilence
 	hold    Hold
 
 	awaitView AwaitView
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -38,10 +38,10 @@
 	case stateHandedOver:
 		return a.receiveCarriedHandedOver(now, service, entry, received)
 	case statePending:
-		return a.search(now, service, received)
+		return a.receiveCarriedPending(now, service, received)
 	case stateHalfOpen:
 		if received.Packet.AcknowledgedToken() != entry.token {
-			return a.search(now, service, received)
+			return a.searchDenied(now, service, received)
 		}
 		entry.state = stateOpen
 		entry.openingPacket, entry.visited = nil, nil
@@ -73,7 +73,7 @@
 		return action
 	}
 	if a.knowsAllFlows(now) || a.denials.has(now, received.Packet.Flow()) {
-		return a.search(now, service, received)
+		return a.searchDenied(now, service, received)
 	}
 	if received.Polled {
 		return a.answerPoll(now, service, received)
@@ -81,27 +81,14 @@
 	return a.deliverSpeculatively()
 }
 
-// handleUnreachableCandidates decides about a packet when this agent cannot reach any of the
-// remaining candidates. An agent in a third data centre may have a path to them, so the
-// packet is relayed through one. If there is none or the packet was relayed already, and
-// requests of the service are idempotent, the caller gets a reset so that it can repeat its
-// request on a new flow. The packet is dropped if requests must not be repeated, since the
-// request may have been run and its answer may still come, or if an unreachable candidate may be
-// back soon.
-func (a *Agent) handleUnreachableCandidates(service *fleet.RoutedService, received *ReceivedPacket, step fleet.SearchStep) Action {
-	if !a.config.Carried {
-		return a.dropPacket(DropCandidateUnreachable)
-	}
-	if relay := service.RelayTarget(received.Packet.Flow().Hash(), a.config.DataCentre, step.SkippedDataCentre); relay != nil && !received.Relayed {
-		action := a.forwardTo(relay, "")
-		action.Relayed = true
-		return action
-	}
-	if step.SkippedReturning || !service.IsIdempotent() {
-		return a.dropPacket(DropCandidateUnreachable)
-	}
-	a.reset.Reason = ResetOwnerLost
-	return &a.reset
+// receiveCarriedPending decides about a packet of a flow whose opening packet the backend server has
+// not answered yet. It belongs to a flow with the same addresses and ports that is open elsewhere,
+// or here since before this process started.
+func (a *Agent) receiveCarriedPending(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
+	if a.knowsAllFlows(now) {
+		return a.searchDenied(now, service, received)
+	}
+	return a.search(now, service, received)
 }
 
 // deliverSpeculatively returns the action that delivers a packet although the backend server
@@ -212,7 +199,7 @@
 			}
 			a.forget(now, received.Packet.Flow(), entry)
 		}
-		return a.search(now, service, received)
+		return a.searchDenied(now, service, received)
 	}
 	if entry != nil {
 		a.forget(now, received.Packet.Flow(), entry)
@@ -342,11 +329,10 @@
 // reset only if the view was compared with the platform within this time.
 const maxViewAgeForReset = 2500 * time.Millisecond
 
-// isSearchConclusive reports whether a search of all candidates that found no owner proves
-// that no agent owns the flow. For carried flows a recent view is enough, because agents
-// that are no longer listed are candidates too and each backend server bounces packets of
-// flows that it does not hold. For other flows the view must be settled.
-func (a *Agent) isSearchConclusive(now time.Time) bool {
+// isViewTrusted reports whether the view can be trusted to name all agents that may own a flow. For
+// carried flows a recent view is enough, because agents that are no longer listed are candidates
+// too. For other flows the view must be settled.
+func (a *Agent) isViewTrusted(now time.Time) bool {
 	if a.config.Carried {
 		return now.Sub(a.viewConfirmedAt) <= maxViewAgeForReset
 	}
--- a/internal/core/agent/directory.go
+++ b/internal/core/agent/directory.go
@@ -88,17 +88,11 @@
 	}
 }
 
-// registrar is an agent that a flow was registered with. The incarnation is part of it
-// because an agent loses all registrations when it restarts.
-type registrar struct {
-	id          fleet.InstanceID
-	incarnation uint64
-}
-
 // registrationState is what the owner of a flow knows about its registrations. In the zero
 // value the flow is due for registration.
 type registrationState struct {
-	registrars [fleet.RegistrarCount]registrar
+	// registrars are processes, since an agent loses all registrations when it restarts.
+	registrars [fleet.RegistrarCount]fleet.Process
 	// dueAt is when the flow must next be registered with all its registrars.
 	dueAt time.Time
 	// membershipHash is Agent.membershipHash as of the choice of the registrars, or zero if
@@ -143,15 +137,15 @@
 		if target == nil || target.ID() == a.config.Self {
 			continue
 		}
-		next := registrar{target.ID(), target.Incarnation()}
+		next := target.Process()
 		if !renew && slices.Contains(registration.registrars[:], next) {
 			continue
 		}
 		registration.registrars[i] = next
-		if batch[next.id] == nil {
-			batch[next.id] = &Registration{Target: target}
+		if batch[next.ID] == nil {
+			batch[next.ID] = &Registration{Target: target}
 		}
-		batch[next.id].Flows = append(batch[next.id].Flows, hash)
+		batch[next.ID].Flows = append(batch[next.ID].Flows, hash)
 	}
 	registration.membershipHash = a.membershipHash
 	if renew {
@@ -163,7 +157,7 @@
 // registrars, since that registrar should have known the owner.
 func (r *registrationState) renewIfMissed(visited []fleet.InstanceID) {
 	for _, registrar := range r.registrars {
-		if registrar.id != 0 && slices.Contains(visited, registrar.id) {
+		if registrar.ID != 0 && slices.Contains(visited, registrar.ID) {
 			r.dueAt = time.Time{}
 		}
 	}
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -66,9 +66,11 @@
 	Flow flow.ID
 	// Owner is the agent that replied that it owns the flow, or nil if none did.
 	Owner *fleet.Target
-	// DeniedBy lists the agents that replied that they know all flows of their backend
+	// DeniedBy lists the processes that replied that they know all flows of their backend
 	// server and do not own this one, or whose server has bounced its packet.
-	DeniedBy []fleet.InstanceID
+	DeniedBy []fleet.Process
+	// SilentServers lists the agents that replied that their backend server does not respond.
+	SilentServers []fleet.InstanceID
 	// Claimed reports whether the owner was found by a poll, so that it has got the packets that
 	// were sent with it.
 	Claimed bool
@@ -86,7 +88,7 @@
 	queried bool
 	// awaiting lists the agents that were queried and have not replied.
 	awaiting []fleet.InstanceID
-	deniedBy []fleet.InstanceID
+	deniedBy []fleet.Process
 	// deadline is when the lookup ends without further replies.
 	deadline time.Time
 }
@@ -159,17 +161,17 @@
 
 // holdForLookup starts the lookup of a packet's flow, unless one is in progress, and reports
 // whether the packet is held for it. It reports false if the packet must be forwarded
-// instead: it was looked up or relayed already, maxLookups is reached, or there is no agent to
+// instead: it was looked up already, maxLookups is reached, or there is no agent to
 // query.
 func (a *Agent) holdForLookup(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) bool {
 	id := received.Packet.Flow()
-	if received.LookedUp || received.Relayed {
+	if received.LookedUp {
 		return false
 	}
 	if a.lookups.flows[id] != nil {
 		return true
 	}
-	if len(a.lookups.flows) >= maxLookups || !a.hasQueryTarget(now, service, received.Visited) {
+	if len(a.lookups.flows) >= maxLookups || !a.hasQueryTarget(now, service, a.evidence(received)) {
 		return false
 	}
 	a.lookups.flows[id] = &lookup{service: service.ID(), startedAt: now, deadline: now.Add(queryInterval + lookupTimeout)}
@@ -272,13 +274,13 @@
 
 // HandleOwnershipReply processes a reply to a query and returns the results of the lookups that
 // it ends. A reply to an unknown or expired round is ignored.
-func (a *Agent) HandleOwnershipReply(now time.Time, from fleet.InstanceID, reply OwnershipReply) []LookupResult {
+func (a *Agent) HandleOwnershipReply(now time.Time, from fleet.Process, reply OwnershipReply) []LookupResult {
 	round, found := a.lookups.rounds[reply.Round]
 	if !found {
 		return nil
 	}
 	if !reply.KnowsAllFlows {
-		a.lookups.unaware[from] = now.Add(unawarePeriod)
+		a.lookups.unaware[from.ID] = now.Add(unawarePeriod)
 	}
 	var results []LookupResult
 	for i, id := range round.flows {
@@ -297,15 +299,15 @@
 // recordReply records what one agent replied about one flow. The lookup ends with the first
 // agent that owns the flow, or when all agents have replied. recordReply reports false if the
 // lookup goes on.
-func (a *Agent) recordReply(now time.Time, id flow.ID, l *lookup, from fleet.InstanceID, owned, knowsAllFlows bool) (LookupResult, bool) {
-	at := slices.Index(l.awaiting, from)
+func (a *Agent) recordReply(now time.Time, id flow.ID, l *lookup, from fleet.Process, owned, knowsAllFlows bool) (LookupResult, bool) {
+	at := slices.Index(l.awaiting, from.ID)
 	if at < 0 {
 		return LookupResult{}, false
 	}
 	l.awaiting = slices.Delete(l.awaiting, at, at+1)
 	if owned {
 		if service := a.view.Service(l.service); service != nil {
-			return a.finishLookup(now, id, l, a.ownerTarget(now, service, from)), true
+			return a.finishLookup(now, id, l, a.ownerTarget(now, service, from.ID)), true
 		}
 	}
 	if knowsAllFlows {
@@ -349,7 +351,8 @@
 }
 
 // ResumeAfterLookup decides about a held packet after a lookup that found no owner. The caller
-// has added LookupResult.DeniedBy to the agents that the packet has visited.
+// has added LookupResult.DeniedBy to the agents that the packet has visited, and the answers to its
+// evidence.
 func (a *Agent) ResumeAfterLookup(now time.Time, received *ReceivedPacket) Action {
 	service := a.view.Service(received.Service)
 	if service == nil {
--- a/internal/core/agent/owners.go
+++ b/internal/core/agent/owners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
+	"github.com/radishmast/radishmast/internal/core/ownership"
 )
 
 // ownerLists holds, for the view in force, the agents that may own flows of each service that
@@ -41,7 +42,7 @@
 	}
 	var targets []*fleet.Target
 	for _, target := range owners {
-		if a.isLikelyToReply(target, nil) && a.isAware(now, target) {
+		if a.isLikelyToReply(target) && a.isAware(now, target) {
 			targets = append(targets, target)
 		}
 	}
@@ -55,17 +56,16 @@
 }
 
 // hasQueryTarget reports whether there is an agent to query for the owner of a flow that has
-// not been visited.
-func (a *Agent) hasQueryTarget(now time.Time, service *fleet.RoutedService, visited []fleet.InstanceID) bool {
+// given no answer yet.
+func (a *Agent) hasQueryTarget(now time.Time, service *fleet.RoutedService, evidence ownership.Evidence) bool {
 	return slices.ContainsFunc(a.possibleOwners(now, service), func(target *fleet.Target) bool {
-		return a.isLikelyToReply(target, visited) && a.isAware(now, target)
+		return a.isLikelyToReply(target) && a.isAware(now, target) && !evidence.HasAnswerOf(target.ID())
 	})
 }
 
-// isLikelyToReply reports whether a target is another agent that has not been visited, is
-// reachable and is not suspected.
-func (a *Agent) isLikelyToReply(target *fleet.Target, visited []fleet.InstanceID) bool {
-	return target.ID() != a.config.Self && target.IsReachable() && !target.IsSuspected() && !slices.Contains(visited, target.ID())
+// isLikelyToReply reports whether a target is another agent that is reachable and not suspected.
+func (a *Agent) isLikelyToReply(target *fleet.Target) bool {
+	return target.ID() != a.config.Self && target.IsReachable() && !target.IsSuspected()
 }
 
 // possibleOwners returns the agents that may own flows of a service: its targets and, if this
@@ -105,19 +105,20 @@
 	if received.Relayed {
 		return nil, true
 	}
-	for target := range a.outsidersToVisit(now, service, received) {
-		return target, a.outsiders.AllowN(now, 1)
+	for target := range a.likelyOutsiders(now, service) {
+		if !slices.Contains(received.Visited, target.ID()) {
+			return target, a.outsiders.AllowN(now, 1)
+		}
 	}
 	return nil, true
 }
 
-// outsidersToVisit yields the possible owners that are not targets of the service, have not been
-// visited and are likely to reply.
-func (a *Agent) outsidersToVisit(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) iter.Seq[*fleet.Target] {
-	visited := a.visitedWithSelf(received.Visited)
+// likelyOutsiders yields the possible owners that are not targets of the service and are likely to
+// reply.
+func (a *Agent) likelyOutsiders(now time.Time, service *fleet.RoutedService) iter.Seq[*fleet.Target] {
 	return func(yield func(*fleet.Target) bool) {
 		for _, target := range a.possibleOwners(now, service)[len(service.Targets()):] {
-			if a.isLikelyToReply(target, visited) && !yield(target) {
+			if a.isLikelyToReply(target) && !yield(target) {
 				return
 			}
 		}
--- a/internal/core/agent/poll.go
+++ b/internal/core/agent/poll.go
@@ -45,6 +45,12 @@
 
 func (*Deny) isAction() {}
 
+// ReportSilence is the action for a packet that came by a poll if the backend server of this agent
+// does not respond, so that it can neither deny nor claim the flow. The sender must be told.
+type ReportSilence struct{}
+
+func (*ReportSilence) isAction() {}
+
 // Poll names the agents to which the held packets of a flow must be sent now.
 type Poll struct {
 	Flow    flow.ID
@@ -57,8 +63,12 @@
 	// remaining lists the agents that have not been polled, in order.
 	remaining []fleet.InstanceID
 	// awaiting lists those that were polled last and have given no answer, silent those that
-	// were polled before, and deniedBy those that have denied the flow.
-	awaiting, silent, deniedBy []fleet.InstanceID
+	// were polled before.
+	awaiting, silent []fleet.InstanceID
+	// deniedBy lists the processes that have denied the flow, and silentServers the agents whose
+	// backend servers do not respond.
+	deniedBy      []fleet.Process
+	silentServers []fleet.InstanceID
 	// sends is how often those in awaiting have been polled.
 	sends int
 	// dueAt is when agents are polled next.
@@ -72,7 +82,7 @@
 func (p *pollState) advance(now time.Time) {
 	p.silent = append(p.silent, p.awaiting...)
 	count := maxPolled
-	if len(p.deniedBy)+len(p.silent) == 0 {
+	if len(p.deniedBy)+len(p.silent)+len(p.silentServers) == 0 {
 		count = firstPolled
 	}
 	count = min(count, len(p.remaining))
@@ -97,7 +107,7 @@
 // poll decides about a packet whose owner no registrar knows: it is held while the agents that may
 // own the flow are polled. poll returns nil if there are none, or if maxPolls is reached.
 func (a *Agent) poll(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	if !a.config.Carried || received.Relayed {
+	if !a.config.Carried {
 		return nil
 	}
 	id := received.Packet.Flow()
@@ -120,24 +130,20 @@
 	return &a.hold
 }
 
-// agentsToPoll returns the agents to poll for the owner of a packet's flow, in order: the
-// candidates that have not been visited or, if there are none and all could be reached, the agents
-// outside the service. It reports false if outsiderRate does not allow the latter.
+// agentsToPoll returns the agents to poll for the owner of a packet's flow, in order: the candidates
+// that have given no answer or, if there are none, the agents outside the service that have not.
+// It reports false if outsiderRate does not allow the latter.
 func (a *Agent) agentsToPoll(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) ([]fleet.InstanceID, bool) {
-	visited := a.visitedWithSelf(received.Visited)
-	skipped := false
 	agents := a.candidates(service, received.Origin).SearchOrder(received.Packet.Flow().Hash(), func(target *fleet.Target) bool {
-		if slices.Contains(visited, target.ID()) {
-			return false
-		}
-		skipped = skipped || !target.IsReachable()
-		return target.IsReachable()
+		return target.ID() != a.config.Self && target.IsReachable() && !received.Evidence.HasAnswerOf(target.ID())
 	})
-	if len(agents) > 0 || skipped {
+	if len(agents) > 0 {
 		return agents, true
 	}
-	for target := range a.outsidersToVisit(now, service, received) {
-		agents = append(agents, target.ID())
+	for target := range a.likelyOutsiders(now, service) {
+		if !received.Evidence.HasAnswerOf(target.ID()) {
+			agents = append(agents, target.ID())
+		}
 	}
 	return agents, len(agents) == 0 || a.outsiders.AllowN(now, len(agents))
 }
@@ -195,12 +201,29 @@
 
 // HandleDenial records that a polled agent does not own a flow. It returns the result if no agent
 // is left to poll. Otherwise more polls may be due.
-func (a *Agent) HandleDenial(now time.Time, from fleet.InstanceID, id flow.ID) []LookupResult {
+func (a *Agent) HandleDenial(now time.Time, from fleet.Process, id flow.ID) []LookupResult {
 	state := a.polls[id]
-	if state == nil || !state.forget(from) {
+	if state == nil || !state.forget(from.ID) {
 		return nil
 	}
 	state.deniedBy = append(state.deniedBy, from)
+	return a.continuePoll(now, id, state)
+}
+
+// HandleSilenceReport records that the backend server of a polled agent does not respond. It
+// returns the same as HandleDenial.
+func (a *Agent) HandleSilenceReport(now time.Time, from fleet.Process, id flow.ID) []LookupResult {
+	state := a.polls[id]
+	if state == nil || !state.forget(from.ID) {
+		return nil
+	}
+	state.silentServers = append(state.silentServers, from.ID)
+	return a.continuePoll(now, id, state)
+}
+
+// continuePoll takes the next agents to poll once all those polled last have answered. It returns
+// the result if none is left.
+func (a *Agent) continuePoll(now time.Time, id flow.ID, state *pollState) []LookupResult {
 	if len(state.awaiting) == 0 && state.giveUpAt.IsZero() {
 		state.advance(now)
 	}
@@ -208,11 +231,16 @@
 		return nil
 	}
 	delete(a.polls, id)
-	return []LookupResult{{Flow: id, DeniedBy: state.deniedBy}}
+	return []LookupResult{state.result(id)}
+}
+
+// result returns the result of a poll in which all agents have answered.
+func (p *pollState) result(id flow.ID) LookupResult {
+	return LookupResult{Flow: id, DeniedBy: p.deniedBy, SilentServers: p.silentServers}
 }
 
 // HandleClaim records that a polled agent owns a flow, and returns the result.
-func (a *Agent) HandleClaim(now time.Time, from fleet.InstanceID, id flow.ID) []LookupResult {
+func (a *Agent) HandleClaim(now time.Time, from fleet.Process, id flow.ID) []LookupResult {
 	state := a.polls[id]
 	if state == nil {
 		return nil
@@ -220,7 +248,7 @@
 	delete(a.polls, id)
 	result := LookupResult{Flow: id, Claimed: true}
 	if service := a.view.Service(state.service); service != nil {
-		result.Owner = a.ownerTarget(now, service, from)
+		result.Owner = a.ownerTarget(now, service, from.ID)
 	}
 	return []LookupResult{result}
 }
@@ -233,7 +261,7 @@
 	for id, state := range a.polls {
 		switch {
 		case state.isOver():
-			results = append(results, LookupResult{Flow: id, DeniedBy: state.deniedBy})
+			results = append(results, state.result(id))
 		case !state.giveUpAt.IsZero() && !now.Before(state.giveUpAt):
 			results = append(results, LookupResult{Flow: id, GivenUp: true})
 		default:
@@ -267,10 +295,10 @@
 
 // answerPoll decides about a packet that came by a poll and whose flow the backend server may
 // hold. The packet is delivered, and the flow claimed if the server does not bounce it. If the
-// callers of a silent server's flows are reset, the flow is denied.
+// callers of a silent server's flows are reset, the sender is told that the server is silent.
 func (a *Agent) answerPoll(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	if a.responses.isPastResetTimeout(now) && service.IsIdempotent() {
-		return &a.deny
+		return &a.silent
 	}
 	id := received.Packet.Flow()
 	if _, pending := a.pendingClaims[id]; !pending && len(a.pendingClaims) < maxPolls {
--- a/internal/core/fleet/candidates.go
+++ b/internal/core/fleet/candidates.go
@@ -292,14 +292,8 @@
 	// Next is the next candidate to visit, or nil if none is left.
 	Next *Target
 	// Skipped reports whether a candidate was skipped because this process cannot reach
-	// it. The search is then inconclusive, as that candidate may own the flow.
+	// it.
 	Skipped bool
-	// SkippedReturning reports whether a skipped candidate may be back soon: it is leaving, as
-	// it or the platform has announced, or has just started again.
-	SkippedReturning bool
-	// SkippedDataCentre is the data centre of the last candidate that was skipped, or
-	// empty if there is none.
-	SkippedDataCentre string
 }
 
 // NextCandidate returns the best reachable candidate that is not in visited: unsuspected
@@ -314,8 +308,6 @@
 		}
 		if !target.reachable {
 			step.Skipped = true
-			step.SkippedReturning = step.SkippedReturning || target.leaving || target.restarted
-			step.SkippedDataCentre = target.dataCentre
 			return false
 		}
 		return true
--- a/internal/core/fleet/peer.go
+++ b/internal/core/fleet/peer.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Weight is the relative speed of a backend server in quantised steps. Zero means that no
 // weight is known.
@@ -33,6 +36,15 @@
 	Labels     map[string]string
 }
 
+// Process is one start of an instance. An instance that restarts is another process.
+type Process struct {
+	ID          InstanceID
+	Incarnation uint64
+}
+
+// MaxIncarnation is higher than the incarnation of any process.
+const MaxIncarnation uint64 = math.MaxUint64
+
 // PeerRecord is what a process publishes about itself, or a suspicion that another
 // process publishes about it. The record with the higher (Incarnation, Sequence) wins. Of
 // two records with the same pair a suspicion wins, and only the peer itself can refute
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -46,6 +46,14 @@
 // Incarnation returns the agent's incarnation, or zero if it is not known yet.
 func (t *Target) Incarnation() uint64 { return t.incarnation }
 
+// Process returns the process of the agent that is known, with a zero incarnation if there is none
+// yet.
+func (t *Target) Process() Process { return Process{t.id, t.incarnation} }
+
+// MayReturn reports whether the agent may be back soon if it cannot be reached: it is leaving, as
+// it or the platform has announced, or has just started again.
+func (t *Target) MayReturn() bool { return t.leaving || t.restarted }
+
 // Weight returns the relative speed of the backend server.
 func (t *Target) Weight() Weight { return t.weight }
 
--- a/internal/daemon/exchange/awaiting.go
+++ b/internal/daemon/exchange/awaiting.go
@@ -7,6 +7,7 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/core/ownership"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -27,11 +28,11 @@
 
 // awaitRevision holds a copy of a packet until the view has a revision. It reports false, and
 // holds nothing, if too many packets wait. It is called with Config.Mutex held.
-func (h *HeldPackets) awaitRevision(now time.Time, header *datagram.Header, packet flow.Packet, revision fleet.Revision) bool {
+func (h *HeldPackets) awaitRevision(now time.Time, header *datagram.Header, packet flow.Packet, evidence ownership.Evidence, revision fleet.Revision) bool {
 	if len(h.awaiting) >= maxAwaiting {
 		return false
 	}
-	h.awaiting = append(h.awaiting, awaitingPacket{copyPacket(header, packet.Bytes()), revision, now.Add(maxRevisionWait)})
+	h.awaiting = append(h.awaiting, awaitingPacket{copyPacket(header, packet.Bytes(), evidence), revision, now.Add(maxRevisionWait)})
 	h.notify()
 	return true
 }
@@ -63,7 +64,10 @@
 	waiting := len(d.HeldPackets.awaiting) > 0
 	d.Mutex.Unlock()
 	for i := range ready {
-		d.Dispatch(now, &ready[i].header, ready[i].body, d.Core.ResumeAfterLookup)
+		d.Dispatch(now, &ready[i].header, ready[i].body, func(now time.Time, received *core.ReceivedPacket) core.Action {
+			received.Evidence = ready[i].evidence
+			return d.Core.ResumeAfterLookup(now, received)
+		})
 	}
 	if len(ready) > 0 {
 		d.Delivery.Flush()
--- a/internal/daemon/exchange/dispatcher.go
+++ b/internal/daemon/exchange/dispatcher.go
@@ -98,6 +98,8 @@
 		d.handlePollAnswer(header, body, d.Core.HandleDenial)
 	case datagram.OwnershipClaim:
 		d.handlePollAnswer(header, body, d.Core.HandleClaim)
+	case datagram.ServerSilence:
+		d.handlePollAnswer(header, body, d.Core.HandleSilenceReport)
 	default:
 		d.Counters.Add("drop_unexpected_kind", 1)
 	}
@@ -178,28 +180,22 @@
 	d.Core.RecordViewConfirmed(d.Node.ConfirmedAt())
 	switch action := decide(now, &d.received).(type) {
 	case *core.Deliver:
-		wantsHint, opens, claims := action.SendHint, action.Opens, action.Claims
+		deliverAction := *action
 		tag := d.Delivery.AssignTag(header)
 		d.Mutex.Unlock()
-		d.deliver(packet, tag, opens)
-		if wantsHint {
-			d.sendHint(header)
-		}
-		if claims {
-			d.answerPoll(datagram.OwnershipClaim, d.received.Sender, packet.Flow())
-		}
+		d.executeDeliver(header, packet, tag, &deliverAction)
 	case *core.Forward:
 		forwardAction := *action
 		d.Mutex.Unlock()
 		d.forward(header, &forwardAction)
 	case *core.Hold:
-		held := d.HeldPackets.add(header, packet)
+		held := d.HeldPackets.add(header, packet, d.received.Evidence)
 		d.Mutex.Unlock()
 		if !held {
 			d.Counters.Add("drop_lookup_full", 1)
 		}
 	case *core.AwaitView:
-		held := d.HeldPackets.awaitRevision(now, header, packet, action.Revision)
+		held := d.HeldPackets.awaitRevision(now, header, packet, d.received.Evidence, action.Revision)
 		d.Mutex.Unlock()
 		if !held {
 			d.dropStale(1)
@@ -207,6 +203,9 @@
 	case *core.Deny:
 		d.Mutex.Unlock()
 		d.answerPoll(datagram.OwnershipDenial, d.received.Sender, packet.Flow())
+	case *core.ReportSilence:
+		d.Mutex.Unlock()
+		d.answerPoll(datagram.ServerSilence, d.received.Sender, packet.Flow())
 	case *core.Wait:
 		d.Mutex.Unlock()
 		d.recordWait(action)
@@ -222,6 +221,17 @@
 	}
 }
 
+// executeDeliver delivers the current packet and sends the hint and the claim that the core wants.
+func (d *Dispatcher) executeDeliver(header *datagram.Header, packet flow.Packet, tag uint32, action *core.Deliver) {
+	d.deliver(packet, tag, action.Opens)
+	if action.SendHint {
+		d.sendHint(header)
+	}
+	if action.Claims {
+		d.answerPoll(datagram.OwnershipClaim, d.received.Sender, packet.Flow())
+	}
+}
+
 // deliver delivers the current packet. Of all packets it logs only the opening ones.
 func (d *Dispatcher) deliver(packet flow.Packet, tag uint32, opens bool) {
 	if packet.Kind() == flow.Opening {
--- a/internal/daemon/exchange/exchange.go
+++ b/internal/daemon/exchange/exchange.go
@@ -14,6 +14,7 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/core/ownership"
 	"github.com/radishmast/radishmast/internal/daemon/node"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
 )
@@ -33,6 +34,7 @@
 	received.LookedUp = header.Flags&datagram.LookedUp != 0
 	received.Polled = header.Flags&datagram.Polled != 0
 	received.Waited = header.Flags&datagram.Waited != 0
+	received.Evidence = ownership.Evidence{}
 	received.Sender = fleet.InstanceID(header.From)
 	received.FromAgent = header.From != header.Origin
 	received.Visited = received.Visited[:0]
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -11,6 +11,7 @@
 	core "github.com/radishmast/radishmast/internal/core/agent"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/core/ownership"
 	"github.com/radishmast/radishmast/internal/link/clock"
 	"github.com/radishmast/radishmast/internal/link/operator"
 	"github.com/radishmast/radishmast/internal/wire/datagram"
@@ -27,6 +28,8 @@
 	body []byte
 	// polled reports whether copies of the packet have been sent to the agents polled last.
 	polled bool
+	// evidence is what this process has learned about the owner of the flow so far.
+	evidence ownership.Evidence
 }
 
 // HeldPackets holds packets while the owners of their flows are looked up, those that arrive
@@ -52,9 +55,10 @@
 	}
 }
 
-// copyPacket returns a copy of a packet and its header.
-func copyPacket(header *datagram.Header, body []byte) heldPacket {
-	held := heldPacket{header: *header, body: bytes.Clone(body)}
+// copyPacket returns a copy of a packet and its header, with the evidence about the owner of its
+// flow.
+func copyPacket(header *datagram.Header, body []byte, evidence ownership.Evidence) heldPacket {
+	held := heldPacket{header: *header, body: bytes.Clone(body), evidence: evidence}
 	held.header.Visited = append([]uint64(nil), header.Visited...)
 	return held
 }
@@ -69,12 +73,12 @@
 
 // add stores a copy of a packet and wakes RunLookups. It reports false, and stores nothing,
 // if maxHeldPerFlow packets of the flow already wait. It is called with Config.Mutex held.
-func (h *HeldPackets) add(header *datagram.Header, packet flow.Packet) bool {
+func (h *HeldPackets) add(header *datagram.Header, packet flow.Packet, evidence ownership.Evidence) bool {
 	waiting := h.byFlow[packet.Flow()]
 	if len(waiting) >= maxHeldPerFlow {
 		return false
 	}
-	h.byFlow[packet.Flow()] = append(waiting, copyPacket(header, packet.Bytes()))
+	h.byFlow[packet.Flow()] = append(waiting, copyPacket(header, packet.Bytes(), evidence))
 	h.notify()
 	return true
 }
@@ -109,7 +113,7 @@
 		return
 	}
 	d.Mutex.Lock()
-	held := d.HeldPackets.early.Add(now, packet, func() heldPacket { return copyPacket(header, body) })
+	held := d.HeldPackets.early.Add(now, packet, func() heldPacket { return copyPacket(header, body, ownership.Evidence{}) })
 	d.Mutex.Unlock()
 	if !held {
 		d.Counters.Add("drop_view_expired", 1)
@@ -243,6 +247,11 @@
 	d.sendControl(&replyHeader, reply, to)
 }
 
+// senderProcess returns the process that sent a datagram.
+func senderProcess(header *datagram.Header) fleet.Process {
+	return fleet.Process{ID: fleet.InstanceID(header.From), Incarnation: header.FromIncarnation}
+}
+
 // handleOwnershipReply processes another agent's reply to an ownership query, and resumes
 // the packets of the flows whose lookups it ends. A reply that cannot be decoded is dropped
 // and counted.
@@ -254,7 +263,7 @@
 	}
 	d.Mutex.Lock()
 	now := clock.Now()
-	results := d.Core.HandleOwnershipReply(now, fleet.InstanceID(header.From), reply)
+	results := d.Core.HandleOwnershipReply(now, senderProcess(header), reply)
 	d.Mutex.Unlock()
 	d.resume(now, results)
 }
@@ -308,13 +317,15 @@
 		for j := range packets {
 			header := &packets[j].header
 			header.Flags |= datagram.LookedUp
-			for _, id := range result.DeniedBy {
-				header.Visited = append(header.Visited, uint64(id))
+			for _, denier := range result.DeniedBy {
+				header.Visited = append(header.Visited, uint64(denier.ID))
 			}
+			evidence := packets[j].evidence.With(result.DeniedBy, result.SilentServers)
 			d.Dispatch(now, header, packets[j].body, func(now time.Time, received *core.ReceivedPacket) core.Action {
 				if result.Owner != nil {
 					return d.Core.ForwardToOwner(result.Owner)
 				}
+				received.Evidence = evidence
 				return d.Core.ResumeAfterLookup(now, received)
 			})
 		}
--- a/internal/daemon/exchange/polls.go
+++ b/internal/daemon/exchange/polls.go
@@ -74,7 +74,7 @@
 // handlePollAnswer passes a polled agent's answer about a flow to handle, resumes the flow's
 // packets if the poll is over, and sends the polls that are due. An answer that cannot be decoded
 // is dropped and counted.
-func (d *Dispatcher) handlePollAnswer(header *datagram.Header, body []byte, handle func(time.Time, fleet.InstanceID, flow.ID) []core.LookupResult) {
+func (d *Dispatcher) handlePollAnswer(header *datagram.Header, body []byte, handle func(time.Time, fleet.Process, flow.ID) []core.LookupResult) {
 	var id flow.ID
 	if copy(id[:], body) != len(id) || len(body) != len(id) {
 		d.Counters.Add("drop_undecodable", 1)
@@ -82,7 +82,7 @@
 	}
 	now := clock.Now()
 	d.Mutex.Lock()
-	results := handle(now, fleet.InstanceID(header.From), id)
+	results := handle(now, senderProcess(header), id)
 	d.Mutex.Unlock()
 	d.resume(now, results)
 	d.sendPolls(now)
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -68,6 +68,9 @@
 	// OwnershipClaim answers a polled packet whose flow the sender owns. The body holds the ID of
 	// the flow.
 	OwnershipClaim
+	// ServerSilence answers a polled packet if the backend server of the sender does not respond.
+	// The body holds the ID of the flow.
+	ServerSilence
 )
 
 // Flags describe what the sender of a caller's packet has decided or found out about it. The
@@ -125,8 +128,8 @@
 	// Reply is the endpoint, packed by PackEndpoint, to which the receiver sends a hint
 	// for a packet or the reply to an ownership query. With 0, no hint is sent.
 	Reply uint64
-	// Visited holds the instance IDs of the agents that do not own the flow of the packet.
-	// The search for the owner skips them.
+	// Visited holds the instance IDs of the agents that the packet has visited. The search for
+	// the owner of its flow skips them.
 	Visited []uint64
 }
 
