Reset flows of a silent server only while it leaves packets unanswered

Cause: the agent took its server for silent from the one packet on, for as long as the server sent nothing, and nothing was delivered that it could have answered.

Resets now need two packets or more that the server must answer, without a pause of over a second between them. Callers of a server that is gone still get resets: in a replay of ten seconds more than half of their packets.

Test on the code before:

--- FAIL: TestIdleFlowIsNotResetForALostOpeningPacket/6s Error: Object expected to be of type *agent.Deliver, but was *agent.Reset

TestFlowsOfAnUnresponsiveServerAreResetOnlyIfIdempotent and TestAgentOfASilentServerClaimsNoFlow counted an acknowledgement, to which no server replies, as unanswered; they now send requests.

--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -57,6 +57,7 @@
 	if received.Packet.PayloadSize() > 0 && entry.state == stateOpen {
 		a.recordRequest(now, service, entry, received.Packet)
 	}
+	a.responses.recordDelivery(now, received.Packet)
 	a.deliverPacket(received)
 	a.deliver.SendHint = a.deliver.SendHint || opened
 	return &a.deliver
@@ -78,7 +79,7 @@
 	if received.Polled {
 		return a.answerPoll(now, service, received)
 	}
-	return a.deliverSpeculatively()
+	return a.deliverSpeculatively(now, received)
 }
 
 // receiveCarriedPending decides about a packet of a flow whose opening packet the backend server has
@@ -93,7 +94,8 @@
 
 // deliverSpeculatively returns the action that delivers a packet although the backend server
 // may not hold its flow. It sends no hint.
-func (a *Agent) deliverSpeculatively() Action {
+func (a *Agent) deliverSpeculatively(now time.Time, received *ReceivedPacket) Action {
+	a.responses.recordDelivery(now, received.Packet)
 	a.deliver = Deliver{}
 	return &a.deliver
 }
@@ -108,7 +110,7 @@
 	}
 	target := handOverTarget(service, entry, received)
 	if target == nil {
-		return a.deliverSpeculatively()
+		return a.deliverSpeculatively(now, received)
 	}
 	return a.followHandOver(now, entry, target, false)
 }
--- a/internal/core/agent/poll.go
+++ b/internal/core/agent/poll.go
@@ -304,7 +304,7 @@
 	if _, pending := a.pendingClaims[id]; !pending && len(a.pendingClaims) < maxPolls {
 		a.pendingClaims[id] = pendingClaim{received.Sender, now}
 	}
-	return a.deliverSpeculatively()
+	return a.deliverSpeculatively(now, received)
 }
 
 // Claims returns the claims that are due. A server that has sent nothing since the packet was
--- a/internal/core/agent/poll_test.go
+++ b/internal/core/agent/poll_test.go
@@ -223,6 +223,8 @@
 	require.IsType(t, &Deliver{}, a.Receive(settledAt, opening))
 	a.RetryOverdue(settledAt.Add(responseTimeout))
 	packet.Evidence = ownership.Evidence{}
+	packet.Packet = packet.Packet.WithPayloadSize(300)
+	require.IsType(t, &Deliver{}, a.Receive(settledAt.Add(responseTimeout), packet))
 	require.IsType(t, &ReportSilence{}, a.Receive(settledAt.Add(resetTimeout), packet), "the agent can neither claim nor deny the flow")
 }
 
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -19,11 +19,42 @@
 	// trialPatience is how long an unresponsive server may get no trial, as peers send it no new
 	// flows, until its agent asks them for some.
 	trialPatience = 500 * time.Millisecond
-	// resetTimeout is how long a server must be unresponsive before the callers of its
-	// flows get a reset, if their service is idempotent.
+	// resetTimeout is how long a server must be silent before the callers of its flows get a
+	// reset, if their service is idempotent.
 	resetTimeout = 400 * time.Millisecond
+	// minUnanswered is the number of packets that it must have left unanswered by then, each
+	// delivered at least responseTimeout after the one before: a single one may have been lost.
+	minUnanswered = 2
+	// maxSilenceGap is the longest time between two such packets. After a longer one, what was left
+	// unanswered before says nothing about the server any more.
+	maxSilenceGap = time.Second
 )
 
+// silence counts the packets that the backend server has left unanswered in a row. The zero value
+// is no silence.
+type silence struct {
+	// since is when the first of them was delivered, and countedAt when the last one that counts
+	// was.
+	since, countedAt time.Time
+	count            int
+}
+
+// record records the delivery of a packet that the server must answer.
+func (s *silence) record(now time.Time) {
+	switch {
+	case s.count == 0 || now.Sub(s.countedAt) > maxSilenceGap:
+		*s = silence{since: now, countedAt: now, count: 1}
+	case now.Sub(s.countedAt) >= responseTimeout:
+		s.countedAt = now
+		s.count++
+	}
+}
+
+// isPastResetTimeout reports whether the silence lasts and is long enough for resets.
+func (s *silence) isPastResetTimeout(now time.Time) bool {
+	return s.count >= minUnanswered && now.Sub(s.countedAt) <= maxSilenceGap && now.Sub(s.since) >= resetTimeout
+}
+
 // responseMonitor tracks whether the backend server answers.
 type responseMonitor struct {
 	// lastResponseAt is when the server last sent or bounced a packet.
@@ -31,6 +62,7 @@
 	// unresponsiveSince is when the first opening packet was delivered that got no answer,
 	// or zero while the server answers.
 	unresponsiveSince time.Time
+	silence           silence
 	nextTrialAt       time.Time
 	// bouncedOpenings counts the opening packets that the server has bounced since it last
 	// accepted one.
@@ -51,27 +83,41 @@
 // recordOpening records that an opening packet was delivered.
 func (m *responseMonitor) recordOpening(now time.Time, id flow.ID, attempt Attempt) {
 	m.pendingOpenings = append(m.pendingOpenings, pendingOpening{id, attempt, now})
+	m.silence.record(now)
+}
+
+// recordDelivery records that a packet of an open flow was delivered. A server answers one that
+// carries payload.
+func (m *responseMonitor) recordDelivery(now time.Time, packet flow.Packet) {
+	if packet.PayloadSize() > 0 {
+		m.silence.record(now)
+	}
 }
 
 // recordResponse records that the backend server has sent or bounced a packet.
 func (m *responseMonitor) recordResponse(now time.Time) {
 	m.lastResponseAt = now
 	m.unresponsiveSince = time.Time{}
+	m.silence = silence{}
 }
 
 // isUnresponsive reports whether the backend server has left an opening packet unanswered
 // for responseTimeout and has sent nothing since.
 func (m *responseMonitor) isUnresponsive() bool { return !m.unresponsiveSince.IsZero() }
 
-// isPastResetTimeout reports whether the backend server has been unresponsive for
-// resetTimeout. A reset then lets callers repeat their requests on other servers.
+// isPastResetTimeout reports whether the backend server is unresponsive and has been silent for
+// resetTimeout. A reset then lets callers repeat their requests on other servers. Otherwise their
+// packets are delivered, which shows whether the server is back.
 func (m *responseMonitor) isPastResetTimeout(now time.Time) bool {
-	return m.isUnresponsive() && now.Sub(m.unresponsiveSince) >= resetTimeout
+	return m.isUnresponsive() && m.silence.isPastResetTimeout(now)
 }
 
 // recordServerStart records that the backend server has started again. What an earlier start has
 // left unanswered does not count against this one.
-func (m *responseMonitor) recordServerStart() { m.unresponsiveSince = time.Time{} }
+func (m *responseMonitor) recordServerStart() {
+	m.unresponsiveSince = time.Time{}
+	m.silence = silence{}
+}
 
 // isTrialMissing reports whether the backend server is unresponsive and has got no trial for
 // trialPatience since one was due. Only a packet of the server ends its being unresponsive, and if
--- a/internal/core/agent/response_test.go
+++ b/internal/core/agent/response_test.go
@@ -99,7 +99,9 @@
 		delivered := settledAt.Add(time.Millisecond)
 		a.Receive(delivered, packet)
 		a.RetryOverdue(delivered.Add(responseTimeout))
-		require.IsType(t, &Deliver{}, a.Receive(delivered.Add(responseTimeout), receivedPacket(4000, flow.Established, 77)))
+		request := receivedPacket(4000, flow.Established, 77)
+		request.Packet = request.Packet.WithPayloadSize(300)
+		require.IsType(t, &Deliver{}, a.Receive(delivered.Add(responseTimeout), request))
 		action := a.Receive(delivered.Add(resetTimeout), receivedPacket(4000, flow.Established, 77))
 		if idempotent {
 			require.Equal(t, &Reset{Reason: ResetServerSilent}, action)
@@ -109,6 +111,55 @@
 	}
 }
 
+// One opening packet is lost between an agent and its server in a quiet hour, and later an idle flow
+// is used again. Guards against a reset of the flow for what was left unanswered long before, and
+// against one for a single packet that was lost a moment ago.
+func TestIdleFlowIsNotResetForALostOpeningPacket(t *testing.T) {
+	for _, idle := range []time.Duration{resetTimeout, maxSilenceGap, 6 * time.Second} {
+		t.Run(idle.String(), func(t *testing.T) {
+			c := newTestCluster(t, 2)
+			c.setIdempotent(t, true)
+			c.applyView()
+			id := c.open(t, c.ids()[0], 4000)
+			a := c.agents[id]
+			opening := receivedPacket(4001, flow.Opening, 0)
+			opening.Placed = true
+			lostAt := settledAt.Add(time.Millisecond)
+			require.IsType(t, &Deliver{}, a.Receive(lostAt, opening))
+			a.RetryOverdue(lostAt.Add(responseTimeout))
+			usedAt := lostAt.Add(idle)
+			request := receivedPacket(4000, flow.Established, 77)
+			request.Packet = request.Packet.WithPayloadSize(300)
+			require.IsType(t, &Deliver{}, a.Receive(usedAt, request))
+			a.HandleBackendPacket(usedAt.Add(time.Millisecond), flow.Reply{Flow: flowOf(4000), PayloadSize: 1000})
+			require.False(t, a.IsTrialOnly(), "the server has answered")
+		})
+	}
+}
+
+// A server is gone for good. Its callers must get resets while packets are tried on it now and then.
+func TestFlowsOfASilentServerAreResetWhilePacketsGoUnanswered(t *testing.T) {
+	c := newTestCluster(t, 2)
+	c.setIdempotent(t, true)
+	c.applyView()
+	id := c.open(t, c.ids()[0], 4000)
+	a := c.agents[id]
+	opening := receivedPacket(4001, flow.Opening, 0)
+	opening.Placed = true
+	a.Receive(settledAt.Add(time.Millisecond), opening)
+	a.RetryOverdue(settledAt.Add(time.Millisecond + responseTimeout))
+	resets := 0
+	const period = 50 * time.Millisecond
+	for now := settledAt.Add(resetTimeout); now.Before(settledAt.Add(10 * time.Second)); now = now.Add(period) {
+		request := receivedPacket(4000, flow.Established, 77)
+		request.Packet = request.Packet.WithPayloadSize(300)
+		if _, reset := a.Receive(now, request).(*Reset); reset {
+			resets++
+		}
+	}
+	require.Greater(t, resets, int(10*time.Second/period)/2)
+}
+
 // A backend server answers no opening packet. Guards against retries that multiply the load.
 func TestRetriesOfUnansweredOpeningsAreLimitedToAShareOfFlows(t *testing.T) {
 	c := newTestCluster(t, 2)
