Move cold start, silence, retry budget and registrations out of core/agent

What depends on no other state of the agent is now in packages of its own: core/backend (cold start and silence of the backend server), core/retry (the retry budget), and core/ownership (registrations, and where packets were forwarded).

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -13,9 +13,11 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/radishmast/radishmast/internal/core/backend"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/core/ownership"
+	"github.com/radishmast/radishmast/internal/core/retry"
 )
 
 // Lifetimes of entries in the flow table.
@@ -235,7 +237,7 @@
 	// admission decides which waiting request gets a free slot.
 	admission *Admission
 	weight    weightLearner
-	slowStart slowStart
+	slowStart backend.SlowStart
 	responses responseMonitor
 	outliers  outlierDetector
 	// requestStats holds the statistics of the requests of each service.
@@ -252,10 +254,10 @@
 	reports map[fleet.InstanceID]siblingReport
 	// waitingSiblings holds the siblings at which requests wait by their latest report.
 	waitingSiblings map[fleet.InstanceID]struct{}
-	budget          retryBudget
+	budget          retry.Budget
 	// directory holds the flows that other agents have registered with this one.
-	directory      directory
-	forwardHistory forwardHistory
+	directory      ownership.Directory
+	forwardHistory ownership.ForwardHistory
 	lookups        lookups
 	// polls holds the polls in progress, and pendingClaims the claims that follow from those of
 	// other agents.
@@ -314,8 +316,8 @@
 		random:         random,
 		reports:        make(map[fleet.InstanceID]siblingReport),
 		requestStats:   make(map[fleet.ServiceID]*requestStats),
-		directory:      newDirectory(maxRegisteredPerFlow * config.MaxFlows),
-		forwardHistory: make(forwardHistory),
+		directory:      ownership.NewDirectory(maxRegisteredPerFlow * config.MaxFlows),
+		forwardHistory: make(ownership.ForwardHistory),
 		lookups:        newLookups(),
 		polls:          make(map[flow.ID]*pollState),
 		pendingClaims:  make(map[flow.ID]pendingClaim),
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -326,19 +326,6 @@
 	require.Equal(t, 1, load.Limit())
 }
 
-// Guards against retries that multiply the load when every flow fails.
-func TestRetryBudgetLimitsRetriesToAShareOfFlows(t *testing.T) {
-	var budget retryBudget
-	granted := 0
-	for range 1000 {
-		budget.deposit()
-		if budget.tryWithdraw() {
-			granted++
-		}
-	}
-	require.InDelta(t, 1000*depositPerFlow/retryCost+initialBalance/retryCost, granted, 1)
-}
-
 // Operators take a data centre out while a request is in progress. The flow may go on until the
 // grace period ends; new flows are dropped.
 func TestFlowInGracePeriodOutlivesItsDataCentre(t *testing.T) {
--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishmast/radishmast/internal/core/backend"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
@@ -178,7 +179,7 @@
 // Start records when the process of an agent for carried flows started, and assumes that its
 // backend server is cold.
 func (a *Agent) Start(startedAt time.Time) {
-	a.slowStart = newSlowStart(startedAt)
+	a.slowStart = backend.NewSlowStart(startedAt)
 	a.startedAt = startedAt
 }
 
@@ -197,7 +198,7 @@
 	if received.Packet.Kind() != flow.Opening {
 		if entry != nil && entry.state != stateHandedOver {
 			if entry.state == stateOpen && !entry.serverEnded {
-				a.slowStart.assumeCold(now)
+				a.slowStart.AssumeCold(now)
 			}
 			a.forget(now, received.Packet.Flow(), entry)
 		}
@@ -263,7 +264,7 @@
 // started. handedOver is the entry of a hand-over of the flow, or nil: two servers may have
 // answered its opening packet.
 func (a *Agent) recordEarlierFlow(handedOver *flowEntry) {
-	a.slowStart.clearAssumption()
+	a.slowStart.ClearAssumption()
 	if handedOver == nil {
 		a.hasAdoptedFlows, a.allFlowsKnown = true, false
 	}
@@ -298,7 +299,7 @@
 // longer than answerTimeout.
 func (a *Agent) SweepCarried(now time.Time) {
 	a.learnServerStart(now)
-	a.forwardHistory.sweep(now)
+	a.forwardHistory.Sweep(now)
 	a.denials.sweep(now)
 	a.sweepReporters(now)
 	for id, entry := range a.flows {
--- a/internal/core/agent/directory.go
+++ b/internal/core/agent/directory.go
@@ -16,9 +16,6 @@
 	// registrationDelay is the time between the opening of a flow and its registration. Most
 	// flows of a single request have ended by then and are never registered.
 	registrationDelay = 250 * time.Millisecond
-	// registrationLifetime is how long a registrar keeps a registration. It is longer than
-	// renewInterval, so that renewals keep it alive.
-	registrationLifetime = 90 * time.Second
 	// renewInterval is the time after which an owner registers a flow again.
 	renewInterval = 60 * time.Second
 	// maxRegisteredPerFlow is the number of registrations that an agent stores for other
@@ -28,51 +25,6 @@
 	maxRegistrationFlows = 128
 )
 
-// registeredOwner is the agent that has registered a flow as its own.
-type registeredOwner struct {
-	owner fleet.InstanceID
-	// expires is when the registration ends unless it is renewed.
-	expires time.Time
-}
-
-// directory holds the registrations that other agents have sent.
-type directory struct {
-	// flows maps the hash of a flow to its owner.
-	flows map[uint64]registeredOwner
-	// limit is the maximum number of registrations. Beyond it new flows are ignored.
-	limit int
-}
-
-// newDirectory returns an empty directory for at most limit registrations.
-func newDirectory(limit int) directory {
-	return directory{flows: make(map[uint64]registeredOwner), limit: limit}
-}
-
-// put stores or renews the registration of a flow. A new one is ignored if the directory is
-// full.
-func (d *directory) put(now time.Time, hash uint64, owner fleet.InstanceID) {
-	if _, known := d.flows[hash]; !known && len(d.flows) >= d.limit {
-		return
-	}
-	d.flows[hash] = registeredOwner{owner: owner, expires: now.Add(registrationLifetime)}
-}
-
-// owner returns the registered owner of a flow. It reports false if there is none or the
-// registration has expired.
-func (d *directory) owner(now time.Time, hash uint64) (fleet.InstanceID, bool) {
-	found, known := d.flows[hash]
-	return found.owner, known && now.Before(found.expires)
-}
-
-// sweep removes expired registrations.
-func (d *directory) sweep(now time.Time) {
-	for hash, entry := range d.flows {
-		if !now.Before(entry.expires) {
-			delete(d.flows, hash)
-		}
-	}
-}
-
 // Registration is a message that registers flows of this agent with a registrar.
 type Registration struct {
 	// Target is the registrar that the message is sent to.
@@ -84,7 +36,7 @@
 // StoreRegistrations stores that another agent owns flows, which are given by their hashes.
 func (a *Agent) StoreRegistrations(now time.Time, owner fleet.InstanceID, flows []uint64) {
 	for _, hash := range flows {
-		a.directory.put(now, hash, owner)
+		a.directory.Put(now, hash, owner)
 	}
 }
 
@@ -110,7 +62,7 @@
 // ones, those whose registrars may have changed, and those to renew. It also removes expired
 // registrations of other agents.
 func (a *Agent) Registrations(now time.Time) []Registration {
-	a.directory.sweep(now)
+	a.directory.Sweep(now)
 	batch := make(map[fleet.InstanceID]*Registration)
 	for id, entry := range a.flows {
 		if entry.state != stateOpen || entry.serverEnded || !entry.registration.isDue(now, a.membershipHash) {
@@ -167,7 +119,7 @@
 // owner, at most once per packet. It reports false if there is no registered owner that is
 // reachable and has not been visited.
 func (a *Agent) referToOwner(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) (Action, bool) {
-	owner, known := a.directory.owner(now, received.Packet.Flow().Hash())
+	owner, known := a.directory.Owner(now, received.Packet.Flow().Hash())
 	if !known || received.Referred || owner == a.config.Self || slices.Contains(received.Visited, owner) {
 		return nil, false
 	}
@@ -193,22 +145,10 @@
 		if target == nil || target.ID() == a.config.Self || slices.Contains(received.Visited, target.ID()) {
 			return nil
 		}
-		if !a.forwardHistory.isRetransmissionTo(now, received.Packet, target.ID()) {
-			a.forwardHistory.record(now, received.Packet, target.ID(), a.config.MaxFlows)
+		if !a.forwardHistory.IsRetransmissionTo(now, received.Packet, target.ID()) {
+			a.forwardHistory.Record(now, received.Packet, target.ID(), a.config.MaxFlows)
 			return target
 		}
 	}
 	return nil
 }
-
-// minRetransmissionInterval is the minimum time after which a packet with the same sequence
-// number counts as a retransmission.
-const minRetransmissionInterval = 100 * time.Millisecond
-
-// forwardedPacket records where a packet was forwarded to in the search for its flow's
-// owner.
-type forwardedPacket struct {
-	sequence uint32
-	next     fleet.InstanceID
-	at       time.Time
-}
--- a/internal/core/agent/directory_test.go
+++ b/internal/core/agent/directory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/core/ownership"
 )
 
 // exchangeRegistrations delivers the registrations that are due at all agents, and returns the
@@ -110,9 +111,9 @@
 	for hash := range uint64(10 * maxRegisteredPerFlow * a.config.MaxFlows) {
 		a.StoreRegistrations(settledAt, c.ids()[1], []uint64{hash})
 	}
-	require.Len(t, a.directory.flows, maxRegisteredPerFlow*a.config.MaxFlows)
-	a.Registrations(settledAt.Add(registrationLifetime))
-	require.Empty(t, a.directory.flows)
+	require.Equal(t, maxRegisteredPerFlow*a.config.MaxFlows, a.directory.Len())
+	a.Registrations(settledAt.Add(ownership.RegistrationLifetime))
+	require.Zero(t, a.directory.Len())
 }
 
 // A candidate fails and the failure is not detected yet. A retransmission of a packet that goes
--- a/internal/core/agent/explanation_test.go
+++ b/internal/core/agent/explanation_test.go
@@ -108,7 +108,7 @@
 		prepare: func(t *testing.T, c *testCluster, a *Agent) {
 			c.setSlowStart(t, 10, "boot", time.Second)
 			a.Start(settledAt.Add(-time.Second))
-			a.slowStart.setRate(settledAt.Add(-time.Second), 10)
+			a.slowStart.SetRate(settledAt.Add(-time.Second), 10)
 		},
 		want: []ExplainedDecision{{Outcome: OutcomeAccept, Reason: AcceptFreeSlot}},
 	},
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -115,7 +115,7 @@
 	switch {
 	case sibling == nil:
 		resolution.Action = &Reset{Reason: refuseReason}
-	case !a.budget.tryWithdraw():
+	case !a.budget.TryWithdraw():
 		resolution.Action = &Reset{Reason: RefuseRetryBudget}
 	default:
 		a.reassign(now, id, &resolution, sibling, retryReason)
@@ -163,11 +163,11 @@
 	a.setSiblings()
 	a.membershipHash = view.MembershipHash()
 	if backend := view.Backend(a.config.Self); backend != nil {
-		if a.slowStart.isOtherStart(backend) {
+		if a.slowStart.IsOtherStart(backend) {
 			a.forgetServiceTimes()
 			a.responses.recordServerStart()
 		}
-		a.slowStart.updateListing(backend)
+		a.slowStart.UpdateListing(backend)
 	}
 	a.removeStaleReports()
 	for id := range a.requestStats {
@@ -277,7 +277,7 @@
 // expired, which the caller must reset. It is for flows that are not carried; SweepCarried
 // is for carried ones.
 func (a *Agent) Sweep(now time.Time) []OwnedFlow {
-	a.forwardHistory.sweep(now)
+	a.forwardHistory.Sweep(now)
 	var expired []OwnedFlow
 	for id, entry := range a.flows {
 		if entry.expires.After(now) {
--- a/internal/core/agent/opening.go
+++ b/internal/core/agent/opening.go
@@ -20,7 +20,7 @@
 // into an action.
 func (a *Agent) applyPlacement(now time.Time, service *fleet.RoutedService, received *ReceivedPacket, decision placementDecision) Action {
 	if _, accepted := decision.(acceptance); accepted && a.config.Carried {
-		a.slowStart.setRate(now, service.ColdStartRate(a.config.Labels))
+		a.slowStart.SetRate(now, service.ColdStartRate(a.config.Labels))
 	}
 	switch v := a.settle(now, service, received, decision).(type) {
 	case handOver:
@@ -82,7 +82,7 @@
 		if a.ownedCount >= a.config.MaxFlows || a.closingCount >= maxClosingPerFlow*a.config.MaxFlows {
 			return discard{DropTableFull}
 		}
-		if a.config.Carried && !a.slowStart.allows(now, service.ColdStartRate(a.config.Labels)) {
+		if a.config.Carried && !a.slowStart.Allows(now, service.ColdStartRate(a.config.Labels)) {
 			return a.placeDuringSlowStart(now, service, received)
 		}
 	case postponement:
@@ -96,11 +96,11 @@
 // acceptFlow adds a new flow to the flow table and delivers its first packet.
 func (a *Agent) acceptFlow(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
 	if a.config.Carried {
-		a.slowStart.take(now, service.ColdStartRate(a.config.Labels))
+		a.slowStart.Take(now, service.ColdStartRate(a.config.Labels))
 	}
 	a.ownedCount++
 	a.lastAttempt++
-	a.budget.deposit()
+	a.budget.Deposit()
 	entry := &flowEntry{
 		attempt:            a.lastAttempt,
 		service:            service.ID(),
--- a/internal/core/agent/poll_test.go
+++ b/internal/core/agent/poll_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishmast/radishmast/internal/core/backend"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 	"github.com/radishmast/radishmast/internal/core/ownership"
@@ -225,7 +226,7 @@
 	packet.Evidence = ownership.Evidence{}
 	packet.Packet = packet.Packet.WithPayloadSize(300)
 	require.IsType(t, &Deliver{}, a.Receive(settledAt.Add(responseTimeout), packet))
-	require.IsType(t, &ReportSilence{}, a.Receive(settledAt.Add(resetTimeout), packet), "the agent can neither claim nor deny the flow")
+	require.IsType(t, &ReportSilence{}, a.Receive(settledAt.Add(backend.ResetTimeout), packet), "the agent can neither claim nor deny the flow")
 }
 
 // Agents that know nothing after a restart must not be queried for each of thousands of flows
--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/radishmast/radishmast/internal/core/backend"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
 )
@@ -12,49 +13,15 @@
 // their opening packets after 200 and 600 ms.
 const (
 	// responseTimeout is how long a server may take to answer an opening packet.
-	responseTimeout = 100 * time.Millisecond
+	responseTimeout = backend.ResponseTimeout
 	// trialInterval is the time between two trials: opening packets that are delivered to
 	// a server although it gets no other new flows, to find out whether it is back.
 	trialInterval = 250 * time.Millisecond
 	// trialPatience is how long an unresponsive server may get no trial, as peers send it no new
 	// flows, until its agent asks them for some.
 	trialPatience = 500 * time.Millisecond
-	// resetTimeout is how long a server must be silent before the callers of its flows get a
-	// reset, if their service is idempotent.
-	resetTimeout = 400 * time.Millisecond
-	// minUnanswered is the number of packets that it must have left unanswered by then, each
-	// delivered at least responseTimeout after the one before: a single one may have been lost.
-	minUnanswered = 2
-	// maxSilenceGap is the longest time between two such packets. After a longer one, what was left
-	// unanswered before says nothing about the server any more.
-	maxSilenceGap = time.Second
 )
 
-// silence counts the packets that the backend server has left unanswered in a row. The zero value
-// is no silence.
-type silence struct {
-	// since is when the first of them was delivered, and countedAt when the last one that counts
-	// was.
-	since, countedAt time.Time
-	count            int
-}
-
-// record records the delivery of a packet that the server must answer.
-func (s *silence) record(now time.Time) {
-	switch {
-	case s.count == 0 || now.Sub(s.countedAt) > maxSilenceGap:
-		*s = silence{since: now, countedAt: now, count: 1}
-	case now.Sub(s.countedAt) >= responseTimeout:
-		s.countedAt = now
-		s.count++
-	}
-}
-
-// isPastResetTimeout reports whether the silence lasts and is long enough for resets.
-func (s *silence) isPastResetTimeout(now time.Time) bool {
-	return s.count >= minUnanswered && now.Sub(s.countedAt) <= maxSilenceGap && now.Sub(s.since) >= resetTimeout
-}
-
 // responseMonitor tracks whether the backend server answers.
 type responseMonitor struct {
 	// lastResponseAt is when the server last sent or bounced a packet.
@@ -62,7 +29,7 @@
 	// unresponsiveSince is when the first opening packet was delivered that got no answer,
 	// or zero while the server answers.
 	unresponsiveSince time.Time
-	silence           silence
+	silence           backend.Silence
 	nextTrialAt       time.Time
 	// bouncedOpenings counts the opening packets that the server has bounced since it last
 	// accepted one.
@@ -83,14 +50,14 @@
 // recordOpening records that an opening packet was delivered.
 func (m *responseMonitor) recordOpening(now time.Time, id flow.ID, attempt Attempt) {
 	m.pendingOpenings = append(m.pendingOpenings, pendingOpening{id, attempt, now})
-	m.silence.record(now)
+	m.silence.Record(now)
 }
 
 // recordDelivery records that a packet of an open flow was delivered. A server answers one that
 // carries payload.
 func (m *responseMonitor) recordDelivery(now time.Time, packet flow.Packet) {
 	if packet.PayloadSize() > 0 {
-		m.silence.record(now)
+		m.silence.Record(now)
 	}
 }
 
@@ -98,7 +65,7 @@
 func (m *responseMonitor) recordResponse(now time.Time) {
 	m.lastResponseAt = now
 	m.unresponsiveSince = time.Time{}
-	m.silence = silence{}
+	m.silence = backend.Silence{}
 }
 
 // isUnresponsive reports whether the backend server has left an opening packet unanswered
@@ -109,14 +76,14 @@
 // resetTimeout. A reset then lets callers repeat their requests on other servers. Otherwise their
 // packets are delivered, which shows whether the server is back.
 func (m *responseMonitor) isPastResetTimeout(now time.Time) bool {
-	return m.isUnresponsive() && m.silence.isPastResetTimeout(now)
+	return m.isUnresponsive() && m.silence.IsPastResetTimeout(now)
 }
 
 // recordServerStart records that the backend server has started again. What an earlier start has
 // left unanswered does not count against this one.
 func (m *responseMonitor) recordServerStart() {
 	m.unresponsiveSince = time.Time{}
-	m.silence = silence{}
+	m.silence = backend.Silence{}
 }
 
 // isTrialMissing reports whether the backend server is unresponsive and has got no trial for
@@ -221,7 +188,7 @@
 	}
 	resolution := Resolution{Service: entry.service, Opening: entry.openingPacket, Visited: a.visitedWithSelf(entry.visited)}
 	target := a.alternativeTarget(now, a.candidates(service, 0), id, resolution.Visited)
-	if target == nil || !a.budget.tryWithdraw() {
+	if target == nil || !a.budget.TryWithdraw() {
 		return Resolution{}, false
 	}
 	a.forget(now, id, entry)
--- a/internal/core/agent/response_test.go
+++ b/internal/core/agent/response_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishmast/radishmast/internal/core/backend"
 	"github.com/radishmast/radishmast/internal/core/fleet"
 	"github.com/radishmast/radishmast/internal/core/flow"
+	"github.com/radishmast/radishmast/internal/core/retry"
 )
 
 // A backend server stops answering. New flows must be retried on another agent, and only trials
@@ -102,7 +104,7 @@
 		request := receivedPacket(4000, flow.Established, 77)
 		request.Packet = request.Packet.WithPayloadSize(300)
 		require.IsType(t, &Deliver{}, a.Receive(delivered.Add(responseTimeout), request))
-		action := a.Receive(delivered.Add(resetTimeout), receivedPacket(4000, flow.Established, 77))
+		action := a.Receive(delivered.Add(backend.ResetTimeout), receivedPacket(4000, flow.Established, 77))
 		if idempotent {
 			require.Equal(t, &Reset{Reason: ResetServerSilent}, action)
 		} else {
@@ -115,7 +117,7 @@
 // is used again. Guards against a reset of the flow for what was left unanswered long before, and
 // against one for a single packet that was lost a moment ago.
 func TestIdleFlowIsNotResetForALostOpeningPacket(t *testing.T) {
-	for _, idle := range []time.Duration{resetTimeout, maxSilenceGap, 6 * time.Second} {
+	for _, idle := range []time.Duration{backend.ResetTimeout, backend.MaxSilenceGap, 6 * time.Second} {
 		t.Run(idle.String(), func(t *testing.T) {
 			c := newTestCluster(t, 2)
 			c.setIdempotent(t, true)
@@ -150,7 +152,7 @@
 	a.RetryOverdue(settledAt.Add(time.Millisecond + responseTimeout))
 	resets := 0
 	const period = 50 * time.Millisecond
-	for now := settledAt.Add(resetTimeout); now.Before(settledAt.Add(10 * time.Second)); now = now.Add(period) {
+	for now := settledAt.Add(backend.ResetTimeout); now.Before(settledAt.Add(10 * time.Second)); now = now.Add(period) {
 		request := receivedPacket(4000, flow.Established, 77)
 		request.Packet = request.Packet.WithPayloadSize(300)
 		if _, reset := a.Receive(now, request).(*Reset); reset {
@@ -174,7 +176,7 @@
 		now = now.Add(responseTimeout)
 		retried += len(a.RetryOverdue(now))
 	}
-	require.LessOrEqual(t, retried, 90*depositPerFlow/retryCost+initialBalance/retryCost+1)
+	require.LessOrEqual(t, retried, 90*retry.DepositPerFlow/retry.Cost+retry.InitialBalance/retry.Cost+1)
 }
 
 // An agent restarts next to a backend server that was removed. The agent announces the
--- a/internal/core/agent/search.go
+++ b/internal/core/agent/search.go
@@ -143,12 +143,12 @@
 	if step.Next == nil {
 		return step
 	}
-	if a.forwardHistory.isRetransmissionTo(now, packet, step.Next.ID()) {
+	if a.forwardHistory.IsRetransmissionTo(now, packet, step.Next.ID()) {
 		other := candidates.NextCandidate(packet.Flow().Hash(), append(slices.Clone(visited), step.Next.ID()))
 		if other.Next != nil {
 			step = other
 		}
 	}
-	a.forwardHistory.record(now, packet, step.Next.ID(), a.config.MaxFlows)
+	a.forwardHistory.Record(now, packet, step.Next.ID(), a.config.MaxFlows)
 	return step
 }
--- a/internal/core/agent/slowstart_test.go
+++ b/internal/core/agent/slowstart_test.go
@@ -108,10 +108,10 @@
 	c.agents[id].Start(settledAt.Add(-time.Hour))
 	c.setSlowStart(t, 10, "boot 1", 0)
 	c.open(t, id, 4000)
-	require.True(t, c.agents[id].slowStart.allows(settledAt, 10))
+	require.True(t, c.agents[id].slowStart.Allows(settledAt, 10))
 	c.backends[id].open = make(map[flow.ID]bool)
 	c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-	require.True(t, c.agents[id].slowStart.isCold(settledAt))
+	require.True(t, c.agents[id].slowStart.IsCold(settledAt))
 }
 
 // An agent that has just started assumes that its backend server is cold. A packet of an older
@@ -122,9 +122,9 @@
 	c.open(t, id, 4000)
 	c.restart(id)
 	c.agents[id].Start(settledAt)
-	require.True(t, c.agents[id].slowStart.isCold(settledAt))
+	require.True(t, c.agents[id].slowStart.IsCold(settledAt))
 	c.agents[id].HandleBackendPacket(settledAt, flow.Reply{Flow: flowOf(4000), PayloadSize: 100})
-	require.False(t, c.agents[id].slowStart.isCold(settledAt))
+	require.False(t, c.agents[id].slowStart.IsCold(settledAt))
 }
 
 // Guards against the cold start of an earlier server that limits the new flows of its successor.
@@ -133,5 +133,5 @@
 	a := c.agents[c.ids()[0]]
 	c.setSlowStart(t, 1, "first", 10*time.Second)
 	c.setSlowStart(t, 1, "second", 0)
-	require.False(t, a.slowStart.isCold(settledAt))
+	require.False(t, a.slowStart.IsCold(settledAt))
 }
--- a/internal/core/agent/slowstart.go
+++ b/internal/core/backend/slowstart.go
@@ -1,4 +1,4 @@
-package agent
+package backend
 
 import (
 	"time"
@@ -14,17 +14,17 @@
 const (
 	// slowStartBurst is how many new flows may come at once.
 	slowStartBurst = 4
-	// assumedColdPeriod is how long an agent that has just started assumes that its server
+	// AssumedColdPeriod is how long an agent that has just started assumes that its server
 	// is cold, since both may have started together and the list of backend servers may
 	// still name the server's earlier start.
-	assumedColdPeriod = 3 * time.Second
+	AssumedColdPeriod = 3 * time.Second
 )
 
-// slowStart limits the rate of new flows to a backend server while it is in cold start, by
+// SlowStart limits the rate of new flows to a backend server while it is in cold start, by
 // a token bucket.
-type slowStart struct {
+type SlowStart struct {
 	limiter *rate.Limiter
-	// coldUntil is when the cold start ends, or zero. isCold first applies listedRemaining
+	// coldUntil is when the cold start ends, or zero. IsCold first applies listedRemaining
 	// to it.
 	coldUntil time.Time
 	// bootID identifies the start of the server that the list of backend servers named
@@ -33,23 +33,23 @@
 	// assumed reports that the server is assumed to be cold without being listed as cold.
 	assumed bool
 	// listedRemaining is how much longer the cold start lasts by the list of backend
-	// servers. isCold turns it into a deadline and sets it to zero.
+	// servers. IsCold turns it into a deadline and sets it to zero.
 	listedRemaining time.Duration
 }
 
-// newSlowStart returns the slow start of an agent that starts now. Its bucket is empty.
-func newSlowStart(now time.Time) slowStart {
+// NewSlowStart returns the slow start of an agent that starts now. Its bucket is empty.
+func NewSlowStart(now time.Time) SlowStart {
 	limiter := rate.NewLimiter(0, slowStartBurst)
 	// An earlier process of this agent may have just used its burst.
 	limiter.AllowN(now, slowStartBurst)
-	return slowStart{limiter: limiter, coldUntil: now.Add(assumedColdPeriod), assumed: true}
+	return SlowStart{limiter: limiter, coldUntil: now.Add(AssumedColdPeriod), assumed: true}
 }
 
-// updateListing records the entry of the backend server in the list. A changed boot ID
+// UpdateListing records the entry of the backend server in the list. A changed boot ID
 // means that the list now names another start of the server. The cold start of the earlier
-// one then ends, and isCold begins the listed one, if the list names any.
-func (s *slowStart) updateListing(backend *fleet.Backend) {
-	if s.isOtherStart(backend) {
+// one then ends, and IsCold begins the listed one, if the list names any.
+func (s *SlowStart) UpdateListing(backend *fleet.Backend) {
+	if s.IsOtherStart(backend) {
 		s.assumed = false
 		s.coldUntil, s.listedRemaining = time.Time{}, 0
 	}
@@ -57,30 +57,30 @@
 	s.bootID = backend.BootID
 }
 
-// isOtherStart reports whether the entry of the backend server names another start than the
+// IsOtherStart reports whether the entry of the backend server names another start than the
 // entry before.
-func (s *slowStart) isOtherStart(backend *fleet.Backend) bool {
+func (s *SlowStart) IsOtherStart(backend *fleet.Backend) bool {
 	return s.bootID != "" && s.bootID != backend.BootID
 }
 
-// assumeCold assumes that the backend server is cold, because it has lost its flows.
-func (s *slowStart) assumeCold(now time.Time) {
-	if !s.isCold(now) {
-		s.coldUntil = now.Add(assumedColdPeriod)
+// AssumeCold assumes that the backend server is cold, because it has lost its flows.
+func (s *SlowStart) AssumeCold(now time.Time) {
+	if !s.IsCold(now) {
+		s.coldUntil = now.Add(AssumedColdPeriod)
 		s.assumed = true
 	}
 }
 
-// clearAssumption ends a cold start that was only assumed, because the backend server still
+// ClearAssumption ends a cold start that was only assumed, because the backend server still
 // holds flows from before.
-func (s *slowStart) clearAssumption() {
+func (s *SlowStart) ClearAssumption() {
 	if s.assumed {
 		s.coldUntil, s.assumed = time.Time{}, false
 	}
 }
 
-// isCold reports whether the backend server is in cold start, listed or assumed.
-func (s *slowStart) isCold(now time.Time) bool {
+// IsCold reports whether the backend server is in cold start, listed or assumed.
+func (s *SlowStart) IsCold(now time.Time) bool {
 	if s.listedRemaining > 0 {
 		s.coldUntil = now.Add(s.listedRemaining)
 		s.listedRemaining, s.assumed = 0, false
@@ -88,26 +88,26 @@
 	return now.Before(s.coldUntil)
 }
 
-// allows reports whether one more new flow may be delivered. perSecond is the rate of new
+// Allows reports whether one more new flow may be delivered. perSecond is the rate of new
 // flows that the backend server can handle in cold start, or zero if that is not known; then
-// every flow is allowed. It changes nothing: the receiver is a copy, on which isCold may
+// every flow is allowed. It changes nothing: the receiver is a copy, on which IsCold may
 // begin the listed cold start.
-func (s slowStart) allows(now time.Time, perSecond float64) bool {
-	return perSecond == 0 || !s.isCold(now) || s.limiter.TokensAt(now) >= 1
+func (s SlowStart) Allows(now time.Time, perSecond float64) bool {
+	return perSecond == 0 || !s.IsCold(now) || s.limiter.TokensAt(now) >= 1
 }
 
-// setRate sets the rate at which tokens are added while the backend server is cold. It must be
-// called before take, and for new flows that are not delivered too, since tokens are added
+// SetRate sets the rate at which tokens are added while the backend server is cold. It must be
+// called before Take, and for new flows that are not delivered too, since tokens are added
 // from the first call on.
-func (s *slowStart) setRate(now time.Time, perSecond float64) {
-	if perSecond != 0 && s.isCold(now) && s.limiter.Limit() != rate.Limit(perSecond) {
+func (s *SlowStart) SetRate(now time.Time, perSecond float64) {
+	if perSecond != 0 && s.IsCold(now) && s.limiter.Limit() != rate.Limit(perSecond) {
 		s.limiter.SetLimitAt(now, rate.Limit(perSecond))
 	}
 }
 
-// take takes a token for a new flow that is delivered, if the backend server is cold.
-func (s *slowStart) take(now time.Time, perSecond float64) {
-	if perSecond != 0 && s.isCold(now) {
+// Take takes a token for a new flow that is delivered, if the backend server is cold.
+func (s *SlowStart) Take(now time.Time, perSecond float64) {
+	if perSecond != 0 && s.IsCold(now) {
 		s.limiter.AllowN(now, 1)
 	}
 }
