Do not pass a packet on to an agent that can say nothing about its flow

All agents that have answered now count as visited.

--- FAIL: TestFlowThatOnlyASilentServerMayHoldIsResetOnlyIfRepeatable expected: *agent.Reset(&agent.Reset{Reason:"reset_owner_lost"}) actual : *agent.Forward(...)

--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -96,9 +96,7 @@
 // does.
 func recordResult(packet *ReceivedPacket, result LookupResult) {
 	packet.LookedUp = true
-	for _, process := range result.DeniedBy {
-		packet.Visited = append(packet.Visited, process.ID)
-	}
+	packet.Visited = append(packet.Visited, result.Answered()...)
 	packet.Evidence = packet.Evidence.With(result.DeniedBy, result.SilentServers)
 }
 
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -58,7 +58,7 @@
 	OwnedIndices []uint16
 }
 
-// LookupResult is the result of the lookup of one flow.
+// LookupResult is the result of the lookup or the poll of one flow.
 type LookupResult struct {
 	Flow flow.ID
 	// Owner is the agent that replied that it owns the flow, or nil if none did.
@@ -307,8 +307,18 @@
 	return results
 }
 
+// Answered returns the agents that need not be visited any more: they have denied the flow, or can
+// say nothing about it.
+func (r *LookupResult) Answered() []fleet.InstanceID {
+	answered := slices.Clone(r.SilentServers)
+	for _, process := range r.DeniedBy {
+		answered = append(answered, process.ID)
+	}
+	return answered
+}
+
 // ResumeAfterLookup decides about a held packet after a lookup that found no owner. The caller
-// has added LookupResult.DeniedBy to the agents that the packet has visited, and the answers to its
+// has added LookupResult.Answered to the agents that the packet has visited, and the answers to its
 // evidence.
 func (a *Agent) ResumeAfterLookup(now time.Time, received *ReceivedPacket) Action {
 	service := a.view.Service(received.Service)
--- a/internal/core/agent/unowned_test.go
+++ b/internal/core/agent/unowned_test.go
@@ -137,3 +137,26 @@
 		require.Equal(t, want, a.ResumeAfterLookup(settledAt, packet))
 	}
 }
+
+// The server of the only other agent does not respond, so that the agent can say nothing about a
+// flow. Guards against a packet that is sent there again and again instead of a reset for its caller.
+func TestFlowThatOnlyASilentServerMayHoldIsResetOnlyIfRepeatable(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := newTestCluster(t, 2)
+		c.setIdempotent(t, idempotent)
+		c.applyView()
+		ids := c.ids()
+		a := c.agents[ids[0]]
+		packet := receivedPacket(4000, flow.Established, 77)
+		require.IsType(t, &Hold{}, c.lookUp(t, ids[0], packet))
+		a.Polls(settledAt)
+		results := a.HandleSilenceReport(settledAt, fleet.Process{ID: ids[1]}, flowOf(4000))
+		require.Len(t, results, 1)
+		recordResult(packet, results[0])
+		want := Action(&Drop{Reason: DropCandidateUnreachable})
+		if idempotent {
+			want = &Reset{Reason: ResetOwnerLost}
+		}
+		require.Equal(t, want, a.ResumeAfterLookup(settledAt, packet))
+	}
+}
--- a/internal/daemon/exchange/lookups.go
+++ b/internal/daemon/exchange/lookups.go
@@ -299,8 +299,8 @@
 
 // resume processes the held packets of flows whose lookups or polls have ended. They are dropped
 // and counted if the view has expired meanwhile. Otherwise a packet is forwarded to the flow's
-// owner. If none was found, the core decides again, and agents that denied owning the flow count as
-// visited. Agents that gave no answer are probed at once.
+// owner. If none was found, the core decides again, and agents that have answered count as visited.
+// Agents that gave no answer are probed at once.
 func (d *Dispatcher) resume(now time.Time, results []core.LookupResult) {
 	for i := range results {
 		result := &results[i]
@@ -317,8 +317,8 @@
 		for j := range packets {
 			header := &packets[j].header
 			header.Flags |= datagram.LookedUp
-			for _, denier := range result.DeniedBy {
-				header.Visited = append(header.Visited, uint64(denier.ID))
+			for _, id := range result.Answered() {
+				header.Visited = append(header.Visited, uint64(id))
 			}
 			evidence := packets[j].evidence.With(result.DeniedBy, result.SilentServers)
 			d.Dispatch(now, header, packets[j].body, func(now time.Time, received *core.ReceivedPacket) core.Action {
