--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -24,9 +24,7 @@
 			}
 		}
 		for _, id := range ids {
-			found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-			require.IsType(t, &Deliver{}, action)
-			require.Equal(t, owner, found)
+			c.requireFound(t, id, receivedPacket(4000, flow.Established, 77), owner)
 		}
 	})
 }
@@ -116,9 +114,7 @@
 			again.Placed = true
 			owner, _ := c.routePacket(t, ids[0], again)
 			require.Equal(t, ids[1], owner, "a new flow must go to the other agent")
-			found, action := c.routePacket(t, ids[1], receivedPacket(4000, flow.Established, 77))
-			require.IsType(t, &Deliver{}, action)
-			require.Equal(t, ids[0], found, "an open flow must stay with its owner")
+			c.requireFound(t, ids[1], receivedPacket(4000, flow.Established, 77), ids[0])
 		})
 	}
 }
--- a/internal/core/agent/cluster_test.go
+++ b/internal/core/agent/cluster_test.go
@@ -123,6 +123,14 @@
 	return 0, nil
 }
 
+// requireFound requires that a packet that comes to an agent is accepted by the backend server of its
+// owner.
+func (c *testCluster) requireFound(t require.TestingT, at fleet.InstanceID, packet *ReceivedPacket, owner fleet.InstanceID) {
+	found, action := c.routePacket(t, at, packet)
+	require.IsType(t, &Deliver{}, action)
+	require.Equal(t, owner, found)
+}
+
 // runPoll polls other agents with a held packet. It returns the agent whose backend server accepts
 // the packet and its action or, if all deny the flow, the agent at and the action that follows.
 func (c *testCluster) runPoll(t require.TestingT, at fleet.InstanceID, packet *ReceivedPacket) (fleet.InstanceID, Action) {
--- a/internal/core/agent/directory_test.go
+++ b/internal/core/agent/directory_test.go
@@ -39,9 +39,7 @@
 		owner := c.open(t, rapid.SampledFrom(ids).Draw(t, "entry"), 4000)
 		c.exchangeRegistrations(afterRegistration)
 		c.forwardCount = 0
-		found, action := c.routePacket(t, rapid.SampledFrom(ids).Draw(t, "other entry"), receivedPacket(4000, flow.Established, 77))
-		require.IsType(t, &Deliver{}, action)
-		require.Equal(t, owner, found)
+		c.requireFound(t, rapid.SampledFrom(ids).Draw(t, "other entry"), receivedPacket(4000, flow.Established, 77), owner)
 		require.LessOrEqual(t, c.forwardCount, 2, "at most one forward to a registrar and one to the owner")
 	})
 }
@@ -98,9 +96,7 @@
 			named := rapid.SampledFrom(ids).Draw(t, "named")
 			c.agents[id].StoreRegistrations(settledAt, named, []uint64{flowOf(4000).Hash()})
 		}
-		found, action := c.routePacket(t, rapid.SampledFrom(ids).Draw(t, "other entry"), receivedPacket(4000, flow.Established, 77))
-		require.IsType(t, &Deliver{}, action)
-		require.Equal(t, owner, found)
+		c.requireFound(t, rapid.SampledFrom(ids).Draw(t, "other entry"), receivedPacket(4000, flow.Established, 77), owner)
 	})
 }
 
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -118,9 +118,7 @@
 			c.restart(owner)
 			c.agents[owner].Start(epoch.Add(time.Second + age))
 			for _, id := range c.ids() {
-				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-				require.IsType(t, &Deliver{}, action)
-				require.Equal(t, owner, found)
+				c.requireFound(t, id, receivedPacket(4000, flow.Established, 77), owner)
 			}
 		})
 	}
--- a/internal/core/agent/routechange_test.go
+++ b/internal/core/agent/routechange_test.go
@@ -77,9 +77,7 @@
 			}
 			c.applyViewAt(settledAt)
 			for _, id := range c.ids() {
-				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-				require.IsType(t, &Deliver{}, action)
-				require.Equal(t, owner, found)
+				c.requireFound(t, id, receivedPacket(4000, flow.Established, 77), owner)
 				accepted, _ := c.routePacket(t, id, receivedPacket(4001, flow.Opening, 0))
 				require.NotContains(t, c.ids()[2:], accepted, "a new flow must not go to a server that is not selected")
 			}
@@ -112,9 +110,7 @@
 			c.agents[owner].ApplyView(fresh.View(settledAt))
 			c.agents[owner].Start(settledAt.Add(-time.Second))
 			for _, id := range c.ids() {
-				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-				require.IsType(t, &Deliver{}, action)
-				require.Equal(t, owner, found)
+				c.requireFound(t, id, receivedPacket(4000, flow.Established, 77), owner)
 			}
 		})
 	}
@@ -131,9 +127,7 @@
 			c.applyViewAt(settledAt)
 			c.restartWithoutHistory(t, c.ids()[:restarted])
 			for _, id := range c.ids() {
-				found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-				require.IsType(t, &Deliver{}, action)
-				require.Equal(t, owner, found)
+				c.requireFound(t, id, receivedPacket(4000, flow.Established, 77), owner)
 			}
 		})
 	}
@@ -153,9 +147,7 @@
 	c.applyViewAt(settledAt)
 	c.restartWithoutHistory(t, c.ids())
 	for _, id := range c.ids() {
-		found, action := c.routePacket(t, id, receivedPacket(4000, flow.Established, 77))
-		require.IsType(t, &Deliver{}, action)
-		require.Equal(t, owner, found)
+		c.requireFound(t, id, receivedPacket(4000, flow.Established, 77), owner)
 	}
 }
 
@@ -170,9 +162,7 @@
 			c.selectApps(t, c.state, 4, "orders")
 			c.applyViewAt(settledAt)
 			c.restartWithoutHistory(t, c.ids())
-			found, action := c.routePacket(t, c.ids()[0], receivedPacket(4000, flow.Established, 77))
-			require.IsType(t, &Deliver{}, action)
-			require.Equal(t, owner, found)
+			c.requireFound(t, c.ids()[0], receivedPacket(4000, flow.Established, 77), owner)
 
 			a := c.agents[c.ids()[0]]
 			var polled, dropped int
--- a/internal/core/agent/unowned_test.go
+++ b/internal/core/agent/unowned_test.go
@@ -64,9 +64,7 @@
 		c.agents[id].ApplyView(fresh.View(settledAt))
 		c.agents[id].Start(settledAt.Add(-time.Second))
 	}
-	found, action := c.routePacket(t, newcomer, receivedPacket(4000, flow.Established, 77))
-	require.IsType(t, &Deliver{}, action)
-	require.Equal(t, owner, found)
+	c.requireFound(t, newcomer, receivedPacket(4000, flow.Established, 77), owner)
 }
 
 // An agent restarts, and a late copy of the opening packet is handed over although the server holds
@@ -79,9 +77,7 @@
 	c.restart(owner)
 	c.agents[owner].recordHandOver(settledAt, orders, flowOf(4000), other)
 	for _, at := range c.ids() {
-		found, action := c.routePacket(t, at, receivedPacket(4000, flow.Established, 77))
-		require.IsType(t, &Deliver{}, action)
-		require.Equal(t, owner, found)
+		c.requireFound(t, at, receivedPacket(4000, flow.Established, 77), owner)
 	}
 }
 
