--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -48,6 +48,13 @@
 	return state
 }
 
+// requestPacket returns the packet of a request on the open flow of a caller's port.
+func requestPacket(port uint16) *ReceivedPacket {
+	packet := receivedPacket(port, flow.Established, 77)
+	packet.Packet = packet.Packet.WithPayloadSize(300)
+	return packet
+}
+
 // newAgents returns an agent for each of the given number of backend servers, and their view.
 func newAgents(t require.TestingT, targets int, placement Placement) (map[fleet.InstanceID]*Agent, *fleet.View) {
 	view := newState(t, targets).View(epoch)
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -199,8 +199,7 @@
 	a := c.agents[id]
 	c.open(t, id, 4000)
 	require.Equal(t, 1, a.load.Running(), "a new flow must count as a running request")
-	request := receivedPacket(4000, flow.Established, 77)
-	request.Packet = request.Packet.WithPayloadSize(300)
+	request := requestPacket(4000)
 	c.routePacket(t, id, request)
 	require.Equal(t, 1, a.load.Running())
 	a.HandleBackendPacket(settledAt, flow.Reply{Flow: flowOf(4000), PayloadSize: 1000})
--- a/internal/core/agent/response_test.go
+++ b/internal/core/agent/response_test.go
@@ -101,8 +101,7 @@
 		delivered := settledAt.Add(time.Millisecond)
 		a.Receive(delivered, packet)
 		a.RetryOverdue(delivered.Add(responseTimeout))
-		request := receivedPacket(4000, flow.Established, 77)
-		request.Packet = request.Packet.WithPayloadSize(300)
+		request := requestPacket(4000)
 		require.IsType(t, &Deliver{}, a.Receive(delivered.Add(responseTimeout), request))
 		action := a.Receive(delivered.Add(backend.ResetTimeout), receivedPacket(4000, flow.Established, 77))
 		if idempotent {
@@ -130,8 +129,7 @@
 			require.IsType(t, &Deliver{}, a.Receive(lostAt, opening))
 			a.RetryOverdue(lostAt.Add(responseTimeout))
 			usedAt := lostAt.Add(idle)
-			request := receivedPacket(4000, flow.Established, 77)
-			request.Packet = request.Packet.WithPayloadSize(300)
+			request := requestPacket(4000)
 			require.IsType(t, &Deliver{}, a.Receive(usedAt, request))
 			a.HandleBackendPacket(usedAt.Add(time.Millisecond), flow.Reply{Flow: flowOf(4000), PayloadSize: 1000})
 			require.False(t, a.IsTrialOnly(), "the server has answered")
@@ -153,8 +151,7 @@
 	resets := 0
 	const period = 50 * time.Millisecond
 	for now := settledAt.Add(backend.ResetTimeout); now.Before(settledAt.Add(10 * time.Second)); now = now.Add(period) {
-		request := receivedPacket(4000, flow.Established, 77)
-		request.Packet = request.Packet.WithPayloadSize(300)
+		request := requestPacket(4000)
 		if _, reset := a.Receive(now, request).(*Reset); reset {
 			resets++
 		}
