--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -48,9 +48,9 @@
 	return state
 }
 
-// requestPacket returns the packet of a request on the open flow of a caller's port.
-func requestPacket(port uint16) *ReceivedPacket {
-	packet := receivedPacket(port, flow.Established, 77)
+// requestPacket returns the packet of a request on the flow that tests open at port 4000.
+func requestPacket() *ReceivedPacket {
+	packet := receivedPacket(4000, flow.Established, 77)
 	packet.Packet = packet.Packet.WithPayloadSize(300)
 	return packet
 }
--- a/internal/core/agent/carried_test.go
+++ b/internal/core/agent/carried_test.go
@@ -199,7 +199,7 @@
 	a := c.agents[id]
 	c.open(t, id, 4000)
 	require.Equal(t, 1, a.load.Running(), "a new flow must count as a running request")
-	request := requestPacket(4000)
+	request := requestPacket()
 	c.routePacket(t, id, request)
 	require.Equal(t, 1, a.load.Running())
 	a.HandleBackendPacket(settledAt, flow.Reply{Flow: flowOf(4000), PayloadSize: 1000})
--- a/internal/core/agent/response_test.go
+++ b/internal/core/agent/response_test.go
@@ -101,7 +101,7 @@
 		delivered := settledAt.Add(time.Millisecond)
 		a.Receive(delivered, packet)
 		a.RetryOverdue(delivered.Add(responseTimeout))
-		request := requestPacket(4000)
+		request := requestPacket()
 		require.IsType(t, &Deliver{}, a.Receive(delivered.Add(responseTimeout), request))
 		action := a.Receive(delivered.Add(backend.ResetTimeout), receivedPacket(4000, flow.Established, 77))
 		if idempotent {
@@ -129,7 +129,7 @@
 			require.IsType(t, &Deliver{}, a.Receive(lostAt, opening))
 			a.RetryOverdue(lostAt.Add(responseTimeout))
 			usedAt := lostAt.Add(idle)
-			request := requestPacket(4000)
+			request := requestPacket()
 			require.IsType(t, &Deliver{}, a.Receive(usedAt, request))
 			a.HandleBackendPacket(usedAt.Add(time.Millisecond), flow.Reply{Flow: flowOf(4000), PayloadSize: 1000})
 			require.False(t, a.IsTrialOnly(), "the server has answered")
@@ -151,7 +151,7 @@
 	resets := 0
 	const period = 50 * time.Millisecond
 	for now := settledAt.Add(backend.ResetTimeout); now.Before(settledAt.Add(10 * time.Second)); now = now.Add(period) {
-		request := requestPacket(4000)
+		request := requestPacket()
 		if _, reset := a.Receive(now, request).(*Reset); reset {
 			resets++
 		}
