--- a/internal/core/agent/response.go
+++ b/internal/core/agent/response.go
@@ -73,7 +73,7 @@
 func (m *responseMonitor) isUnresponsive() bool { return !m.unresponsiveSince.IsZero() }
 
 // isPastResetTimeout reports whether the backend server is unresponsive and has been silent for
-// resetTimeout. A reset then lets callers repeat their requests on other servers. Otherwise their
+// backend.ResetTimeout. A reset then lets callers repeat their requests on other servers. Otherwise their
 // packets are delivered, which shows whether the server is back.
 func (m *responseMonitor) isPastResetTimeout(now time.Time) bool {
 	return m.isUnresponsive() && m.silence.IsPastResetTimeout(now)
