--- a/internal/core/agent/carried.go
+++ b/internal/core/agent/carried.go
@@ -74,7 +74,7 @@
 	if action, found := a.referToOwner(now, service, received); found && !received.Polled {
 		return action
 	}
-	if a.knowsAllFlows(now) || a.denials.has(now, received.Packet.Flow()) {
+	if a.KnowsAllFlows(now) || a.denials.has(now, received.Packet.Flow()) {
 		return a.searchDenied(now, service, received)
 	}
 	if received.Polled {
@@ -87,7 +87,7 @@
 // not answered yet. It belongs to a flow with the same addresses and ports that is open elsewhere,
 // or here since before this process started.
 func (a *Agent) receiveCarriedPending(now time.Time, service *fleet.RoutedService, received *ReceivedPacket) Action {
-	if a.knowsAllFlows(now) {
+	if a.KnowsAllFlows(now) {
 		return a.searchDenied(now, service, received)
 	}
 	return a.search(now, service, received)
--- a/internal/core/agent/lookup.go
+++ b/internal/core/agent/lookup.go
@@ -216,7 +216,7 @@
 
 // AnswerOwnershipQuery returns the reply to another agent's query.
 func (a *Agent) AnswerOwnershipQuery(now time.Time, round uint32, flows []flow.ID) OwnershipReply {
-	reply := OwnershipReply{Round: round, KnowsAllFlows: a.knowsAllFlows(now)}
+	reply := OwnershipReply{Round: round, KnowsAllFlows: a.KnowsAllFlows(now)}
 	for i, id := range flows {
 		entry := a.flows[id]
 		if entry == nil || entry.state == stateHandedOver {
--- a/internal/core/agent/lookup_test.go
+++ b/internal/core/agent/lookup_test.go
@@ -97,10 +97,10 @@
 			c := newTestCluster(t, 1)
 			a := c.agents[c.ids()[0]]
 			c.startAgents(settledAt)
-			require.False(t, a.knowsAllFlows(settledAt), "an agent cannot know all flows while the view has no start time")
+			require.False(t, a.KnowsAllFlows(settledAt), "an agent cannot know all flows while the view has no start time")
 			c.setBackendStarts(t, settledAt.Add(test.started))
-			require.Equal(t, test.knows, a.knowsAllFlows(settledAt.Add(2*time.Second)))
-			require.Equal(t, test.knows, a.knowsAllFlows(settledAt.Add(2*time.Hour)), "a start that was in the future must not count once the clock has passed it")
+			require.Equal(t, test.knows, a.KnowsAllFlows(settledAt.Add(2*time.Second)))
+			require.Equal(t, test.knows, a.KnowsAllFlows(settledAt.Add(2*time.Hour)), "a start that was in the future must not count once the clock has passed it")
 		})
 	}
 }
@@ -131,9 +131,9 @@
 	a := c.agents[c.ids()[0]]
 	c.startAgents(settledAt)
 	c.setBackendStarts(t, settledAt)
-	require.True(t, a.knowsAllFlows(settledAt))
+	require.True(t, a.KnowsAllFlows(settledAt))
 	a.HandleBackendPacket(settledAt, flow.Reply{Flow: flowOf(4000), PayloadSize: 10})
-	require.False(t, a.knowsAllFlows(settledAt))
+	require.False(t, a.KnowsAllFlows(settledAt))
 }
 
 // An agent does not reply to a query in time. The packet must then visit it, since it may own
--- a/internal/core/agent/serverstart.go
+++ b/internal/core/agent/serverstart.go
@@ -22,14 +22,14 @@
 	}
 }
 
-// knowsAllFlows reports whether this process knows every flow that can be open at its
+// KnowsAllFlows reports whether this process knows every flow that can be open at its
 // backend server. For carried flows that holds if the server started after this process, which
 // has then carried the opening packet of every flow. If the server started first, even by a
-// moment, an earlier process of this agent may have opened flows there. knowsAllFlows is false
+// moment, an earlier process of this agent may have opened flows there. KnowsAllFlows is false
 // while the view does not say when the server started, or if that was more than clockTolerance in
 // the future when this process learned of it. Once true it stays true, unless the server sends
 // packets of a flow that it held before.
-func (a *Agent) knowsAllFlows(now time.Time) bool {
+func (a *Agent) KnowsAllFlows(now time.Time) bool {
 	if !a.config.Carried || a.allFlowsKnown {
 		return true
 	}
@@ -41,7 +41,3 @@
 	a.allFlowsKnown = !start.startedAt.Before(a.startedAt) && start.startedAt.Before(start.learnedAt.Add(clockTolerance))
 	return a.allFlowsKnown
 }
-
-// KnowsAllFlows reports whether this process knows every flow that can be open at its backend
-// server, so that it may deny the others without asking the server.
-func (a *Agent) KnowsAllFlows(now time.Time) bool { return a.knowsAllFlows(now) }
