--- a/review/third/main.go
+++ b/review/third/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(s *system, trouble bool) (bool, error){
 	"clock-step":  runClockStep,
 	"cold-return": runColdReturn,
+	"odd-entry":   runOddEntry,
 }
 
 func main() { os.Exit(run()) }
