--- a/review/third/client.go
+++ b/review/third/client.go
@@ -101,11 +101,11 @@
 	}
 }
 
-// wasReset returns when the system reset the open flow. It reports false if it did not.
-func (f *clientFlow) wasReset() (time.Time, bool) {
+// wasReset reports whether the system reset the open flow.
+func (f *clientFlow) wasReset() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.resetAt, !f.resetAt.IsZero()
+	return !f.resetAt.IsZero()
 }
 
 // open opens a flow to a service.
@@ -150,8 +150,8 @@
 }
 
 // request sends a request on the open flow and returns the answer.
-func (f *clientFlow) request(text string, budget time.Duration) (string, error) {
-	deadline := time.After(budget)
+func (f *clientFlow) request(text string) (string, error) {
+	deadline := time.After(requestBudget)
 	interval := firstRetransmission
 	sequence := f.sequence
 	f.sequence += uint32(len(text))
--- a/review/third/clockstep.go
+++ b/review/third/clockstep.go
@@ -70,9 +70,9 @@
 		isHeld := m.current().holds(f.id)
 		text := fmt.Sprintf("later-request-%d", n)
 		s.record.add("client sends %s on its open flow %s, which target %s holds: %t", text, f.id.client, m.current().name, isHeld)
-		answered, err := f.request(text, requestBudget)
+		answered, err := f.request(text)
 		s.record.add("client gets %q, error %v", answered, err)
-		if _, wasReset := f.wasReset(); wasReset && isHeld {
+		if f.wasReset() && isHeld {
 			resets++
 		}
 	}
@@ -90,7 +90,7 @@
 		}
 		text := fmt.Sprintf("first-request-%d", n)
 		s.record.add("client sends %s", text)
-		answered, err := f.request(text, requestBudget)
+		answered, err := f.request(text)
 		s.record.add("client gets %q, error %v", answered, err)
 		if m.current().holds(f.id) {
 			flows = append(flows, f)
--- a/review/third/coldreturn.go
+++ b/review/third/coldreturn.go
@@ -103,7 +103,7 @@
 		c.record.add("client: %s never opened: %v", text, err)
 		return
 	}
-	answered, err := f.request(text, requestBudget)
+	answered, err := f.request(text)
 	if err != nil {
 		c.record.add("client: %s has no answer: %v", text, err)
 	} else {
--- a/review/third/oddentry.go
+++ b/review/third/oddentry.go
@@ -119,9 +119,9 @@
 	for n := 0; time.Now().Before(end); n++ {
 		text := fmt.Sprintf("%s-request-%d", name, n)
 		s.record.add("client sends %s", text)
-		answered, err := f.request(text, requestBudget)
+		answered, err := f.request(text)
 		s.record.add("client gets %q, error %v", answered, err)
-		if _, wasReset := f.wasReset(); wasReset {
+		if f.wasReset() {
 			return isHeld(s, members, f)
 		}
 		time.Sleep(requestPause)
