--- a/review/third/clockstep.go
+++ b/review/third/clockstep.go
@@ -24,7 +24,7 @@
 func runClockStep(s *system, trouble bool) (bool, error) {
 	const service = "campaign-desk"
 	s.seeds = []string{s.at(s.host(0, 1), s.ports.control).String()}
-	s.store.put("op/config", newDesiredState(s, service, "unsafe", 0))
+	s.store.put("op/config", newDesiredState(s, service, 0))
 	members, front, err := startDeployment(s, service, coldStart)
 	if err != nil {
 		return false, err
--- a/review/third/coldreturn.go
+++ b/review/third/coldreturn.go
@@ -25,7 +25,7 @@
 func runColdReturn(s *system, trouble bool) (bool, error) {
 	const service = "campaign-desk"
 	s.seeds = []string{s.at(s.host(0, 1), s.ports.control).String()}
-	s.store.put("op/config", newDesiredState(s, service, "safe", coldPerS))
+	s.store.put("op/config", newDesiredState(s, service, coldPerS))
 	members, front, err := startDeployment(s, service, coldStart)
 	if err != nil {
 		return false, err
@@ -55,16 +55,17 @@
 	if err := members[0].startTarget(); err != nil {
 		return false, err
 	}
+	returned := members[0].current()
 	load.Wait()
-	return judgeCold(s.record, members[0].current(), members[0].current().startAt), nil
+	return judgeCold(s.record, returned), nil
 }
 
 // judgeCold reports whether a cold target got more in some second than it may.
-func judgeCold(r *record, t *target, coldFrom time.Time) bool {
+func judgeCold(r *record, t *target) bool {
 	limit := coldPerS*coldOverage + coldSlack
 	var arrivals []time.Time
 	for _, o := range t.takenOpenings() {
-		if age := o.arrivedAt.Sub(coldFrom); age >= 0 && age < coldStart {
+		if age := o.arrivedAt.Sub(t.startAt); age >= 0 && age < coldStart {
 			arrivals = append(arrivals, o.arrivedAt)
 		}
 	}
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -29,6 +29,7 @@
 	"clock-step":  runClockStep,
 	"cold-return": runColdReturn,
 	"odd-entry":   runOddEntry,
+	"odd-readers": runOddReaders,
 }
 
 func main() { os.Exit(run()) }
@@ -77,12 +78,12 @@
 	os.Exit(exitNotRun)
 }
 
-// newDesiredState returns a desired state with one route of a kind to a service.
-func newDesiredState(s *system, service, kind string, coldPerS float64) desiredState {
+// newDesiredState returns a desired state with one unsafe route to a service.
+func newDesiredState(s *system, service string, coldPerS float64) desiredState {
 	return desiredState{
 		Version: 3,
 		Routes: []route{{
-			Name: "r-1", Host: s.host(210, 1).String(), Prefix: fmt.Sprintf("/%d/", servicePort), Kind: kind,
+			Name: "r-1", Host: s.host(210, 1).String(), Prefix: fmt.Sprintf("/%d/", servicePort), Kind: "unsafe",
 			Timeout: 1500, Objective: 150, Priority: 1, Service: service, Attempts: 2,
 		}},
 		Services: []desiredService{{
--- a/review/third/member.go
+++ b/review/third/member.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	t.setCold(m.coldStart, m.crashTarget)
 	m.target, m.coldFrom, m.stopBeats = t, t.startAt, make(chan struct{})
 	m.system.record.add("target %s starts", t.name)
 	go m.beat(t, m.clockAhead, m.stopBeats)
@@ -65,6 +66,9 @@
 func (m *member) crashTarget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.target == nil {
+		return
+	}
 	close(m.stopBeats)
 	m.target.stop()
 	m.system.record.add("target %s crashes", m.target.name)
@@ -86,26 +90,28 @@
 }
 
 // beat writes the entry of one start of the target until stop is closed, and lets it lapse then unless
-// a later start has written it again.
+// a later start has written it again. A heartbeat that changes nothing but the sequence leaves the entry
+// as it is.
 func (m *member) beat(t *target, ahead time.Duration, stop chan struct{}) {
 	born := t.startAt.Add(ahead).UnixMilli()
-	sequence, state := 0, ""
+	var written entry
+	sequence, lapsesAt := 0, time.Now()
 	for {
 		sequence++
 		e := entry{
 			Service: m.service, Address: m.system.at(m.address(), m.system.ports.app).String(), Zone: m.system.zones[m.zone], Version: "v1",
 			Slots: m.slots, State: "ready", ColdRemaining: max(0, m.coldRemaining().Milliseconds()), Sequence: sequence, Born: born,
 		}
-		pause := heartbeat
-		if !m.system.store.put("servers/"+m.id(), e) {
-			pause = registrationRetry
-		} else if state == "" {
-			state = e.State
-			m.system.record.add("store has the entry of target %s, cold for %d ms more", t.name, e.ColdRemaining)
+		pause := registrationRetry
+		if isWritten(e, written) || m.system.store.put("servers/"+m.id(), e) {
+			if written.State == "" {
+				m.system.record.add("store has the entry of target %s, cold for %d ms more", t.name, e.ColdRemaining)
+			}
+			written, lapsesAt, pause = e, time.Now().Add(lease), heartbeat
 		}
 		select {
 		case <-stop:
-			time.AfterFunc(lease, func() {
+			time.AfterFunc(time.Until(lapsesAt), func() {
 				if m.current() == nil {
 					m.system.store.remove("servers/" + m.id())
 				}
@@ -115,3 +121,9 @@
 		}
 	}
 }
+
+// isWritten reports whether the store has an entry but for its sequence.
+func isWritten(e, written entry) bool {
+	written.Sequence = e.Sequence
+	return e == written
+}
--- a/review/third/oddentry.go
+++ b/review/third/oddentry.go
@@ -26,7 +26,7 @@
 	for zone := range s.zones {
 		s.seeds = append(s.seeds, s.at(s.host(byte(zone), 1), s.ports.control).String())
 	}
-	s.store.put("op/config", newDesiredState(s, oldService, "unsafe", 0))
+	s.store.put("op/config", newDesiredState(s, oldService, 0))
 	if trouble {
 		putOddEntries(s)
 	}
@@ -55,7 +55,7 @@
 		}
 	}
 	time.Sleep(steadyTime)
-	moved := newDesiredState(s, newService, "unsafe", 0)
+	moved := newDesiredState(s, newService, 0)
 	moved.Version += 4
 	s.store.put("op/config", moved)
 	s.record.note("the operator moves the route from %s to %s", oldService, newService)
--- a/review/third/target.go
+++ b/review/third/target.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// fallsOverAt is how many new flows in a second a cold target survives: twice what the rule allows.
+const fallsOverAt = 2 * (coldPerS*coldOverage + coldSlack)
+
 // flowID identifies a flow by the addresses of its ends.
 type flowID struct{ client, service netip.AddrPort }
 
@@ -34,6 +37,10 @@
 	work     time.Duration
 	startAt  time.Time
 	record   *record
+	// coldFor is how long the target is cold after its start. A cold target that takes more than
+	// fallsOverAt new flows in a second falls over: it loses its flows, and fall is called.
+	coldFor time.Duration
+	fall    func()
 
 	mu       sync.Mutex
 	flows    map[flowID]*targetFlow
@@ -56,6 +63,13 @@
 	return t, nil
 }
 
+// setCold makes the target cold for a time after its start. It calls fall if it falls over.
+func (t *target) setCold(coldFor time.Duration, fall func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldFor, t.fall = coldFor, fall
+}
+
 // stop ends the target like a crash: it drops its flows and sends nothing more.
 func (t *target) stop() {
 	t.mu.Lock()
@@ -64,6 +78,37 @@
 	_ = t.conn.Close()
 }
 
+// isOverloaded reports whether a cold target has taken more in the last second than it survives. The
+// caller holds mu.
+func (t *target) isOverloaded() bool {
+	if time.Since(t.startAt) >= t.coldFor {
+		return false
+	}
+	within := 0
+	for _, o := range t.openings {
+		if time.Since(o.arrivedAt) < time.Second {
+			within++
+		}
+	}
+	return within > fallsOverAt
+}
+
+// fallOver ends the target, and records how many requests are lost that it had accepted. The caller
+// holds mu.
+func (t *target) fallOver() {
+	lost := 0
+	for _, flow := range t.flows {
+		for _, done := range flow.answered {
+			if done == nil {
+				lost++
+			}
+		}
+	}
+	t.isClosed = true
+	t.record.note("target %s falls over; %d requests that it had accepted are never answered", t.name, lost)
+	go t.fall()
+}
+
 func (t *target) run() {
 	buffer := make([]byte, 2048)
 	for {
@@ -96,6 +141,10 @@
 			flow = &targetFlow{sequence: rand.Uint32(), answered: make(map[uint32][]byte)}
 			t.flows[id] = flow
 			t.openings = append(t.openings, opening{id, time.Now()})
+			if t.isOverloaded() {
+				t.fallOver()
+				return
+			}
 		}
 		t.send(p, flow.sequence, p.sequence+1, flagOpen|flagAck, nil)
 	case flow == nil || !flow.isOpen && p.acknowledged != flow.sequence+1:
