--- a/review/third/main.go
+++ b/review/third/main.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -34,13 +33,13 @@
 
 func main() { os.Exit(run()) }
 
-// run runs the case that the arguments name, and writes its record into the folder that they name.
+// run runs the case that the arguments name, and writes its record to the file that they name.
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: third CASE FOLDER")
+		fmt.Println("usage: third CASE RECORD")
 		return exitNotRun
 	}
-	r, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	r, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		return exitNotRun
